--- /dev/null
+++ b/core/types/name.go
@@ -0,0 +1,14 @@
+package types
+
+// ServiceName names a service as operators created it.
+type ServiceName string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// TargetID names a target and the daemon beside it, which share one VM.
+type TargetID string
+
+// Fingerprint identifies the content of a request: the same service, method,
+// path and body give the same fingerprint, whoever sends it.
+type Fingerprint uint64
