core/admit: order waiting calls by deadline and worth

Cause: the daemon beside a target has to keep slots and connections within their bounds, and to refuse calls before they run when they cannot be served.

Ruled out: one queue ordered by worth alone (starves urgent calls); strict priority for urgent calls (starves the others); displacing any other call by an urgent one (the others could never wait for the grants that are theirs); the average as service time for deadlines (one slow call in ten has the fast ones refused; the median is used); freeing the slot of a canceled call (the target may still run it).

Change: Gate with two heaps, a reserve, 7 of 8 grants at most for urgent calls, a protected eighth of the queue, and the limit of core/limit.

--- /dev/null
+++ b/core/admit/event.go
@@ -0,0 +1,11 @@
+package admit
+
+// Event is the final decision about a waiting call: Run or Refuse.
+type Event struct {
+	// Ticket is the one Offer returned.
+	Ticket Ticket
+	// Verdict is Run or Refuse.
+	Verdict Verdict
+	// Reason explains a refusal.
+	Reason string
+}
--- /dev/null
+++ b/core/admit/gate.go
@@ -0,0 +1,157 @@
+package admit
+
+import (
+	"time"
+
+	"trefoilthread/core/limit"
+	"trefoilthread/core/types"
+)
+
+// Gate admits calls to one target.
+type Gate struct {
+	opts     Options
+	limit    *limit.Limit
+	entries  []*entry
+	free     []*entry
+	urgent   queue
+	normal   queue
+	running  int
+	normals  int
+	streak   int
+	draining bool
+	lastID   uint64
+	pending  []Event
+}
+
+// New returns a gate that takes calls.
+func New(o Options) *Gate {
+	g := &Gate{
+		opts:   o.withDefaults(),
+		urgent: queue{before: byDeadline},
+		normal: queue{before: byValue},
+	}
+	g.limit = limit.New(g.limitOptions())
+	return g
+}
+
+// SetOptions changes the options. Running calls keep their slots. Waiting calls
+// that have no place any more are refused (see Pending); Tick grants slots that
+// were added.
+func (g *Gate) SetOptions(o Options) {
+	g.opts = o.withDefaults()
+	g.limit.SetOptions(g.limitOptions())
+	g.shrink()
+}
+
+func (g *Gate) limitOptions() limit.Options {
+	return limit.Options{Max: g.opts.Slots, MinShare: g.opts.MinShare, Tolerance: g.opts.Tolerance}
+}
+
+// Offer decides about a call that has arrived. A refused call has not run;
+// its ticket has the reason.
+func (g *Gate) Offer(now time.Time, c types.Call) (Ticket, Verdict) {
+	if g.draining {
+		return g.refusal(draining), Refuse
+	}
+	remaining := c.Remaining(now)
+	kind := kindOf(c.Class())
+	service := g.limit.Median(now, kind)
+	if remaining <= 0 || remaining < service {
+		return g.refusal(late), Refuse
+	}
+	e := g.accept(kind, c)
+	e.value = g.value(now, kind, c.Worth())
+	if g.hasSlot(e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
+		g.start(e)
+		return e.ticket(), Run
+	}
+	if remaining < g.wait(e)+service {
+		g.release(e)
+		return g.refusal(late), Refuse
+	}
+	if !g.makeRoom(e) {
+		g.release(e)
+		return g.refusal(full), Refuse
+	}
+	g.queueOf(e).add(e)
+	return e.ticket(), Wait
+}
+
+// Done frees the slot of a running call that ended after service in the
+// target. A ticket that holds no slot changes nothing.
+func (g *Gate) Done(now time.Time, t Ticket, service time.Duration, failed bool) []Event {
+	e := g.find(t)
+	if e == nil || !e.running {
+		return g.Pending()
+	}
+	// The time of a canceled call is only a lower bound, like that of a failed
+	// one.
+	g.limit.Observe(now, e.kind, service, g.running, failed || e.canceled)
+	g.running--
+	if !e.urgent {
+		g.normals--
+	}
+	g.release(e)
+	return g.grant(now)
+}
+
+// Cancel withdraws a call. A waiting call is removed without an event of its
+// own; a running one keeps its slot until Done.
+func (g *Gate) Cancel(now time.Time, t Ticket) []Event {
+	switch e := g.find(t); {
+	case e == nil:
+	case e.running:
+		e.canceled = true
+	default:
+		g.queueOf(e).remove(e)
+		g.release(e)
+	}
+	return g.grant(now)
+}
+
+// Tick refuses waiting calls that would miss their deadline even if they ran
+// now, and grants free slots.
+func (g *Gate) Tick(now time.Time) []Event {
+	for _, e := range g.entries {
+		if e.id != 0 && !e.running && g.isLate(now, e) {
+			g.drop(e, late)
+		}
+	}
+	return g.grant(now)
+}
+
+// Drain refuses all waiting calls and every later offer until Resume.
+func (g *Gate) Drain(_ time.Time) []Event {
+	g.draining = true
+	for _, e := range g.entries {
+		if e.id != 0 && !e.running {
+			g.drop(e, draining)
+		}
+	}
+	return g.Pending()
+}
+
+// Resume ends a drain.
+func (g *Gate) Resume() { g.draining = false }
+
+// Pending returns the events that no other method has returned yet: calls that
+// an Offer displaced.
+func (g *Gate) Pending() []Event {
+	events := g.pending
+	g.pending = nil
+	return events
+}
+
+// Report returns the load for reports to other daemons. The incarnation is
+// left to the caller.
+func (g *Gate) Report() types.ReportSpec {
+	return types.ReportSpec{
+		InFlight: g.running, Queued: g.waiting(),
+		Limit: g.capacity(), Latency: g.limit.Latency(), Draining: g.draining,
+	}
+}
+
+// Idle reports whether no call runs or waits.
+func (g *Gate) Idle() bool {
+	return g.running == 0 && g.waiting() == 0
+}
--- /dev/null
+++ b/core/admit/gate_test.go
@@ -0,0 +1,150 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilthread/core/admit"
+	"trefoilthread/core/types"
+)
+
+var start = time.Unix(1000, 0)
+
+func newCall(urgent bool, remaining time.Duration, worth float64) types.Call {
+	c, err := types.NewCall(types.CallSpec{
+		ID: "c", Service: "bookings", Class: types.NewClass(urgent, types.Idempotent),
+		Deadline: start.Add(remaining), Worth: worth,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// fill offers n calls of one sort that take all the slots they may.
+func fill(g *admit.Gate, urgent bool, n int) []admit.Ticket {
+	var tickets []admit.Ticket
+	for range n {
+		if t, v := g.Offer(start, newCall(urgent, time.Hour, 1)); v == admit.Run {
+			tickets = append(tickets, t)
+		}
+	}
+	return tickets
+}
+
+// Guards against calls that are not urgent taking the reserved slots.
+func TestReserve(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 12, Queue: -1})
+	is.Equal(len(fill(g, false, 20)), 9)
+	is.Equal(len(fill(g, true, 20)), 3)
+}
+
+// Guards against urgent calls running in order of arrival and others running
+// regardless of their worth.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1})
+	run := fill(g, true, 1)[0]
+	names := map[admit.Ticket]string{}
+	for _, c := range []struct {
+		name   string
+		urgent bool
+		ttl    time.Duration
+		worth  float64
+	}{
+		{"cheap", false, time.Minute, 1}, {"late", true, time.Hour, 9}, {"dear", false, time.Hour, 5},
+		{"soon", true, time.Minute, 1},
+	} {
+		ticket, v := g.Offer(start, newCall(c.urgent, c.ttl, c.worth))
+		is.Equal(v, admit.Wait)
+		names[ticket] = c.name
+	}
+	var order []string
+	for range 4 {
+		events := g.Done(start, run, time.Millisecond, false)
+		is.Equal(len(events), 1)
+		run = events[0].Ticket
+		order = append(order, names[run])
+	}
+	is.Equal(fmt.Sprint(order), "[soon late dear cheap]")
+}
+
+// Guards against starvation: with a flood of urgent calls, another call gets a
+// place in the full queue and runs within 8 grants.
+func TestFloodOfUrgentCallsStarvesNobody(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 4, Queue: 16})
+	running := fill(g, true, 20)
+	other, v := g.Offer(start, newCall(false, time.Hour, 0.001))
+	is.Equal(v, admit.Wait)
+	is.Equal(len(g.Pending()), 1) // one urgent call made room
+	for grant := 1; ; grant++ {
+		is.True(grant <= 8)
+		fill(g, true, 20)
+		events := g.Done(start, running[0], time.Millisecond, false)
+		is.Equal(len(events), 1)
+		running = append(running[1:], events[0].Ticket)
+		if events[0].Ticket == other {
+			return
+		}
+	}
+}
+
+// Guards against a full queue refusing a valuable call in favour of a
+// worthless one, and the other way round.
+func TestFullQueueKeepsTheMostValuable(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1, Queue: 2})
+	fill(g, true, 1)
+	cheap, _ := g.Offer(start, newCall(false, time.Hour, 1))
+	g.Offer(start, newCall(false, time.Hour, 3))
+	refused, v := g.Offer(start, newCall(false, time.Hour, 0.5))
+	is.Equal(v, admit.Refuse)
+	is.Equal(refused.Reason(), "queue full")
+	_, v = g.Offer(start, newCall(false, time.Hour, 2))
+	is.Equal(v, admit.Wait)
+	events := g.Pending()
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Ticket, cheap)
+	is.Equal(events[0].Verdict, admit.Refuse)
+}
+
+// Guards against accepting calls that cannot make their deadline, at once or
+// after the queue has grown, and against keeping them until it passes.
+func TestDeadlines(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 2, UrgentShare: -1})
+	for range 50 {
+		g.Done(start, fill(g, true, 1)[0], 100*time.Millisecond, false)
+	}
+	ticket, v := g.Offer(start, newCall(true, 90*time.Millisecond, 1))
+	is.Equal(v, admit.Refuse)
+	is.Equal(ticket.Reason(), "deadline cannot be met")
+	fill(g, true, 2)
+	_, v = g.Offer(start, newCall(true, 120*time.Millisecond, 1)) // needs 150 ms
+	is.Equal(v, admit.Refuse)
+	ticket, v = g.Offer(start, newCall(true, 170*time.Millisecond, 1))
+	is.Equal(v, admit.Wait)
+	is.Equal(len(g.Tick(start.Add(60*time.Millisecond))), 0)
+	events := g.Tick(start.Add(80 * time.Millisecond))
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Ticket, ticket)
+	is.Equal(events[0].Verdict, admit.Refuse)
+}
+
+// Guards against a canceled call freeing a slot in which the target may still
+// be working.
+func TestCanceledCallKeepsItsSlot(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1, Queue: -1})
+	ticket := fill(g, true, 1)[0]
+	g.Cancel(start, ticket)
+	is.Equal(len(fill(g, true, 1)), 0)
+	g.Done(start, ticket, time.Millisecond, false)
+	is.True(g.Idle())
+	is.Equal(len(fill(g, true, 1)), 1)
+}
