core/retry: bound retries and hedged requests per service

Cause: with all targets failing, retries multiply the load, and a retry without proof can run an at-most-once call twice.

--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,82 @@
+package retry
+
+import "time"
+
+const (
+	defaultRetryShare = 0.10
+	defaultRetryFloor = 3.0
+	// defaultRetryBurst covers the queued calls that one daemon gets back when
+	// a target drains.
+	defaultRetryBurst = 10.0
+)
+
+// BudgetOptions configure a Budget. A field that is zero has its default.
+type BudgetOptions struct {
+	// Share is the number of retries per call; default 0.1.
+	Share float64
+	// Floor is the number of retries per second that is always possible;
+	// default 3.
+	Floor float64
+	// Burst is the number of unused retries that are kept; default 10.
+	Burst float64
+}
+
+// Budget bounds the retries of one service by the larger of a share of its
+// calls and a floor per second.
+type Budget struct {
+	opts  BudgetOptions
+	share float64
+	floor float64
+	last  time.Time
+}
+
+// NewBudget returns a budget with one second of its floor available.
+func NewBudget(o BudgetOptions) *Budget {
+	if o.Share <= 0 {
+		o.Share = defaultRetryShare
+	}
+	if o.Floor <= 0 {
+		o.Floor = defaultRetryFloor
+	}
+	if o.Burst <= 0 {
+		o.Burst = defaultRetryBurst
+	}
+	return &Budget{opts: o, floor: o.Floor}
+}
+
+// Call records a call that is not a retry. What it adds to the share is taken
+// from the floor, so that the two do not add up.
+func (b *Budget) Call(now time.Time) {
+	b.refill(now)
+	b.share = min(b.share+b.opts.Share, b.opts.Burst)
+	b.floor = max(b.floor-b.opts.Share, 0)
+}
+
+// Available reports whether a retry is within the budget.
+func (b *Budget) Available(now time.Time) bool {
+	b.refill(now)
+	return b.share >= 1 || b.floor >= 1
+}
+
+// Take uses one retry; it reports false, and changes nothing, if none is
+// available.
+func (b *Budget) Take(now time.Time) bool {
+	switch {
+	case !b.Available(now):
+		return false
+	case b.share >= 1:
+		b.share--
+	default:
+		b.floor--
+	}
+	return true
+}
+
+func (b *Budget) refill(now time.Time) {
+	if elapsed := now.Sub(b.last); !b.last.IsZero() && elapsed > 0 {
+		b.floor = min(b.floor+elapsed.Seconds()*b.opts.Floor, b.opts.Floor)
+	}
+	if now.After(b.last) {
+		b.last = now
+	}
+}
--- /dev/null
+++ b/core/retry/hedger.go
@@ -0,0 +1,131 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	defaultQuantile   = 0.95
+	defaultHedgeShare = 0.05
+	defaultHedgeBurst = 5.0
+	defaultWindow     = 10 * time.Second
+	defaultMinSamples = 20
+
+	maxLatency = time.Minute
+	// One significant digit keeps a histogram at a few KB; a hedge delay that
+	// is 10 % off changes the share of hedged calls little.
+	digits = 1
+	// refresh is the number of samples after which the quantile of the current
+	// window is computed again.
+	refresh = 64
+)
+
+// HedgerOptions configure a Hedger. A field that is zero has its default.
+type HedgerOptions struct {
+	// Quantile of the latency after which a hedged request starts; default
+	// 0.95.
+	Quantile float64
+	// Share is the number of hedged requests per call; default 0.05.
+	Share float64
+	// Burst is the number of unused hedged requests that are kept; default 5.
+	Burst float64
+	// Window is the time over which latency is measured; default 10 s.
+	Window time.Duration
+	// MinSamples is the number of samples the quantile needs; default 20.
+	MinSamples int64
+}
+
+// Hedger knows when a hedged request of one service starts and how many may.
+type Hedger struct {
+	opts          HedgerOptions
+	current, last *hdrhistogram.Histogram
+	start         time.Time
+	delay         time.Duration
+	tokens        float64
+}
+
+// NewHedger returns a hedger without samples.
+func NewHedger(o HedgerOptions) *Hedger {
+	if o.Quantile <= 0 || o.Quantile >= 1 {
+		o.Quantile = defaultQuantile
+	}
+	if o.Share <= 0 {
+		o.Share = defaultHedgeShare
+	}
+	if o.Burst <= 0 {
+		o.Burst = defaultHedgeBurst
+	}
+	if o.Window <= 0 {
+		o.Window = defaultWindow
+	}
+	if o.MinSamples <= 0 {
+		o.MinSamples = defaultMinSamples
+	}
+	top := maxLatency.Microseconds()
+	return &Hedger{
+		opts:    o,
+		current: hdrhistogram.New(1, top, digits),
+		last:    hdrhistogram.New(1, top, digits),
+	}
+}
+
+// Call records a call that is neither a retry nor hedged.
+func (h *Hedger) Call() { h.tokens = min(h.tokens+h.opts.Share, h.opts.Burst) }
+
+// Record adds the latency of a complete answer, from the start of the first
+// attempt.
+func (h *Hedger) Record(now time.Time, latency time.Duration) {
+	h.rotate(now)
+	us := min(max(latency, time.Microsecond), maxLatency).Microseconds()
+	if h.current.RecordValue(us) != nil {
+		return // not possible: the value is within the range
+	}
+	n := h.current.TotalCount()
+	if h.last.TotalCount() < h.opts.MinSamples && n >= h.opts.MinSamples &&
+		(h.delay == 0 || n%refresh == 0) {
+		h.delay = h.quantile(h.current)
+	}
+}
+
+// Delay returns how long after the first attempt a hedged request starts;
+// false if that is not known.
+func (h *Hedger) Delay(now time.Time) (time.Duration, bool) {
+	h.rotate(now)
+	return h.delay, h.delay > 0
+}
+
+// Available reports whether a hedged request is within the budget.
+func (h *Hedger) Available() bool { return h.tokens >= 1 }
+
+// Take uses one hedged request; it reports false, and changes nothing, if none
+// is available.
+func (h *Hedger) Take() bool {
+	if !h.Available() {
+		return false
+	}
+	h.tokens--
+	return true
+}
+
+func (h *Hedger) rotate(now time.Time) {
+	age := now.Sub(h.start)
+	if age < h.opts.Window {
+		return
+	}
+	h.current, h.last = h.last, h.current
+	h.current.Reset()
+	if age >= 2*h.opts.Window {
+		h.last.Reset()
+	}
+	h.start = now
+	h.delay = 0
+	if h.last.TotalCount() >= h.opts.MinSamples {
+		h.delay = h.quantile(h.last)
+	}
+}
+
+func (h *Hedger) quantile(x *hdrhistogram.Histogram) time.Duration {
+	return time.Duration(x.ValueAtQuantile(100*h.opts.Quantile)) * time.Microsecond
+}
