core/lease: hold a data centre's leadership under a store lease

Ruled out: an epoch counted up in the leader key (the key goes with its lease, so the count starts again); a counter in a second key (a candidate that pauses between the two writes creates the leader key with an old count). The epoch is the store revision that created the key; the record names the highest epoch its writer knew, and a holder refuses a revision that is not above what it knows.

Change: Holder, a state machine with Step, NextWake and MayAct; Fence for receivers; Rank by rendezvous hashing. A creation whose answer is lost is read back by write id; an abandoned lease is revoked. A daemon that hears its leader makes no store calls.

--- /dev/null
+++ b/core/lease/event.go
@@ -0,0 +1,67 @@
+package lease
+
+import "time"
+
+type eventKind uint8
+
+const (
+	tick eventKind = iota
+	heard
+	observed
+	gone
+	readDone
+	grantDone
+	swapDone
+	renewDone
+	resign
+)
+
+// Event is something that a Holder has to know. The zero value is Tick.
+type Event struct {
+	kind     eventKind
+	op       uint64
+	status   Status
+	value    []byte
+	revision int64
+	lease    int64
+	ttl      time.Duration
+	epoch    uint64
+}
+
+// Tick reports that time has passed.
+func Tick() Event { return Event{kind: tick} }
+
+// Heard reports a message from the leader of the given epoch.
+func Heard(epoch uint64) Event { return Event{kind: heard, epoch: epoch} }
+
+// Observed reports the value and revision of the leader key, from a watch.
+func Observed(value []byte, revision int64) Event {
+	return Event{kind: observed, value: value, revision: revision}
+}
+
+// Gone reports that the leader key was deleted at the given store revision.
+func Gone(revision int64) Event { return Event{kind: gone, revision: revision} }
+
+// ReadDone answers a Read.
+func ReadDone(op uint64, s Status, value []byte, revision int64) Event {
+	return Event{kind: readDone, op: op, status: s, value: value, revision: revision}
+}
+
+// GrantDone answers a Grant with the lease and the time the store gave it.
+func GrantDone(op uint64, s Status, lease int64, ttl time.Duration) Event {
+	return Event{kind: grantDone, op: op, status: s, lease: lease, ttl: ttl}
+}
+
+// SwapDone answers a Swap with the revision of the created key.
+func SwapDone(op uint64, s Status, revision int64) Event {
+	return Event{kind: swapDone, op: op, status: s, revision: revision}
+}
+
+// RenewDone answers a Renew with the time the store gave the lease.
+func RenewDone(op uint64, s Status, ttl time.Duration) Event {
+	return Event{kind: renewDone, op: op, status: s, ttl: ttl}
+}
+
+// Resign asks the Holder to give up leadership and candidacy for good, because
+// the daemon is stopping.
+func Resign() Event { return Event{kind: resign} }
