--- /dev/null
+++ b/core/probe/decision.go
@@ -0,0 +1,22 @@
+package probe
+
+import "time"
+
+// Decision is the answer to a request for a grant.
+type Decision struct {
+	granted bool
+	never   bool
+	wait    time.Duration
+}
+
+// Granted reports whether the measurement may be made.
+func (d Decision) Granted() bool { return d.granted }
+
+// Never reports whether the cost is invalid or exceeds the whole budget, so
+// that waiting doesn't help.
+func (d Decision) Never() bool { return d.never }
+
+// Wait returns the time before which the same cost isn't granted under the
+// same budget. If nothing else is granted meanwhile and time didn't run
+// backwards, it is granted then. It is zero for a grant and if Never.
+func (d Decision) Wait() time.Duration { return d.wait }
