io/store: speak the etcd v3 API and limit the calls of a daemon

The daemon needs the store abstraction over a real protocol, with an honest outcome of every write, and the platform counts every call.

Ruled out: taking every transport error as unknown (a key would be blocked by a store that was never reached); taking GotConn of the transport as the point of sending (a cached connection can turn out closed with nothing sent); the transport's own repetition of requests (a repeated compare-and-swap fails its own compare); plain single-flight reads (a joined call may have been answered before a write that the reader has already seen finished).

Etcd reports a write as unavailable only if no header of it was encoded, or if the server refused it with a status that the API defines as a refusal.

Conclusion: usable by lease, membership, claims and configuration.

--- /dev/null
+++ b/io/store/etcd.go
@@ -0,0 +1,96 @@
+package store
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Etcd is a client of the published etcd v3 API over gRPC.
+type Etcd struct {
+	opts      EtcdOptions
+	transport *http.Transport
+	endpoints []*endpoint
+	current   atomic.Uint32 // index of the endpoint that is tried first
+}
+
+// NewEtcd returns a client for endpoints given as http or https URLs. HTTP/2
+// is used with both. It makes no connection yet.
+func NewEtcd(endpoints []string, o EtcdOptions) (*Etcd, error) {
+	if len(endpoints) == 0 {
+		return nil, errors.New("store: no endpoints")
+	}
+	o = o.withDefaults()
+	var p http.Protocols
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	e := &Etcd{opts: o, transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		TLSClientConfig: o.TLS,
+		Protocols:       &p,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: o.PingAfter,
+			PingTimeout:     o.PingTimeout,
+		},
+		TLSHandshakeTimeout: o.DialTimeout,
+	}}
+	for _, s := range endpoints {
+		u, err := url.Parse(s)
+		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return nil, errors.Newf("store: endpoint %q is not an http or https URL", s)
+		}
+		e.endpoints = append(e.endpoints, newEndpoint(s, e.transport))
+	}
+	return e, nil
+}
+
+// Store returns the operations.
+func (e *Etcd) Store() Store {
+	return Store{
+		Get:            e.get,
+		CompareAndSwap: e.compareAndSwap,
+		Watch:          e.watch,
+		Grant:          e.grant,
+		Renew:          e.renew,
+		Revoke:         e.revoke,
+	}
+}
+
+// Close closes idle connections. Calls in progress are not ended.
+func (e *Etcd) Close() { e.transport.CloseIdleConnections() }
+
+// call runs fn on an endpoint, and on the next one only after an error that
+// proves that nothing was sent: an answer that was lost may not be bought with
+// a second call that the platform counts as well. After any failure without
+// an answer, later calls begin with the next endpoint. It reports whether the
+// last attempt began to send.
+func (e *Etcd) call(ctx context.Context, fn func(context.Context, *endpoint) error) (sent bool, err error) {
+	for range e.endpoints {
+		i := e.current.Load()
+		var began atomic.Bool
+		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			// Called while the headers are encoded, so before any of their bytes
+			// can reach the connection. GotConn would be too early: a cached
+			// connection can turn out to be closed, with nothing sent.
+			WroteHeaderField: func(string, []string) { began.Store(true) },
+		})
+		err = fn(traced, e.endpoints[i])
+		if err == nil || answered(err) {
+			return true, err
+		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// The caller gave up: no sign of a fault of the endpoint.
+			return began.Load(), err
+		}
+		e.current.CompareAndSwap(i, (i+1)%uint32(len(e.endpoints)))
+		if began.Load() || ctx.Err() != nil {
+			return began.Load(), err
+		}
+	}
+	return false, err
+}
--- /dev/null
+++ b/io/store/get.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"trefoilthread/io/etcdpb"
+)
+
+// get implements Store.Get with a linearizable range of one key.
+func (e *Etcd) get(ctx context.Context, key string) (Item, error) {
+	resp, err := e.readRange(ctx, "get "+key, &etcdpb.RangeRequest{Key: []byte(key)})
+	if err != nil {
+		return Item{}, err
+	}
+	if len(resp.Kvs) == 0 {
+		return Item{}, fmt.Errorf("store: get %s: %w", key, ErrNotFound)
+	}
+	return item(resp.Kvs[0]), nil
+}
+
+// readRange sends a range. ctx is the caller's; the call has its own bound.
+func (e *Etcd) readRange(ctx context.Context, op string, r *etcdpb.RangeRequest) (*etcdpb.RangeResponse, error) {
+	bounded, cancel := context.WithTimeout(ctx, e.opts.CallTimeout)
+	defer cancel()
+	var resp *etcdpb.RangeResponse
+	if _, err := e.call(bounded, func(ctx context.Context, ep *endpoint) error {
+		out, err := ep.reads.Range(ctx, connect.NewRequest(r))
+		if err == nil {
+			resp = out.Msg
+		}
+		return err
+	}); err != nil {
+		return nil, readError(ctx, op, err)
+	}
+	return resp, nil
+}
+
+func item(kv *etcdpb.KeyValue) Item {
+	return Item{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision, Lease: LeaseID(kv.Lease)}
+}
