--- a/io/stand/endpoint.go
+++ b/io/stand/endpoint.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -90,6 +91,20 @@
 	return true
 }
 
+// shutdown closes the listener, lets requests finish until ctx ends, and then
+// stops.
+func (e *endpoint) shutdown(ctx context.Context) error {
+	e.mu.Lock()
+	srv := e.srv
+	e.mu.Unlock()
+	var err error
+	if srv != nil {
+		err = srv.Shutdown(ctx)
+	}
+	e.stop()
+	return errors.Wrap(err, "requests still running")
+}
+
 func (e *endpoint) address() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/stand/target.go
+++ b/io/stand/target.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -91,6 +92,19 @@
 	t.client.CloseIdleConnections()
 }
 
+// Shutdown drains the target and takes new requests for another grace, in
+// which the daemons learn of it; then it lets requests finish until ctx ends
+// and closes the target.
+func (t *Target) Shutdown(ctx context.Context, grace time.Duration) error {
+	t.Drain()
+	err := pause(ctx, grace)
+	if err == nil {
+		err = t.end.shutdown(ctx)
+	}
+	t.Close()
+	return err
+}
+
 // Crash closes the listener and all connections at once and ends all requests,
 // as the end of the process does. The records of runs stay.
 func (t *Target) Crash() {
