--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -13,7 +13,7 @@
 //
 // The size of the new document is checked by Encode.
 func Apply(doc Document, c Change, now time.Time) (Document, Result, error) {
-	if r, ok := doc.Request(c.RequestID()); ok && !c.DryRun() {
+	if r, ok := doc.Request(c.RequestID()); ok && !c.DryRun() && len(c.spec.Problems) == 0 {
 		if r.digest != c.digest() {
 			return doc, Result{}, &Reused{requestID: c.RequestID(), version: r.version}
 		}
@@ -69,7 +69,7 @@
 
 // check returns all invalid values of a change as one error.
 func check(doc Document, c Change, found bool) error {
-	var list checker
+	list := checker{problems: slices.Clone(c.spec.Problems)}
 	list.check(c.Action() <= Delete, -1, "action", strconv.Itoa(int(c.Action())), "create, update or delete")
 	if !c.DryRun() || c.RequestID() != "" {
 		list.check(isID(c.RequestID()), -1, "requestId", c.RequestID(), fmt.Sprintf("1 to %d printable ASCII characters without space", MaxID))
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -22,6 +22,9 @@
 	Address  string
 	// DryRun validates and compares only.
 	DryRun bool
+	// Problems are values of the request that Service cannot represent, for
+	// example a share that is no number. Apply reports them with its own.
+	Problems []Problem
 }
 
 // Change is one change that an operator asks for.
