core/route: choose targets by estimated wait

Cause: the choice between targets rests on reports that are stale on arrival, and stragglers, fail-fast targets and cold targets need to lose traffic before their calls end. Reports now fade to the average of all reports. Change: Picker with the policies Weighted, Random, RoundRobin and LeastOutstanding, subset, slow start, suspension with trial calls, PickFor and a listing.

--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,86 @@
+// Package route selects the target for a call.
+//
+// A Picker holds the targets of one service as one daemon sees them. It learns
+// from three sources of different quality: the daemon's own calls, which are
+// exact and current; load reports, which come with responses and are stale on
+// arrival; and the membership, which tells only who is there.
+//
+// # Estimated wait
+//
+// The default policy Weighted draws a few targets at random and picks the one
+// with the lowest score:
+//
+//	((1 + own + others) / slots x latency + one-way latency) x penalty / warmth
+//
+//	others = weight x last report + (1 - weight) x average of the reports
+//
+// own is the number of own calls in flight and others the reported calls in
+// flight and queued without the own ones, so that no call is counted twice.
+// The weight of a report halves each 50 ms, and the average of all reports
+// takes the remaining weight: if old reports faded to zero, the targets without
+// a recent report would look idle and attract the calls. The constant 1 is the
+// call to be placed: without it all idle targets would be equal, however slow.
+// penalty grows with the share of failed calls, and warmth grows from 0.1 to 1
+// in the 5 s after a start.
+//
+// Latency is the average of the own calls without twice the one-way latency,
+// which the score already has. Failed calls count only when they took longer
+// than the average: a target that fails fast must not look fast. While the
+// oldest call in flight is older than twice the average, half its age takes
+// the place of the average, so that a straggler loses traffic before any of
+// its calls ends. Without own calls, an excess over the service's average and
+// the share of failures halve each second, so that no target is judged by old
+// results for ever.
+//
+// # Suspension
+//
+// A target is suspended when its oldest call is older than three times the 95 %
+// latency quantile of the service, at least 20 ms, or when more than half of
+// its recent calls failed. It then gets one trial call at a time, with pauses
+// that double from 100 ms to 5 s, until one ends well. A retry is never a
+// trial call. When more than half of the targets are suspended, suspension is
+// ignored: the fault is then more likely in the calls or in this daemon, and
+// the remaining targets couldn't carry the load. The score still applies.
+//
+// # Data centres
+//
+// Sampling three targets of all data centres would send most calls to other
+// ones even when the nearest is idle. The targets of the nearest data centre
+// and the others are therefore sampled separately, and the lower score wins:
+// the near target is used until its queueing outweighs the one-way latency.
+//
+// # Subset
+//
+// Above Options.Subset targets, a Picker uses those with the highest
+// rendezvous hash of (daemon, target). At most half of the places go to the
+// nearest data centre first, so that a large service keeps near targets in
+// every subset; the rest is filled from all others. PickFor ignores the subset,
+// because all daemons must select the same target for a fingerprint.
+//
+// # Herding
+//
+// Daemons that hold the same report differ in their random source. Sampling
+// bounds the share of calls that meets any one target to Choices in the number
+// of targets; with few targets the sample is limited to about half of them.
+//
+// # Drain
+//
+// Draining and down targets are never picked. A report that says draining
+// holds until the membership has a newer state, at most 30 s; a call that is
+// then sent too early is refused as not run and renews it.
+//
+// # Usage
+//
+//	p := route.New(route.Options{Self: self, DataCentre: dc, Distance: distance, Seed: seed})
+//	p.Update(now, targets)
+//	t, ok := p.Pick(now, tried)
+//	if !ok {
+//		// no target is left
+//	}
+//	tok := p.Start(now, t.ID())
+//	// send the call
+//	p.Finish(now, tok, route.Result{Latency: latency, Outcome: types.Done, Report: report, HasReport: true})
+//
+// Every Start needs its Finish, also for canceled calls: the tables grow with
+// the calls in flight. A Picker isn't safe for concurrent use.
+package route
--- /dev/null
+++ b/core/route/picker.go
@@ -0,0 +1,148 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+// Picker selects targets of one service.
+type Picker struct {
+	opts     Options
+	selfHash uint64
+	random   *rand.Rand
+	cursor   uint64
+	tried    []types.TargetID // of the current decision
+
+	round   uint64
+	byID    map[types.TargetID]*member
+	members []*member // in the order of the last Update
+	subset  []*member // up, the nearest data centre first
+	near    int       // size of that first part
+	ranked  []ranked  // buffer of Update
+
+	calls     calls
+	suspended int // in the subset
+	mean      average
+	others    average // reported calls of other daemons, over all targets
+	high      quantile
+}
+
+// New returns a Picker without targets.
+func New(o Options) *Picker {
+	o = o.withDefaults()
+	self := hashID(o.Self)
+	return &Picker{
+		opts:     o,
+		selfHash: self,
+		random:   rand.New(rand.NewPCG(o.Seed, self)),
+		byID:     make(map[types.TargetID]*member),
+	}
+}
+
+// Len returns the number of targets in the membership, in any state.
+func (p *Picker) Len() int { return len(p.members) }
+
+// Pick selects a target for a call, never one that is draining, down or in
+// tried. It returns false if none is left.
+func (p *Picker) Pick(now time.Time, tried []types.TargetID) (types.Target, bool) {
+	// The copy keeps the caller's slice from escaping to the heap.
+	p.tried = append(p.tried[:0], tried...)
+	i := p.opts.Policy(View{p: p, now: now})
+	if i < 0 {
+		return types.Target{}, false
+	}
+	return p.subset[i].target, true
+}
+
+// PickFor selects the target with the highest rendezvous hash of the
+// fingerprint among all that are up. Daemons with the same membership select
+// the same target.
+func (p *Picker) PickFor(now time.Time, f types.Fingerprint) (types.Target, bool) {
+	var best *member
+	var weight uint64
+	for _, m := range p.members {
+		if !m.isUsable(now) {
+			continue
+		}
+		w := rendezvous(uint64(f), m.hash)
+		if best == nil || w > weight || w == weight && m.target.ID() < best.target.ID() {
+			best, weight = m, w
+		}
+	}
+	if best == nil {
+		return types.Target{}, false
+	}
+	return best.target, true
+}
+
+// Start records that a call to the target begins.
+func (p *Picker) Start(now time.Time, id types.TargetID) Token {
+	m := p.byID[id]
+	if m != nil {
+		m.settle(now, p.typical())
+	}
+	return p.calls.start(now, m)
+}
+
+// Finish records the result of a call. It does nothing if the call was
+// finished before; the result of a call to an earlier incarnation is dropped.
+func (p *Picker) Finish(now time.Time, tok Token, res Result) {
+	m, trial := p.calls.finish(tok)
+	if m == nil {
+		return
+	}
+	if res.HasReport {
+		p.accept(now, m, res.Report)
+	}
+	v := res.verdict()
+	// A distance that is configured too long must not make a target look
+	// faster than a tenth of what was measured.
+	x := max(float64(res.Latency-2*m.distance), float64(res.Latency)/10)
+	m.observe(now, v, x)
+	if v == succeeded {
+		p.high.observe(x)
+		p.mean.observe(min(x, p.high.value), 1.0/64)
+	}
+	switch {
+	case trial && m.suspended:
+		p.judgeTrial(now, m, v, res.Latency)
+	case v == failed && m.failures > suspendShare:
+		p.suspend(now, m)
+	}
+}
+
+// accept takes a report over, unless it is from an earlier incarnation. A
+// report of a later one tells of a restart before the membership does.
+func (p *Picker) accept(now time.Time, m *member, r types.Report) {
+	if r.Incarnation() < m.incarnation && r.Incarnation() != 0 {
+		return
+	}
+	if r.Incarnation() > m.incarnation {
+		p.restart(m, now)
+		m.incarnation = r.Incarnation()
+	}
+	m.accept(now, r)
+	p.others.observe(m.others, 1.0/16)
+}
+
+// restart forgets what the previous incarnation of m has shown.
+func (p *Picker) restart(m *member, started time.Time) {
+	p.calls.disown(m)
+	if m.suspended && m.inSubset {
+		p.suspended--
+	}
+	m.stats = newStats(started)
+}
+
+// List returns the state of all targets, sorted by name.
+func (p *Picker) List(now time.Time) []Status {
+	list := make([]Status, 0, len(p.members))
+	for _, m := range p.members {
+		list = append(list, p.status(now, m))
+	}
+	slices.SortFunc(list, compareStatus)
+	return list
+}
--- /dev/null
+++ b/core/route/suspend_test.go
@@ -0,0 +1,122 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilthread/core/route"
+	"trefoilthread/core/types"
+)
+
+// Guards against a straggler that is only noticed when its calls end, gets
+// more than one trial call at a time, or never comes back.
+func TestStragglerIsSuspendedByAge(t *testing.T) {
+	is := is.New(t)
+	list := targets(5, "a")
+	p := route.New(route.Options{})
+	p.Update(start, list)
+	warm(p, start, list)
+	var later []route.Token
+	hung := p.Start(start, "t0")
+	for _, x := range list[1:] {
+		p.Finish(start.Add(ms(6)), p.Start(start, x.ID()), route.Result{Latency: ms(6)})
+		later = append(later, p.Start(start.Add(ms(40)), x.ID()))
+	}
+	is.True(!status(p, start.Add(ms(40)), "t0").Suspended())
+	now := start.Add(ms(50))
+	is.Equal(count(p, now, 500)["t0"], 0)
+	is.True(status(p, now, "t0").Suspended())
+
+	for _, tok := range later {
+		p.Finish(now, tok, route.Result{Latency: ms(10)})
+	}
+	now = start.Add(ms(150))
+	for range 200 {
+		x, _ := p.Pick(now, []types.TargetID{"t1"})
+		is.True(x.ID() != "t0") // a retry is never a trial call
+	}
+	is.Equal(count(p, now, 500)["t0"], 1) // also without Start in between
+	trial := p.Start(now, "t0")           // the trial call hangs as well
+	now = now.Add(ms(3000))
+	is.Equal(count(p, now, 500)["t0"], 0)
+	p.Finish(now, trial, route.Result{Latency: ms(3000)})
+	is.Equal(count(p, now.Add(ms(199)), 500)["t0"], 0) // the pause has doubled
+	now = now.Add(ms(200))
+	is.Equal(count(p, now, 500)["t0"], 1)
+	p.Finish(now, p.Start(now, "t0"), route.Result{Failed: true})
+	is.Equal(count(p, now.Add(ms(399)), 500)["t0"], 0) // and again
+	now = now.Add(ms(400))
+	is.Equal(count(p, now, 500)["t0"], 1)
+	p.Finish(now.Add(ms(5)), p.Start(now, "t0"), route.Result{Latency: ms(5)})
+	now = now.Add(time.Minute)
+	count(p, now, 500) // the first call still hangs, but later ones end
+	is.True(!status(p, now, "t0").Suspended())
+	p.Finish(now, hung, route.Result{Outcome: types.Canceled, Latency: time.Minute})
+	is.True(count(p, now.Add(time.Minute), 500)["t0"] > 20)
+}
+
+// Guards against a target that fails fast and looks idle and quick, and
+// against a single failure that removes a good target.
+func TestFailFastTargetIsSuspended(t *testing.T) {
+	is := is.New(t)
+	list := targets(5, "a")
+	p := route.New(route.Options{})
+	p.Update(start, list)
+	warm(p, start, list)
+	for i := range 6 {
+		is.True(!status(p, start, "t0").Suspended())
+		call(p, start, "t0", route.Result{Latency: ms(1) / 10, Failed: true})
+		is.Equal(status(p, start, "t0").Latency(), ms(5)) // short failures don't count
+		if i == 2 {
+			for _, x := range list[1:] { // a queue at the others
+				for range 3 {
+					p.Start(start, x.ID())
+				}
+			}
+			is.Equal(count(p, start, 500)["t0"], 0)
+		}
+	}
+	is.True(status(p, start, "t0").Suspended())
+	// Alone it is still picked: the caller has nothing better.
+	x, ok := p.Pick(start, []types.TargetID{"t1", "t2", "t3", "t4"})
+	is.True(ok)
+	is.Equal(x.ID(), types.TargetID("t0"))
+}
+
+// Guards against refusals that suspend a full target like a broken one, or
+// that leave its traffic as it is.
+func TestRefusalsLowerTrafficWithoutSuspension(t *testing.T) {
+	is := is.New(t)
+	list := targets(5, "a")
+	p := route.New(route.Options{})
+	p.Update(start, list)
+	warm(p, start, list)
+	for range 100 {
+		call(p, start, "t0", route.Result{Latency: ms(1), Outcome: types.NotRun})
+	}
+	is.True(!status(p, start, "t0").Suspended())
+	is.Equal(count(p, start, 500)["t0"], 0)
+	is.True(count(p, start.Add(time.Minute), 500)["t0"] > 20)
+}
+
+// Guards against a fault of all targets, or of the calls, that moves all
+// traffic to the few targets that aren't suspended yet.
+func TestSuspensionIsIgnoredForMostTargets(t *testing.T) {
+	is := is.New(t)
+	list := targets(5, "a")
+	p := route.New(route.Options{})
+	p.Update(start, list)
+	warm(p, start, list)
+	for n := range 4 {
+		for range 8 {
+			call(p, start, list[n].ID(), route.Result{Latency: ms(1), Outcome: types.Unknown})
+		}
+		now := start.Add(time.Minute) // penalties have faded, suspension hasn't
+		call(p, now, "t4", route.Result{Latency: ms(5)})
+		got := count(p, now, 500)
+		is.True(n >= 2 || got["t0"] <= 1)
+		is.True(n < 2 || got["t0"] > 20 && got["t1"] > 20 && got["t2"] > 20)
+	}
+}
--- /dev/null
+++ b/core/route/update_test.go
@@ -0,0 +1,173 @@
+package route_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"trefoilthread/core/route"
+	"trefoilthread/core/types"
+)
+
+func incarnation(i int, n uint64) types.Target {
+	return types.NewTarget(types.TargetSpec{ID: target(i, "a").ID(), Slots: 12, Incarnation: n})
+}
+
+// Guards against a restarted target that gets its full share while it is cold,
+// against results of its previous incarnation that count for the new one, and
+// against an update that forgets the targets that stay.
+func TestNewIncarnationStartsAnew(t *testing.T) {
+	is := is.New(t)
+	list := targets(5, "a")
+	p := route.New(route.Options{})
+	p.Update(start, list)
+	is.Equal(status(p, start, "t0").Warmth(), 1.0) // only this daemon is new
+	warm(p, start, list)
+	old, kept := p.Start(start, "t0"), p.Start(start, "t1")
+	list[0] = incarnation(0, 2)
+	p.Update(start, list)
+	is.Equal(status(p, start, "t0").InFlight(), 0)
+	is.Equal(status(p, start, "t1").InFlight(), 1)
+	p.Finish(start, old, route.Result{Latency: ms(900), Failed: true})
+	p.Finish(start, kept, route.Result{Latency: ms(5)})
+	is.Equal(status(p, start, "t0").Failures(), 0.0)
+	is.True(count(p, start, 500)["t0"] == 0) // the others are idle and warm
+	is.Equal(status(p, start.Add(ms(2500)), "t0").Warmth(), 0.5)
+	is.True(count(p, start.Add(5*time.Second), 500)["t0"] > 50)
+
+	// A report of a later incarnation comes before the membership.
+	tok := p.Start(start, "t2")
+	r := types.NewReport(types.ReportSpec{Incarnation: 2})
+	call(p, start, "t2", route.Result{Latency: ms(5), Report: r, HasReport: true})
+	p.Finish(start, tok, route.Result{Latency: ms(5), Failed: true})
+	list[2] = list[2].WithState(types.Draining) // of the earlier incarnation
+	p.Update(start, list)
+	is.True(status(p, start, "t2").Usable())
+	late := types.NewReport(types.ReportSpec{Incarnation: 1, Draining: true})
+	call(p, start, "t2", route.Result{Latency: ms(5), Report: late, HasReport: true})
+	is.True(status(p, start, "t2").Usable())
+	is.Equal(status(p, start, "t2").Failures(), 0.0)
+	is.Equal(status(p, start, "t2").Warmth(), 0.1)
+}
+
+// Guards against counts that drift when calls end in any order, twice, or
+// after their target left, and against a wrong oldest call.
+func TestCallsMatchModel(t *testing.T) {
+	type started struct {
+		tok route.Token
+		id  types.TargetID
+		at  time.Time
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p := route.New(route.Options{})
+		list := []types.Target{incarnation(0, 1), incarnation(1, 1), incarnation(2, 1)}
+		p.Update(start, list)
+		var open []started
+		now, gone := start, []route.Token{{}}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Microsecond)
+			i := rapid.IntRange(0, 2).Draw(t, "target")
+			switch n := len(open); {
+			case rapid.IntRange(0, 9).Draw(t, "restart") == 0:
+				list[i] = incarnation(i, list[i].Incarnation()+1)
+				p.Update(now, list)
+				open = slices.DeleteFunc(open, func(s started) bool {
+					if s.id == list[i].ID() {
+						gone = append(gone, s.tok)
+					}
+					return s.id == list[i].ID()
+				})
+			case n > 0 && rapid.Bool().Draw(t, "finish"):
+				k := rapid.IntRange(0, n-1).Draw(t, "call")
+				p.Finish(now, open[k].tok, route.Result{Latency: now.Sub(open[k].at)})
+				gone = append(gone, open[k].tok)
+				open = slices.Delete(open, k, k+1)
+			default:
+				open = append(open, started{p.Start(now, list[i].ID()), list[i].ID(), now})
+			}
+			p.Finish(now, gone[rapid.IntRange(0, len(gone)-1).Draw(t, "again")], route.Result{Failed: true})
+			for _, s := range p.List(now) {
+				n, oldest := 0, time.Duration(0)
+				for _, o := range open {
+					if o.id == s.Target().ID() {
+						n, oldest = n+1, max(oldest, now.Sub(o.at))
+					}
+				}
+				if s.InFlight() != n || s.Oldest() != oldest {
+					t.Fatalf("%s: %d calls, oldest %v; want %d, %v", s.Target().ID(), s.InFlight(), s.Oldest(), n, oldest)
+				}
+			}
+		}
+	})
+}
+
+func subset(p *route.Picker) []types.TargetID {
+	var ids []types.TargetID
+	for _, s := range p.List(start) {
+		if s.InSubset() {
+			ids = append(ids, s.Target().ID())
+		}
+	}
+	return ids
+}
+
+// Guards against a subset without near targets, one that changes as a whole
+// when a single target leaves, and targets that no daemon uses.
+func TestSubset(t *testing.T) {
+	is := is.New(t)
+	list := targets(400, "far")
+	for i := range 100 {
+		list[i] = target(i, "near")
+	}
+	distance := func(from, to types.DataCentre) time.Duration {
+		return map[bool]time.Duration{false: ms(1)}[from == to]
+	}
+	used := map[types.TargetID]bool{}
+	for d := range 200 {
+		p := route.New(route.Options{Self: target(d, "").ID(), DataCentre: "near", Distance: distance, Subset: 40})
+		p.Update(start, list)
+		before, near, kept := subset(p), 0, 0
+		for _, id := range before {
+			used[id] = true
+			if len(id) < len("t100") {
+				near++
+			}
+		}
+		is.Equal(len(before), 40)
+		is.True(near >= 20 && near < 40)
+		p.Update(start, slices.DeleteFunc(slices.Clone(list), func(x types.Target) bool { return x.ID() == before[d%40] }))
+		for _, id := range subset(p) {
+			if slices.Contains(before, id) {
+				kept++
+			}
+		}
+		is.Equal(kept, 39)
+	}
+	is.Equal(len(used), 400)
+}
+
+// Guards against daemons that run a suspected request on different targets.
+func TestPickForAgrees(t *testing.T) {
+	is := is.New(t)
+	list := targets(50, "a")
+	list[7] = list[7].WithState(types.Down)
+	backwards := slices.Clone(list)
+	slices.Reverse(backwards)
+	p := route.New(route.Options{Self: "t1", Seed: 1, Subset: 5})
+	q := route.New(route.Options{Self: "t2", Seed: 2, Subset: 5, DataCentre: "b"})
+	p.Update(start, list)
+	q.Update(start, backwards)
+	seen := map[types.TargetID]int{}
+	for f := range types.Fingerprint(2000) {
+		x, ok := p.PickFor(start, f)
+		y, _ := q.PickFor(start, f)
+		is.True(ok)
+		is.Equal(x.ID(), y.ID())
+		seen[x.ID()]++
+	}
+	is.Equal(len(seen), 49)
+	is.Equal(seen["t7"], 0)
+}
--- /dev/null
+++ b/core/route/view.go
@@ -0,0 +1,52 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+// View is what a Policy sees of a Picker: the subset as numbers from 0 to
+// Len()-1, targets of the nearest data centre first. It is valid only during
+// the call of the policy.
+type View struct {
+	p   *Picker
+	now time.Time
+}
+
+// Len returns the size of the subset.
+func (v View) Len() int { return len(v.p.subset) }
+
+// Near returns the number of targets in the nearest data centre.
+func (v View) Near() int { return v.p.near }
+
+// Usable reports whether target i takes calls and hasn't been tried.
+func (v View) Usable(i int) bool {
+	m := v.p.subset[i]
+	return m.isUsable(v.now) && (len(v.p.tried) == 0 || !slices.Contains(v.p.tried, m.target.ID()))
+}
+
+// Target returns target i.
+func (v View) Target(i int) types.Target { return v.p.subset[i].target }
+
+// Outstanding returns the own calls in flight at target i.
+func (v View) Outstanding(i int) int { return v.p.subset[i].inFlight }
+
+// Score returns the estimated wait at target i in nanoseconds, with penalties.
+func (v View) Score(i int) float64 { return v.p.score(v.now, v.p.subset[i]) }
+
+// Choices returns the number of targets to compare.
+func (v View) Choices() int { return v.p.opts.Choices }
+
+// Random returns a number from 0 to n-1 from the Picker's random source.
+func (v View) Random(n int) int { return v.p.random.IntN(n) }
+
+// Next returns a number that grows by one with each call.
+func (v View) Next() uint64 {
+	v.p.cursor++
+	return v.p.cursor
+}
+
+func (v View) isSuspended(i int) bool { return v.p.isSuspended(v.now, v.p.subset[i]) }
+func (v View) takeTrial(i int) bool   { return v.p.takeTrial(v.now, v.p.subset[i]) }
