io/daemon: serve a request end to end through two daemons

Cause: the decisions in core had no process around them. A caller's HTTP request now goes through the entry daemon, over QUIC to the daemon beside a target, through its gate to the target, and back with an explicit end frame. Daemons find each other through a leader for each data centre, elected by a lease in the store, and take their configuration from it.

Found while running it: a watch on the store sometimes outlived its context, because net/http notices the end of a context only between two reads of the request body; the stream's request side is closed as well now. The stand-in target counted the depth of a chain twice.

--- /dev/null
+++ b/cmd/trefoilthread/check.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilthread/io/setup"
+)
+
+type checkCmd struct {
+	PrintDefaults bool   `help:"Print a settings file with each key and its default."`
+	File          string `arg:"" optional:"" help:"Settings file to check." type:"path"`
+}
+
+// Run checks a file or prints the defaults.
+func (c *checkCmd) Run() error {
+	if c.PrintDefaults {
+		_, err := fmt.Print(setup.Defaults())
+		return err
+	}
+	if c.File == "" {
+		return errors.New("name a settings file, or use --print-defaults")
+	}
+	s, err := setup.Load(c.File)
+	var faults setup.Errors
+	if errors.As(err, &faults) {
+		if _, perr := fmt.Fprintln(os.Stderr, faults); perr != nil {
+			return perr
+		}
+		return errors.Newf("%d faults in %s", len(faults), c.File)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Printf("%s: settings of daemon %s in data centre %s are valid\n", c.File, s.ID(), s.DataCentre())
+	return err
+}
--- /dev/null
+++ b/cmd/trefoilthread/main.go
@@ -0,0 +1,52 @@
+// Command trefoilthread is the daemon beside each target, the operators'
+// command line, and the load and demonstration tools.
+//
+// # Usage
+//
+//	trefoilthread demo                          one deployment in one process
+//	trefoilthread check daemon.ini              check a settings file
+//	trefoilthread check --print-defaults        print every key and its default
+//	trefoilthread daemon daemon.ini             run the daemon
+//	trefoilthread config apply services.ini     change services
+//	trefoilthread target list                   list the known targets
+//	trefoilthread quarantine list               list requests that crash targets
+//	trefoilthread load scenario.ini             compare policies under load
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli lists the subcommands; each stands in a file of its own.
+type cli struct {
+	Daemon daemonCmd `cmd:"" help:"Run the daemon beside a target."`
+	Check  checkCmd  `cmd:"" help:"Check a settings file."`
+	Demo   demoCmd   `cmd:"" help:"Run one deployment in one process and report."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run is main without the exit, so that golden sessions can call it.
+func run(args []string) int {
+	var c cli
+	parser, err := kong.New(&c, kong.Name("trefoilthread"),
+		kong.Description("A load balancer for servers whose load shifts in milliseconds."),
+		kong.UsageOnError())
+	if err != nil {
+		panic(err)
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		parser.Errorf("%s", err)
+		return 2
+	}
+	if err := ctx.Run(); err != nil {
+		parser.Errorf("%s", err)
+		return 1
+	}
+	return 0
+}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -89,6 +89,9 @@
 // Len returns the number of members.
 func (t *Table) Len() int { return len(t.members) }
 
+// Sequence returns the number of changes so far; it rises with each one.
+func (t *Table) Sequence() uint64 { return t.sequence }
+
 // Interval returns the present heartbeat interval.
 func (t *Table) Interval() time.Duration { return Interval(len(t.members)) }
 
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/singleflight"
+
+	"trefoilthread/core/admit"
+	"trefoilthread/core/config"
+	"trefoilthread/core/lease"
+	"trefoilthread/core/member"
+	"trefoilthread/core/types"
+	"trefoilthread/io/entry"
+	"trefoilthread/io/meter"
+	"trefoilthread/io/peer"
+	"trefoilthread/io/ring"
+	"trefoilthread/io/setup"
+	"trefoilthread/io/store"
+	"trefoilthread/io/target"
+)
+
+// fetchRing bounds the requests for newer documents that wait.
+const fetchRing = 16
+
+// Daemon is the process beside one target.
+type Daemon struct {
+	opts  Options
+	set   *setup.Settings
+	id    types.TargetID
+	log   log.Interface
+	clock clockwork.Clock
+	store store.Store
+	seed  uint64
+
+	node  *peer.Node
+	local *target.Local
+	flow  *entry.Flow
+	meter *meter.Meter
+
+	callers net.Listener
+	admin   net.Listener
+	servers []*http.Server
+
+	config  *config.Current
+	encoded atomic.Pointer[[]byte]
+	fetches *ring.Ring[string]
+	flight  singleflight.Group
+
+	process uint64
+	beat    chan struct{}
+	lead    *lead
+	board   *statusBoard
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	// mu guards the membership state below.
+	mu     sync.Mutex
+	holder *lease.Holder
+	fence  lease.Fence
+	dir    *member.Directory
+	self   types.Target
+	led    *leadership
+}
+
+// New returns a daemon that has not started.
+func New(o Options) (*Daemon, error) {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	var err error
+	if o.Seed == 0 {
+		if o.Seed, err = randomUint64(); err != nil {
+			return nil, err
+		}
+	}
+	s := o.Settings
+	d := &Daemon{
+		opts: o, set: s, id: s.ID(), clock: o.Clock, store: o.Store, seed: o.Seed,
+		log:     o.Log.WithFields(log.Fields{"dataCentre": s.DataCentre(), "daemon": s.ID()}),
+		meter:   meter.New(),
+		config:  config.NewCurrent(),
+		fetches: ring.New[string](fetchRing),
+		beat:    make(chan struct{}, 1),
+	}
+	if d.process, err = randomUint64(); err != nil {
+		return nil, err
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.lead = newLead(d)
+	d.board = newStatusBoard()
+	d.flow = entry.NewFlow(d.flowOptions())
+	return d, nil
+}
+
+func randomUint64() (uint64, error) {
+	var b [8]byte
+	if _, err := crand.Read(b[:]); err != nil {
+		return 0, errors.Wrap(err, "random number")
+	}
+	return binary.LittleEndian.Uint64(b[:]), nil
+}
+
+func (d *Daemon) now() time.Time { return d.clock.Now() }
+
+// Start opens the sockets and begins all tasks.
+func (d *Daemon) Start() error {
+	if err := d.listen(); err != nil {
+		d.cancel()
+		d.closeSockets()
+		return err
+	}
+	// Wall-clock milliseconds only make a first guess that is usually higher
+	// than the incarnation before; the leader corrects a guess that is not.
+	incarnation := uint64(d.now().UnixMilli())
+	d.self = types.NewTarget(types.TargetSpec{
+		ID: d.id, DataCentre: d.set.DataCentre(), Address: d.node.Addr(), Incarnation: incarnation, State: types.Down,
+	})
+	d.local = target.New(target.Options{
+		Gate:        admit.Options{Queue: d.set.Queue(), UrgentShare: d.set.UrgentShare()},
+		Incarnation: incarnation,
+		Clock:       d.clock,
+		Log:         d.log,
+		Changed:     d.targetChanged,
+		ConfigAt:    d.config.Version,
+	})
+	d.holder = lease.NewHolder(lease.Spec{
+		DataCentre: d.set.DataCentre(), ID: d.id, Address: d.node.Addr(), LeaseTime: d.set.LeaseTime(),
+		Rank: lease.Rank(d.set.DataCentre(), nil, d.id), Seed: [2]uint64{d.seed, d.process},
+	})
+	d.dir = member.NewDirectory()
+	d.task(d.lead.run)
+	d.task(d.attend)
+	d.task(d.fetchDocuments)
+	d.task(d.watchdog)
+	d.task(d.followStatus)
+	d.serve()
+	d.log.WithFields(log.Fields{
+		"callers": d.CallerAddr(), "peers": d.node.Addr(), "local": d.LocalAddr(),
+	}).Info("daemon started")
+	return nil
+}
+
+// task runs f in a goroutine that Stop waits for.
+func (d *Daemon) task(f func(context.Context)) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f(d.ctx)
+	}()
+}
+
+// CallerAddr returns the address for callers.
+func (d *Daemon) CallerAddr() string { return d.callers.Addr().String() }
+
+// LocalAddr returns the address for announcements, operators and metrics.
+func (d *Daemon) LocalAddr() string { return d.admin.Addr().String() }
+
+// PeerAddr returns the address for other daemons.
+func (d *Daemon) PeerAddr() string { return d.node.Addr() }
+
+// Stop drains the target, waits for its calls and the callers' calls until ctx
+// ends, and closes the daemon. It returns ctx's error if calls were cut off.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.log.Info("stopping")
+	d.local.Drain(true)
+	d.leave(ctx)
+	err := d.local.WaitIdle(ctx)
+	for _, s := range d.servers {
+		if serr := s.Shutdown(ctx); err == nil {
+			err = serr
+		}
+	}
+	d.Kill()
+	return err
+}
+
+// Kill closes the daemon at once, as a crash would. Calls are cut off.
+func (d *Daemon) Kill() {
+	d.cancel()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.closeSockets()
+	d.wg.Wait()
+	_ = d.meter.Close()
+}
+
+func (d *Daemon) closeSockets() {
+	if d.callers != nil {
+		_ = d.callers.Close()
+	}
+	if d.admin != nil {
+		_ = d.admin.Close()
+	}
+	if d.node != nil {
+		_ = d.node.Close()
+	}
+}
--- /dev/null
+++ b/io/daemon/members.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"fmt"
+
+	"trefoilthread/core/lease"
+	"trefoilthread/core/member"
+	"trefoilthread/core/types"
+)
+
+// targets returns the targets that the configuration lets a service use.
+func (d *Daemon) targets(service types.ServiceName) []types.Target {
+	s, ok := d.config.Document().Service(service)
+	if !ok {
+		return nil
+	}
+	d.mu.Lock()
+	all := d.dir.Targets(d.now(), service)
+	d.mu.Unlock()
+	placed := all[:0]
+	for _, t := range all {
+		if s.RunsIn(t.DataCentre()) {
+			placed = append(placed, t)
+		}
+	}
+	return placed
+}
+
+// mergeSummary takes over a summary if it is newer than the known one.
+func (d *Daemon) mergeSummary(data []byte) error {
+	s, err := member.DecodeSummary(data)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	changed := d.dir.Merge(s)
+	if changed && s.DataCentre() == d.set.DataCentre() {
+		d.holder.SetRank(lease.Rank(s.DataCentre(), memberIDs(s), d.id))
+	}
+	d.mu.Unlock()
+	if changed {
+		d.flow.RefreshAll()
+		d.pushNow()
+	}
+	return nil
+}
+
+func memberIDs(s member.Summary) []types.TargetID {
+	ids := make([]types.TargetID, s.Len())
+	for i := range ids {
+		ids[i] = s.Target(i).ID()
+	}
+	return ids
+}
+
+// observeReport takes over what an answer shows of a target.
+func (d *Daemon) observeReport(t types.Target, r types.Report) {
+	state := types.Up
+	if r.Draining() {
+		state = types.Draining
+	}
+	d.observe(t, r.Incarnation(), state)
+}
+
+func (d *Daemon) observe(t types.Target, incarnation uint64, s types.TargetState) {
+	d.mu.Lock()
+	changed := d.dir.Observe(d.now(), t.ID(), incarnation, s)
+	d.mu.Unlock()
+	if changed {
+		d.flow.Refresh(t.Service())
+	}
+}
+
+// Usable returns the number of known targets of a service that take calls.
+func (d *Daemon) Usable(service types.ServiceName) int {
+	n := 0
+	for _, t := range d.targets(service) {
+		if t.State() == types.Up {
+			n++
+		}
+	}
+	return n
+}
+
+// ConfigVersion returns the configuration version in force here.
+func (d *Daemon) ConfigVersion() int64 { return d.config.Version() }
+
+// Describe returns the state of the daemon in one line, for error messages.
+func (d *Daemon) Describe() string {
+	now := d.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rec, epoch := d.holder.Leader()
+	_, leading := d.holder.MayAct(now)
+	return fmt.Sprintf("config %d, targets %d, leader %q epoch %d, leading %t (%s %s)",
+		d.config.Version(), d.dir.Len(), rec.Holder(), epoch, leading, d.holder.Phase(), d.holder.Reason())
+}
--- /dev/null
+++ b/io/daemon/push.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"trefoilthread/core/member"
+	"trefoilthread/core/types"
+	"trefoilthread/io/wire"
+)
+
+const (
+	// pushEvery repeats messages that did not arrive.
+	pushEvery = time.Second
+	// pushGap gathers changes that come together, such as a rack that restarts.
+	pushGap     = 20 * time.Millisecond
+	pushTimeout = time.Second
+	// pushParallel bounds the messages under way.
+	pushParallel = 16
+)
+
+// push tells members, and the leaders of other data centres, what they have
+// not been told yet, until ctx ends.
+func (l *leadership) push(ctx context.Context) {
+	d := l.d
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.poke:
+		case <-d.clock.After(pushEvery):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.clock.After(pushGap):
+		}
+		if d.leading() != l {
+			continue
+		}
+		g, gctx := errgroup.WithContext(ctx)
+		g.SetLimit(pushParallel)
+		for _, m := range l.due() {
+			g.Go(func() error {
+				l.tell(gctx, m)
+				return nil
+			})
+		}
+		// The functions return no errors: a message that failed is due again.
+		_ = g.Wait()
+	}
+}
+
+// message is what one daemon is to be told.
+type message struct {
+	to       types.TargetID // "" for the leader of another data centre
+	address  string
+	sums     []member.Summary
+	configAt int64 // 0 if nothing is due
+}
+
+// due returns what each member and each other leader lacks.
+func (l *leadership) due() []message {
+	d := l.d
+	version := d.config.Version()
+	d.mu.Lock()
+	var all []member.Summary
+	for _, dc := range d.dir.DataCentres() {
+		all = append(all, d.dir.Summary(dc))
+	}
+	own := d.dir.Summary(d.set.DataCentre())
+	d.mu.Unlock()
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stage == nil {
+		return nil
+	}
+	behind := map[types.TargetID]bool{}
+	for _, id := range l.stage.Behind(version) {
+		behind[id] = true
+	}
+	var out []message
+	for i := range own.Len() {
+		t := own.Target(i)
+		if t.ID() == d.id {
+			continue
+		}
+		m := message{to: t.ID(), address: t.Address()}
+		told := l.sent[t.ID()]
+		for _, s := range all {
+			if s.Newer(told.summaries[s.DataCentre()]) {
+				m.sums = append(m.sums, s)
+			}
+		}
+		if behind[t.ID()] {
+			m.configAt = version
+		}
+		if len(m.sums) > 0 || m.configAt > 0 {
+			out = append(out, m)
+		}
+	}
+	for dc, rec := range l.others {
+		key := types.TargetID("leader of " + string(dc))
+		if _, ok := l.sent[key]; !ok {
+			l.sent[key] = sentTo{summaries: map[types.DataCentre]member.Summary{}}
+		}
+		if own.Newer(l.sent[key].summaries[own.DataCentre()]) {
+			out = append(out, message{to: key, address: rec.Address(), sums: []member.Summary{own}})
+		}
+	}
+	return out
+}
+
+// tell sends one message; what arrived is not due again.
+func (l *leadership) tell(ctx context.Context, m message) {
+	d := l.d
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	for _, s := range m.sums {
+		data, err := s.Encode()
+		if err != nil {
+			d.log.WithError(err).Error("summary not encoded")
+			return
+		}
+		msg := &wire.Members{Sender: d.node.Addr(), Centre: string(d.set.DataCentre()), Epoch: l.epoch, Summary: data}
+		if err := d.node.Control(ctx, m.address, wire.KindMembers, msg, nil); err != nil {
+			d.log.WithError(err).WithField("member", m.to).Debug("summary not delivered")
+			return
+		}
+		l.mu.Lock()
+		if told, ok := l.sent[m.to]; ok && s.Newer(told.summaries[s.DataCentre()]) {
+			told.summaries[s.DataCentre()] = s
+		}
+		l.mu.Unlock()
+	}
+	if m.configAt == 0 {
+		return
+	}
+	msg := &wire.ConfigAt{Sender: d.node.Addr(), Epoch: l.epoch, Version: m.configAt}
+	if err := d.node.Control(ctx, m.address, wire.KindConfigAt, msg, nil); err != nil {
+		d.log.WithError(err).WithField("member", m.to).Debug("configuration version not delivered")
+	}
+}
--- /dev/null
+++ b/io/entry/race.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"trefoilthread/core/types"
+	"trefoilthread/io/wire"
+)
+
+// race is the attempts of one call. At most two are in progress: the current
+// one and a hedge.
+type race struct {
+	flow  *Flow
+	ctx   context.Context
+	call  types.Call
+	head  *wire.CallHead
+	body  *Body
+	pool  *pool
+	tries int
+	tried []types.TargetID
+	live  []*attempt
+	done  chan *attempt
+	// mayHaveRun is set by the first failure that does not prove the contrary.
+	mayHaveRun bool
+}
+
+func (r *race) run() (*wire.Answer, error) {
+	if !r.launch() {
+		return nil, types.NewFailure(types.NotRun, "no target of the service is up")
+	}
+	var hedge <-chan time.Time
+	if r.flow.opts.HedgeAfter != nil && r.body.whole {
+		if d, ok := r.flow.opts.HedgeAfter(r.call); ok {
+			hedge = r.flow.opts.Clock.After(d)
+		}
+	}
+	for {
+		select {
+		case a := <-r.done:
+			r.remove(a)
+			if !a.failed() {
+				return r.won(a), nil
+			}
+			if f := a.outcome(); f == nil || !f.Outcome().ProvesNotRun() {
+				r.mayHaveRun = true
+			}
+			if r.again(a) {
+				continue
+			}
+			if len(r.live) > 0 {
+				// A hedge is still running; its answer may be better.
+				r.discard(a)
+				continue
+			}
+			return r.lost(a)
+		case <-hedge:
+			hedge = nil
+			r.launch()
+		}
+	}
+}
+
+// launch starts an attempt on a target that was not tried yet.
+func (r *race) launch() bool {
+	if r.tries <= 0 || !r.body.Replayable() {
+		return false
+	}
+	now := r.flow.now()
+	t, tok, ok := r.pool.start(now, r.tried)
+	if !ok {
+		return false
+	}
+	r.tries--
+	r.tried = append(r.tried, t.ID())
+	ctx, cancel := context.WithCancel(r.ctx)
+	a := &attempt{flow: r.flow, pool: r.pool, target: t, token: tok, start: now, ctx: ctx, cancel: cancel}
+	r.live = append(r.live, a)
+	head, body := *r.head, r.body.Reader()
+	head.Tries = r.tries + 1
+	go func() {
+		a.send(head, body)
+		r.done <- a
+	}()
+	return true
+}
+
+func (r *race) remove(a *attempt) {
+	for i, b := range r.live {
+		if a == b {
+			r.live = append(r.live[:i], r.live[i+1:]...)
+			return
+		}
+	}
+}
+
+// again starts another attempt after a failed one if that is allowed.
+func (r *race) again(a *attempt) bool {
+	status := 0
+	if a.err == nil {
+		status = a.answer.Head.Status
+	}
+	if r.ctx.Err() != nil || r.tries <= 0 || !r.body.Replayable() {
+		return false
+	}
+	if !r.flow.opts.Retry(r.call, a.outcome(), status, r.body.Replayable()) {
+		return false
+	}
+	if !r.launch() {
+		return false
+	}
+	r.discard(a)
+	return true
+}
+
+// discard gives up an answer that will not be used.
+func (r *race) discard(a *attempt) {
+	if a.answer != nil {
+		_ = a.answer.Body.Close()
+		a.finish(nil)
+	}
+}
+
+// won cancels the other attempts and returns the answer.
+func (r *race) won(a *attempt) *wire.Answer {
+	r.abandon()
+	if r.flow.opts.Took != nil && a.answer.Head.Status < http.StatusInternalServerError {
+		r.flow.opts.Took(r.call, r.flow.now().Sub(a.start))
+	}
+	a.answer.Body = &attemptBody{a: a, body: a.answer.Body}
+	return a.answer
+}
+
+// lost returns the last failure, or the target's own error answer.
+func (r *race) lost(a *attempt) (*wire.Answer, error) {
+	if a.err == nil {
+		return r.won(a), nil
+	}
+	f := a.outcome()
+	if f.Outcome() == types.NotRun && r.mayHaveRun {
+		// This attempt did not run, but an earlier one may have.
+		return nil, types.NewFailure(types.Unknown, "an earlier attempt may have run; last attempt: "+f.Reason())
+	}
+	return nil, f
+}
+
+// abandon cancels the attempts that are still in progress and closes their
+// answers when they come.
+func (r *race) abandon() {
+	n := len(r.live)
+	if n == 0 {
+		return
+	}
+	for _, a := range r.live {
+		a.cancel()
+	}
+	go func() {
+		for range n {
+			r.discard(<-r.done)
+		}
+	}()
+}
--- /dev/null
+++ b/io/load/series.go
@@ -0,0 +1,147 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"trefoilthread/core/types"
+)
+
+const (
+	// histogramMax is the longest latency that is told apart, in microseconds.
+	histogramMax    = 60_000_000
+	histogramDigits = 3
+)
+
+// Series collects the results of one kind of call.
+type Series struct {
+	kind Kind
+
+	mu       sync.Mutex
+	hist     *hdrhistogram.Histogram // microseconds, answered calls only
+	outcomes map[types.Outcome]int
+	errors   int // answers with a status of 500 or more from the target itself
+	crossed  int
+	cut      int
+	worth    float64
+	offered  float64
+	keys     []string
+	refused  []string // keys of calls refused as not run
+}
+
+func newSeries(k Kind) *Series {
+	return &Series{
+		kind:     k,
+		hist:     hdrhistogram.New(1, histogramMax, histogramDigits),
+		outcomes: map[types.Outcome]int{},
+	}
+}
+
+// result is what one call came to.
+type result struct {
+	outcome types.Outcome
+	status  int
+	latency time.Duration
+	key     string
+	crossed bool
+	cut     bool
+}
+
+func (s *Series) add(r result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes[r.outcome]++
+	s.offered += s.kind.worth
+	if r.key != "" {
+		s.keys = append(s.keys, r.key)
+		if r.outcome.ProvesNotRun() {
+			s.refused = append(s.refused, r.key)
+		}
+	}
+	if r.crossed {
+		s.crossed++
+	}
+	if r.cut {
+		s.cut++
+	}
+	if r.outcome != types.Done {
+		return
+	}
+	if r.status >= 500 {
+		s.errors++
+		return
+	}
+	us := min(max(r.latency.Microseconds(), 1), histogramMax)
+	// The value is within the histogram's range, so recording cannot fail.
+	_ = s.hist.RecordValue(us)
+	if !s.kind.urgent || r.latency <= s.kind.timeout {
+		s.worth += s.kind.worth
+	}
+}
+
+// Kind returns the kind of call.
+func (s *Series) Kind() Kind { return s.kind }
+
+// Count returns the number of calls sent.
+func (s *Series) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, c := range s.outcomes {
+		n += c
+	}
+	return n
+}
+
+// Outcome returns the number of calls with an outcome.
+func (s *Series) Outcome(o types.Outcome) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outcomes[o]
+}
+
+// Errors returns the number of error answers of the targets themselves.
+func (s *Series) Errors() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.errors
+}
+
+// Crossed returns the number of answers that belonged to another call.
+func (s *Series) Crossed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crossed
+}
+
+// Cut returns the number of incomplete answers that ended as if whole.
+func (s *Series) Cut() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut
+}
+
+// Worth returns the worth of the answers in time and of all calls sent.
+func (s *Series) Worth() (answered, offered float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.worth, s.offered
+}
+
+// Quantile returns the latency that a share q of the answered calls stayed
+// within.
+func (s *Series) Quantile(q float64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.hist.ValueAtQuantile(q*100)) * time.Microsecond
+}
+
+// Keys returns the idempotency keys sent, and those of calls that were refused
+// as not run.
+func (s *Series) Keys() (sent, refused []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.keys...), append([]string(nil), s.refused...)
+}
--- /dev/null
+++ b/io/setup/load.go
@@ -0,0 +1,155 @@
+package setup
+
+import (
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// operatorsSection lists operators: the key is the name, the value the SHA-256
+// of the token in hexadecimal.
+const operatorsSection = "operators"
+
+// Load reads and checks a settings file. Faults in it come as Errors.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse checks the content of a settings file; file only names it in errors.
+func Parse(file string, data []byte) (*Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, IgnoreInlineComment: true}, data)
+	if err != nil {
+		return nil, Errors{{file: file, line: 1, problem: err.Error()}}
+	}
+	c := &checker{file: file, f: f, pos: positions(data), s: &Settings{operators: map[string][32]byte{}}}
+	c.unknown()
+	c.known()
+	c.operators()
+	c.distinct()
+	if len(c.errs) > 0 {
+		return nil, c.errs.sorted()
+	}
+	return c.s, nil
+}
+
+type place struct{ section, key string }
+
+// positions returns the first line of each section (key "") and key.
+func positions(data []byte) map[place]int {
+	pos := map[place]int{}
+	section := ""
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || line[0] == ';' || line[0] == '#':
+			continue
+		case line[0] == '[':
+			section = strings.TrimSpace(strings.TrimSuffix(line[1:], "]"))
+			line = ""
+		}
+		key, _, _ := strings.Cut(line, "=")
+		p := place{section, strings.TrimSpace(key)}
+		if _, ok := pos[p]; !ok {
+			pos[p] = i + 1
+		}
+	}
+	return pos
+}
+
+// checker collects the faults of one file.
+type checker struct {
+	file string
+	f    *ini.File
+	pos  map[place]int
+	s    *Settings
+	errs Errors
+}
+
+func (c *checker) fault(section, key, value, problem string) {
+	line := c.pos[place{section, key}]
+	if line == 0 {
+		line = max(1, c.pos[place{section, ""}])
+	}
+	c.errs = append(c.errs, &Error{file: c.file, line: line, section: section, key: key, value: value, problem: problem})
+}
+
+func (c *checker) unknown() {
+	for _, sec := range c.f.Sections() {
+		name := sec.Name()
+		if name == operatorsSection {
+			continue
+		}
+		known := map[string]bool{}
+		for _, k := range keys {
+			if k.section == name {
+				known[k.name] = true
+			}
+		}
+		if len(known) == 0 && (name != ini.DefaultSection || len(sec.Keys()) > 0) {
+			c.fault(strings.TrimPrefix(name, ini.DefaultSection), "", "", "unknown section")
+			continue
+		}
+		for _, k := range sec.Keys() {
+			if !known[k.Name()] {
+				c.fault(name, k.Name(), k.Value(), "unknown key")
+			}
+		}
+	}
+}
+
+func (c *checker) known() {
+	for _, k := range keys {
+		sec := c.f.Section(k.section)
+		v := k.deflt
+		if sec.HasKey(k.name) {
+			if len(sec.Key(k.name).ValueWithShadows()) > 1 {
+				c.fault(k.section, k.name, "", "given more than once")
+				continue
+			}
+			v = sec.Key(k.name).Value()
+		} else if v == "" {
+			c.fault(k.section, k.name, "", "missing; allowed: "+k.allowed)
+			continue
+		}
+		if err := k.set(c.s, v); err != nil {
+			c.fault(k.section, k.name, v, "allowed: "+k.allowed)
+		}
+	}
+}
+
+func (c *checker) operators() {
+	if !c.f.HasSection(operatorsSection) {
+		return
+	}
+	for _, k := range c.f.Section(operatorsSection).Keys() {
+		h, err := tokenHash(k.Value())
+		if err != nil {
+			// The value may be a token typed by mistake, so it is not shown.
+			c.fault(operatorsSection, k.Name(), "", "allowed: SHA-256 of the token, 64 hexadecimal digits")
+			continue
+		}
+		c.s.operators[k.Name()] = h
+	}
+}
+
+// distinct refuses two addresses alike. Callers and local share the TCP port
+// space; peers are UDP, but one address for two purposes is a slip all the same.
+func (c *checker) distinct() {
+	seen := map[string]string{}
+	for _, a := range []struct{ key, addr string }{{"callers", c.s.callers}, {"peers", c.s.peers}, {"local", c.s.local}} {
+		if a.addr == "" || strings.HasSuffix(a.addr, ":0") {
+			continue
+		}
+		if other, ok := seen[a.addr]; ok {
+			c.fault("listen", a.key, a.addr, "same address as "+other)
+			continue
+		}
+		seen[a.addr] = a.key
+	}
+}
--- a/io/stand/chain.go
+++ b/io/stand/chain.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	req.Header.Set(ChainHeader, strings.Join(names[1:], ","))
-	req.Header.Set("Trefoil-Depth", strconv.Itoa(depth+1))
+	req.Header.Set("Trefoil-Depth", strconv.Itoa(depth))
 	// The next call is another request: with the same identity, a service that
 	// appears twice in a chain would look like a duplicate run.
 	for _, h := range []string{"Trefoil-Request", "Idempotency-Key"} {
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -59,6 +59,11 @@
 		_ = stream.CloseRequest()
 		_ = stream.CloseResponse()
 	}()
+	// net/http notices the end of a context only between two reads of the
+	// request body. This stream sends nothing more, so its body is ended as
+	// well; otherwise Receive may wait for ever.
+	stop := context.AfterFunc(ctx, func() { _ = stream.CloseRequest() })
+	defer stop()
 	if err := stream.Send(&etcdpb.WatchRequest{
 		RequestUnion: &etcdpb.WatchRequest_CreateRequest{CreateRequest: create},
 	}); err != nil {
--- /dev/null
+++ b/io/target/local.go
@@ -0,0 +1,214 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/core/admit"
+	"trefoilthread/core/types"
+	"trefoilthread/io/wire"
+)
+
+// dialTimeout bounds connecting to the target on the same VM.
+const dialTimeout = 500 * time.Millisecond
+
+// Options configure a Local.
+type Options struct {
+	Gate        admit.Options
+	Incarnation uint64
+	Clock       clockwork.Clock
+	Log         log.Interface
+	// Changed is called, without locks held, when the target comes up, drains
+	// or dies. It must not block.
+	Changed func(types.TargetState)
+	// Begin, End and Died tell core/poison which requests run here. They may be
+	// nil.
+	Begin func(fp types.Fingerprint)
+	End   func(fp types.Fingerprint, ok bool)
+	Died  func()
+	// ConfigAt returns the configuration version in force here. It may be nil.
+	ConfigAt func() int64
+}
+
+// Local is the target beside this daemon. Its methods may be called from any
+// goroutine.
+type Local struct {
+	opts Options
+	http *http.Client
+
+	mu       sync.Mutex
+	gate     *admit.Gate
+	waiting  waiters
+	ann      Announcement
+	up       bool
+	draining bool // by an operator or a stop of the daemon
+	lastSeen time.Time
+	inst     string
+}
+
+// New returns a Local that refuses all calls until a target is announced.
+func New(o Options) *Local {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	l := &Local{opts: o, gate: admit.New(o.Gate), waiting: waiters{}}
+	l.http = &http.Client{
+		Transport:     l.transport(o.Gate.Connections),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return l
+}
+
+func (l *Local) transport(conns int) *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxConnsPerHost:     conns,
+		MaxIdleConnsPerHost: conns,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+		WriteBufferSize:     4 << 10,
+		ReadBufferSize:      4 << 10,
+	}
+}
+
+func (l *Local) now() time.Time { return l.opts.Clock.Now() }
+
+// Announce takes an announcement of the target. It fails when another target
+// address is live at the same time.
+func (l *Local) Announce(a Announcement) error {
+	l.mu.Lock()
+	was := l.state()
+	restarted := l.up && a.Instance != "" && a.Instance != l.inst
+	if !l.up || a.Address != l.ann.Address || a.Slots != l.ann.Slots || a.Connections != l.ann.Connections {
+		o := l.opts.Gate
+		o.Slots, o.Connections = a.Slots, a.Connections
+		l.gate.SetOptions(o)
+	}
+	l.ann, l.up, l.lastSeen, l.inst = a, true, l.now(), a.Instance
+	l.applyDrain()
+	is := l.state()
+	l.mu.Unlock()
+	if restarted && l.opts.Died != nil {
+		l.opts.Died()
+	}
+	if was != is || restarted {
+		l.changed(is)
+	}
+	return nil
+}
+
+// Drain takes the target out of service, or back into it, until it is called
+// again: a target that announces itself as up does not end it.
+func (l *Local) Drain(on bool) {
+	l.mu.Lock()
+	was := l.state()
+	l.draining = on
+	l.applyDrain()
+	is := l.state()
+	l.mu.Unlock()
+	if was != is {
+		l.changed(is)
+	}
+}
+
+func (l *Local) applyDrain() {
+	if l.draining || l.ann.State == "draining" {
+		l.waiting.deliver(l.gate.Drain(l.now()))
+	} else {
+		l.gate.Resume()
+	}
+}
+
+func (l *Local) state() types.TargetState {
+	switch {
+	case !l.up:
+		return types.Down
+	case l.draining || l.ann.State == "draining":
+		return types.Draining
+	}
+	return types.Up
+}
+
+func (l *Local) changed(s types.TargetState) {
+	if l.opts.Changed != nil {
+		l.opts.Changed(s)
+	}
+}
+
+// SetIncarnation changes the number of this daemon's start, when the leader
+// knows a higher one.
+func (l *Local) SetIncarnation(n uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.opts.Incarnation = n
+}
+
+// State returns whether the target takes calls.
+func (l *Local) State() types.TargetState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state()
+}
+
+// Announcement returns the latest announcement.
+func (l *Local) Announcement() Announcement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ann
+}
+
+// Silent returns how long ago the target last announced itself.
+func (l *Local) Silent() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Sub(l.lastSeen)
+}
+
+// Idle reports whether no call runs or waits.
+func (l *Local) Idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gate.Idle()
+}
+
+// WaitIdle waits until no call runs or waits, or ctx ends.
+func (l *Local) WaitIdle(ctx context.Context) error {
+	for !l.Idle() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.opts.Clock.After(10 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// Report returns the load of the target as of now.
+func (l *Local) Report() types.Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.gate.Report()
+	s.Incarnation = l.opts.Incarnation
+	s.Draining = s.Draining || !l.up
+	return types.NewReport(s)
+}
+
+// WireReport returns the load of the target for an answer.
+func (l *Local) WireReport() wire.Report {
+	r := l.Report()
+	w := wire.Report{
+		InFlight: r.InFlight(), Queued: r.Queued(), Limit: r.Limit(),
+		Latency: r.Latency().Microseconds(), Draining: r.Draining(), Incarnation: r.Incarnation(),
+	}
+	if l.opts.ConfigAt != nil {
+		w.ConfigAt = l.opts.ConfigAt()
+	}
+	return w
+}
--- /dev/null
+++ b/io/target/proxy.go
@@ -0,0 +1,216 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilthread/core/admit"
+	"trefoilthread/core/types"
+	"trefoilthread/io/wire"
+)
+
+// hopHeaders are the headers of RFC 9110, section 7.6.1, that belong to one
+// connection and are never passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripHopHeaders removes the headers that must not be passed on, also those
+// that the Connection header names.
+func StripHopHeaders(h http.Header) {
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// Do runs a call on the target once the gate admits it. The error is a
+// *wire.Failure; an outcome that proves "not run" is only given before the
+// request is handed to the HTTP client.
+func (l *Local) Do(ctx context.Context, head *wire.CallHead, body io.Reader) (*wire.Answer, error) {
+	now := l.now()
+	deadline := now.Add(time.Duration(head.Timeout) * time.Microsecond)
+	c, err := CallOf(head, deadline)
+	if err != nil {
+		return nil, l.refuse(types.BadRequest, err.Error())
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ticket, err := l.admitCall(ctx, c)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	run := &run{local: l, cancel: cancel, ticket: ticket, start: l.now(), call: c}
+	if l.opts.Begin != nil {
+		l.opts.Begin(c.Fingerprint())
+	}
+	ans, err := run.send(ctx, head, body)
+	if err != nil {
+		run.finish(false)
+		return nil, err
+	}
+	return ans, nil
+}
+
+// CallOf returns the call that head describes.
+func CallOf(h *wire.CallHead, deadline time.Time) (types.Call, error) {
+	return types.NewCall(types.CallSpec{
+		ID: h.ID, Service: types.ServiceName(h.Service), Method: h.Method, Path: h.Path,
+		Class: types.NewClass(h.Urgent, types.Runs(h.Runs)), Deadline: deadline, Worth: h.Worth,
+		Depth: h.Depth, Key: h.Key, Fingerprint: types.Fingerprint(h.Print), Tries: h.Tries,
+	})
+}
+
+// run is one call that occupies a slot.
+type run struct {
+	local  *Local
+	cancel context.CancelFunc
+	ticket admit.Ticket
+	start  time.Time
+	call   types.Call
+	once   sync.Once
+}
+
+func (r *run) send(ctx context.Context, head *wire.CallHead, body io.Reader) (*wire.Answer, error) {
+	l := r.local
+	if body == nil {
+		body = http.NoBody
+	}
+	// The wrapper hides the body's type. net/http sends a request with an
+	// Idempotency-Key again on a new connection if it can read the body anew;
+	// that must not happen for calls that run at most once.
+	rc := &onceBody{r: body}
+	req, err := http.NewRequestWithContext(ctx, head.Method, "http://"+l.Announcement().Address+head.Path, rc)
+	if err != nil {
+		return nil, l.refuse(types.BadRequest, err.Error())
+	}
+	req.ContentLength = head.Length
+	for k, v := range head.Header {
+		req.Header[k] = v
+	}
+	if head.Host != "" {
+		req.Host = head.Host
+	}
+	StripHopHeaders(req.Header)
+	req.Header.Set("Trefoil-Request", head.ID)
+	req.Header.Set("Trefoil-Timeout", strconv.FormatInt(r.call.Remaining(l.now()).Milliseconds(), 10)+"ms")
+	req.Header.Set("Trefoil-Depth", strconv.Itoa(head.Depth))
+
+	resp, err := l.http.Do(req)
+	if err != nil {
+		if ctx.Err() == nil {
+			l.checkDead()
+		}
+		return nil, l.failure(ctx, err)
+	}
+	StripHopHeaders(resp.Header)
+	ans := &wire.Answer{Head: wire.AnswerHead{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Report: l.WireReport(),
+	}}
+	ans.Body = &runBody{run: r, ctx: ctx, body: resp.Body, ok: resp.StatusCode < http.StatusInternalServerError}
+	return ans, nil
+}
+
+// failure explains a call that was handed to the HTTP client and got no whole
+// answer. It may have run.
+func (l *Local) failure(ctx context.Context, err error) *wire.Failure {
+	f := &wire.Failure{Outcome: uint8(types.Unknown), Reason: "target: " + err.Error(), Report: l.WireReport()}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.Outcome, f.Reason = uint8(types.DeadlineExceeded), "deadline passed while the target ran the call"
+	case ctx.Err() != nil:
+		f.Outcome, f.Reason = uint8(types.Canceled), "canceled while the target ran the call"
+	}
+	return f
+}
+
+func (r *run) finish(ok bool) {
+	r.once.Do(func() {
+		l := r.local
+		r.cancel()
+		l.release(r.ticket, l.now().Sub(r.start), !ok)
+		if l.opts.End != nil {
+			l.opts.End(r.call.Fingerprint(), ok)
+		}
+	})
+}
+
+// checkDead connects to the target anew. A refused connection means that the
+// process is gone: all its calls are lost at once.
+func (l *Local) checkDead() {
+	conn, err := net.DialTimeout("tcp", l.Announcement().Address, dialTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	l.mu.Lock()
+	was := l.up
+	l.up = false
+	l.waiting.deliver(l.gate.Drain(l.now()))
+	l.mu.Unlock()
+	if !was {
+		return
+	}
+	l.opts.Log.WithError(err).Warn("target died")
+	if l.opts.Died != nil {
+		l.opts.Died()
+	}
+	l.changed(types.Down)
+}
+
+// runBody is the answer's body; closing it frees the slot.
+type runBody struct {
+	run  *run
+	ctx  context.Context
+	body io.ReadCloser
+	ok   bool
+	eof  bool
+}
+
+// Read implements io.Reader. An error other than io.EOF is a *wire.Failure.
+func (b *runBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		b.eof = true
+		return n, io.EOF
+	}
+	if b.ctx.Err() == nil {
+		b.run.local.checkDead()
+	}
+	return n, b.run.local.failure(b.ctx, err)
+}
+
+// Close implements io.Closer.
+func (b *runBody) Close() error {
+	err := b.body.Close()
+	b.run.finish(b.ok && b.eof)
+	return err
+}
+
+// onceBody is a request body that net/http can't rewind.
+type onceBody struct {
+	r io.Reader
+}
+
+// Read implements io.Reader.
+func (b *onceBody) Read(p []byte) (int, error) { return b.r.Read(p) }
+
+// Close implements io.Closer.
+func (b *onceBody) Close() error { return nil }
--- /dev/null
+++ b/io/wire/member.go
@@ -0,0 +1,137 @@
+package wire
+
+import "trefoilthread/core/types"
+
+// Kinds of control messages.
+const (
+	// KindJoin announces a daemon to its leader; Join, MemberReply.
+	KindJoin = "join"
+	// KindHeartbeat tells the leader that a daemon runs; Heartbeat, MemberReply.
+	KindHeartbeat = "heartbeat"
+	// KindMembers gives a data centre's summary; Members, no reply.
+	KindMembers = "members"
+	// KindConfig asks for the configuration document; no message, Document.
+	KindConfig = "config"
+	// KindConfigAt tells that a newer document exists; ConfigAt, no reply.
+	KindConfigAt = "configAt"
+	// KindSuspects tells of requests that were running when a target died;
+	// Suspects, no reply.
+	KindSuspects = "suspects"
+	// KindDrain takes the receiver's target out of service or back; Drain, Drained.
+	KindDrain = "drain"
+	// KindStatus asks a leader for the versions in force; no message, StatusReply.
+	KindStatus = "status"
+)
+
+// Target is a types.Target on the wire.
+type Target struct {
+	ID          string `cbor:"id"`
+	Service     string `cbor:"svc,omitempty"`
+	DataCentre  string `cbor:"dc"`
+	Address     string `cbor:"a"`
+	Slots       int    `cbor:"sl,omitempty"`
+	Incarnation uint64 `cbor:"inc"`
+	Sequence    uint64 `cbor:"seq,omitempty"`
+	State       uint8  `cbor:"st,omitempty"`
+}
+
+// TargetOf returns the wire form of t.
+func TargetOf(t types.Target) Target {
+	return Target{
+		ID: string(t.ID()), Service: string(t.Service()), DataCentre: string(t.DataCentre()), Address: t.Address(),
+		Slots: t.Slots(), Incarnation: t.Incarnation(), Sequence: t.Sequence(), State: uint8(t.State()),
+	}
+}
+
+// Core returns the target that w describes.
+func (w Target) Core() types.Target {
+	return types.NewTarget(types.TargetSpec{
+		ID: types.TargetID(w.ID), Service: types.ServiceName(w.Service), DataCentre: types.DataCentre(w.DataCentre),
+		Address: w.Address, Slots: w.Slots, Incarnation: w.Incarnation, Sequence: w.Sequence,
+		State: types.TargetState(w.State),
+	})
+}
+
+// Join tells the leader of a daemon and its target.
+type Join struct {
+	Target   Target `cbor:"t"`
+	Process  uint64 `cbor:"p"` // unique for each start of a daemon
+	ConfigAt int64  `cbor:"cfg,omitempty"`
+}
+
+// Heartbeat tells the leader that a daemon runs, and its target's state.
+type Heartbeat struct {
+	ID          string `cbor:"id"`
+	Incarnation uint64 `cbor:"inc"`
+	Sequence    uint64 `cbor:"seq,omitempty"`
+	State       uint8  `cbor:"st,omitempty"`
+	Leaving     bool   `cbor:"bye,omitempty"`
+	ConfigAt    int64  `cbor:"cfg,omitempty"`
+}
+
+// MemberReply answers Join and Heartbeat.
+type MemberReply struct {
+	Epoch    uint64 `cbor:"e"`
+	Interval int64  `cbor:"iv,omitempty"` // microseconds until the next heartbeat
+	Status   uint8  `cbor:"st,omitempty"` // member.HeartbeatStatus
+	Known    uint64 `cbor:"inc,omitempty"`
+	Refused  string `cbor:"no,omitempty"`
+	ConfigAt int64  `cbor:"cfg,omitempty"`
+}
+
+// Members carries one data centre's summary as core/member encodes it.
+type Members struct {
+	Sender  string `cbor:"from"` // address of the leader that sends it
+	Centre  string `cbor:"dc"`   // data centre of that leader
+	Epoch   uint64 `cbor:"e"`    // of that leader
+	Summary []byte `cbor:"s"`
+}
+
+// Document carries an encoded configuration document.
+type Document struct {
+	Data []byte `cbor:"d"`
+}
+
+// ConfigAt carries the version of the newest document its sender has.
+type ConfigAt struct {
+	Sender  string `cbor:"from"` // address of the leader that sends it
+	Epoch   uint64 `cbor:"e"`
+	Version int64  `cbor:"v"`
+}
+
+// Suspects carries suspect and quarantine entries as core/poison encodes them.
+type Suspects struct {
+	Entries []Suspect `cbor:"s"`
+}
+
+// Suspect is one request that was running when a target died.
+type Suspect struct {
+	Print   uint64   `cbor:"fp"`
+	Service string   `cbor:"svc"`
+	Deaths  []string `cbor:"d"`           // one name for each death, equal names are one death
+	Lifted  bool     `cbor:"l,omitempty"` // an operator lifted it
+}
+
+// StatusReply lists the version in force in each data centre.
+type StatusReply struct {
+	DataCentres []DataCentreStatus `cbor:"dcs"`
+}
+
+// DataCentreStatus is the version in force in one data centre.
+type DataCentreStatus struct {
+	Name    string `cbor:"dc"`
+	InForce int64  `cbor:"v"`
+	Members int    `cbor:"n"`
+	Leader  string `cbor:"l"`
+}
+
+// Drain asks to take a target out of service, or back into it.
+type Drain struct {
+	Target string `cbor:"t"`
+	Drain  bool   `cbor:"d"`
+}
+
+// Drained is the state of a target after Drain.
+type Drained struct {
+	State uint8 `cbor:"st"`
+}
