io/entry: retry and hedge within the budgets of core/retry

Cause: the thin path retried each provable refusal without bound. Each service now has one retry budget and one hedger; a refusal by a draining target is free, because a planned stop refuses each call once.

--- a/io/daemon/flow.go
+++ b/io/daemon/flow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"trefoilthread/core/retry"
 	"trefoilthread/core/route"
 	"trefoilthread/core/types"
 	"trefoilthread/io/entry"
@@ -19,7 +20,7 @@
 		},
 		Targets: d.targets,
 		Send:    d.send,
-		Retry:   d.retry,
+		Retries: d.retries,
 		Observe: d.observeReport,
 		Clock:   d.clock,
 	}
@@ -32,6 +33,12 @@
 	return d.set.Distance()
 }
 
+// retries returns the budgets that the configuration gives a service.
+func (d *Daemon) retries(service types.ServiceName) (retry.BudgetOptions, retry.HedgerOptions) {
+	s, _ := d.config.Document().Service(service)
+	return retry.BudgetOptions{Share: s.RetryShare()}, retry.HedgerOptions{Share: s.HedgeShare()}
+}
+
 // do runs a call of a caller or of the own target.
 func (d *Daemon) do(ctx context.Context, head *wire.CallHead, body *entry.Body) (*wire.Answer, error) {
 	return d.flow.Do(ctx, head, body)
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -55,6 +55,12 @@
 	return explain(a.ctx, a.err)
 }
 
+// drained reports whether the attempt was refused because its target drains.
+func (a *attempt) drained() bool {
+	var f *wire.Failure
+	return errors.As(a.err, &f) && f.Report.Draining
+}
+
 // explain turns the error of an attempt into a typed failure. Only errors that
 // prove it give an outcome of "not run".
 func explain(ctx context.Context, err error) *types.Failure {
--- a/io/entry/flow.go
+++ b/io/entry/flow.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"trefoilthread/core/retry"
 	"trefoilthread/core/route"
 	"trefoilthread/core/types"
 	"trefoilthread/io/target"
@@ -22,13 +23,8 @@
 	Targets func(types.ServiceName) []types.Target
 	// Send runs one attempt on the target, through the daemon beside it.
 	Send func(ctx context.Context, t types.Target, head *wire.CallHead, body io.Reader) (*wire.Answer, error)
-	// Retry says whether a failed attempt may be followed by another.
-	Retry func(c types.Call, f *types.Failure, status int, replayable bool) bool
-	// HedgeAfter returns how long to wait for the first answer before a second
-	// attempt is sent, or false if there is to be none.
-	HedgeAfter func(c types.Call) (time.Duration, bool)
-	// Took is told the time of each whole answer. It may be nil.
-	Took func(c types.Call, d time.Duration)
+	// Retries returns the retry and hedge budgets of a service.
+	Retries func(types.ServiceName) (retry.BudgetOptions, retry.HedgerOptions)
 	// Observe is told the load that a target's daemon reported. It may be nil.
 	Observe func(t types.Target, r types.Report)
 	Clock   clockwork.Clock
@@ -86,7 +82,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p, ok = f.pools[service]; !ok {
-		p = &pool{picker: f.opts.NewPicker(service)}
+		budget, hedger := f.opts.Retries(service)
+		p = &pool{
+			picker: f.opts.NewPicker(service), budget: retry.NewBudget(budget), hedger: retry.NewHedger(hedger),
+		}
 		p.update(f.now(), f.opts.Targets(service))
 		f.pools[service] = p
 	}
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -4,14 +4,18 @@
 	"sync"
 	"time"
 
+	"trefoilthread/core/retry"
 	"trefoilthread/core/route"
 	"trefoilthread/core/types"
 )
 
-// pool holds the picker of one service and makes it safe for concurrent use.
+// pool holds the decisions about one service and makes them safe for concurrent
+// use.
 type pool struct {
 	mu     sync.Mutex
 	picker *route.Picker
+	budget *retry.Budget
+	hedger *retry.Hedger
 }
 
 func (p *pool) update(now time.Time, targets []types.Target) {
@@ -20,6 +24,52 @@
 	p.picker.Update(now, targets)
 }
 
+// called counts a call, which earns retries and hedges.
+func (p *pool) called(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Call(now)
+	p.hedger.Call()
+}
+
+// mayRetry decides on another attempt and takes it from the budget. A refusal
+// by a draining target costs nothing: a planned stop refuses each call once.
+func (p *pool) mayRetry(now time.Time, c types.Call, o types.Outcome, tries int, replayable, draining bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	free := draining && o == types.NotRun
+	proven := o == types.NotRun
+	if retry.Decide(c, c.Depth(), o, proven, tries, replayable, free || p.budget.Available(now)) != retry.Retry {
+		return false
+	}
+	return free || p.budget.Take(now)
+}
+
+// hedgeAfter returns how long to wait for an answer before a second attempt,
+// or false if the call is not to be hedged.
+func (p *pool) hedgeAfter(now time.Time, c types.Call, tries int, replayable bool) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if retry.Decide(c, c.Depth(), retry.Pending, false, tries, replayable, p.hedger.Available()) != retry.Hedge {
+		return 0, false
+	}
+	return p.hedger.Delay(now)
+}
+
+// takeHedge takes one hedge from its budget.
+func (p *pool) takeHedge() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hedger.Take()
+}
+
+// took records the latency of a whole answer.
+func (p *pool) took(now time.Time, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hedger.Record(now, d)
+}
+
 // start picks a target that was not tried yet and counts the attempt.
 func (p *pool) start(now time.Time, tried []types.TargetID) (types.Target, route.Token, bool) {
 	p.mu.Lock()
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"trefoilthread/core/types"
@@ -27,14 +26,15 @@
 }
 
 func (r *race) run() (*wire.Answer, error) {
+	r.pool.called(r.flow.now())
 	if !r.launch() {
 		return nil, types.NewFailure(types.NotRun, "no target of the service is up")
 	}
 	var hedge <-chan time.Time
-	if r.flow.opts.HedgeAfter != nil && r.body.whole {
-		if d, ok := r.flow.opts.HedgeAfter(r.call); ok {
-			hedge = r.flow.opts.Clock.After(d)
-		}
+	if d, ok := r.pool.hedgeAfter(r.flow.now(), r.call, r.tries, r.body.whole); ok {
+		t := r.flow.opts.Clock.NewTimer(d)
+		defer t.Stop()
+		hedge = t.Chan()
 	}
 	for {
 		select {
@@ -57,7 +57,9 @@
 			return r.lost(a)
 		case <-hedge:
 			hedge = nil
-			r.launch()
+			if len(r.live) == 1 && r.pool.takeHedge() {
+				r.launch()
+			}
 		}
 	}
 }
@@ -97,17 +99,15 @@
 
 // again starts another attempt after a failed one if that is allowed.
 func (r *race) again(a *attempt) bool {
-	status := 0
-	if a.err == nil {
-		status = a.answer.Head.Status
-	}
-	if r.ctx.Err() != nil || r.tries <= 0 || !r.body.Replayable() {
+	if r.ctx.Err() != nil {
 		return false
 	}
-	if !r.flow.opts.Retry(r.call, a.outcome(), status, r.body.Replayable()) {
-		return false
+	// The target's own error answer does not tell whether it changed anything.
+	o, draining := types.Unknown, false
+	if f := a.outcome(); f != nil {
+		o, draining = f.Outcome(), a.drained()
 	}
-	if !r.launch() {
+	if !r.pool.mayRetry(r.flow.now(), r.call, o, r.tries, r.body.Replayable(), draining) || !r.launch() {
 		return false
 	}
 	r.discard(a)
@@ -125,8 +125,9 @@
 // won cancels the other attempts and returns the answer.
 func (r *race) won(a *attempt) *wire.Answer {
 	r.abandon()
-	if r.flow.opts.Took != nil && a.answer.Head.Status < http.StatusInternalServerError {
-		r.flow.opts.Took(r.call, r.flow.now().Sub(a.start))
+	if !a.failed() {
+		now := r.flow.now()
+		r.pool.took(now, now.Sub(a.start))
 	}
 	a.answer.Body = &attemptBody{a: a, body: a.answer.Body}
 	return a.answer
