--- /dev/null
+++ b/core/claims/world_test.go
@@ -0,0 +1,301 @@
+package claims_test
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoilthread/core/claims"
+	"trefoilthread/core/types"
+)
+
+const (
+	retention = time.Hour
+	claimTime = 2 * time.Second
+)
+
+// fataler is a *testing.T or *rapid.T.
+type fataler interface{ Fatalf(string, ...any) }
+
+// ticket is one attempt to run a key, at one process.
+type ticket struct {
+	holder types.TargetID
+	number uint64
+}
+
+// owner is one daemon's process for the partition.
+type owner struct {
+	id       types.TargetID
+	p        *claims.Partition
+	requests []claims.Action // decided, on the way to the store
+	answers  []claims.Event  // on the way back
+	running  map[claims.Hash]uint64
+	paused   bool
+}
+
+// world is several owners of one partition over one store, and the oracle.
+type world struct {
+	t        fataler
+	now      time.Time
+	store    *fakeStore
+	owners   []*owner
+	starts   int
+	outage   bool
+	waiting  map[ticket]claims.Hash
+	ended    map[ticket]bool // run or refused
+	lastRun  map[claims.Hash]time.Time
+	runs     int
+	refusals int
+}
+
+func newWorld(t fataler, n int) *world {
+	w := &world{
+		t: t, now: time.Unix(1000, 0), store: newFakeStore(), waiting: map[ticket]claims.Hash{},
+		ended: map[ticket]bool{}, lastRun: map[claims.Hash]time.Time{},
+	}
+	for range n {
+		o := &owner{}
+		w.start(o)
+		w.owners = append(w.owners, o)
+	}
+	return w
+}
+
+// start replaces a crashed process. Calls on their way still reach the store.
+func (w *world) start(o *owner) {
+	w.starts++
+	o.id = types.TargetID(fmt.Sprintf("d%d", w.starts))
+	o.p = claims.NewPartition(w.now, claims.Spec{
+		Partition: 3, Holder: o.id, Seed: [2]uint64{uint64(w.starts), 5}, Retention: retention, SealAt: 3,
+		MaxResponses: 64, ClaimTime: claimTime,
+	})
+	o.answers, o.running = nil, map[claims.Hash]uint64{}
+}
+
+func (w *world) step(o *owner, ev claims.Event) {
+	for _, a := range o.p.Step(w.now, ev) {
+		tk := ticket{o.id, a.Ticket()}
+		switch a.Kind() {
+		case claims.Run:
+			w.end(tk, a.Hash())
+			w.run(o, a)
+		case claims.Refuse:
+			w.end(tk, a.Hash())
+			w.refusals++
+		default:
+			o.requests = append(o.requests, a)
+		}
+	}
+}
+
+// end fails if a claim is run or refused twice, or run after it was refused.
+func (w *world) end(tk ticket, h claims.Hash) {
+	if w.ended[tk] || w.waiting[tk] != h {
+		w.t.Fatalf("claim %v of %x ended twice", tk, h[:2])
+	}
+	w.ended[tk] = true
+}
+
+// run fails if the key ran before within its retention, or if its claim was
+// never durable in the epoch of the owner.
+func (w *world) run(o *owner, a claims.Action) {
+	h := a.Hash()
+	if last, ok := w.lastRun[h]; ok && w.now.Sub(last) < retention-claimTime {
+		w.t.Fatalf("key %x ran twice, %v apart", h[:2], w.now.Sub(last))
+	}
+	durable := false
+	for _, t := range w.store.tails {
+		for _, c := range t.Claims() {
+			durable = durable || c == h && t.Epoch() == o.p.Epoch() && t.Holder() == o.id
+		}
+	}
+	if !durable {
+		w.t.Fatalf("key %x runs at %s before its claim is durable", h[:2], o.id)
+	}
+	w.lastRun[h] = w.now
+	w.runs++
+	o.running[h] = a.Ticket()
+}
+
+func (w *world) claim(o *owner, h claims.Hash) claims.Verdict {
+	v := o.p.Claim(w.now, h)
+	if v.Answer() == claims.Fresh {
+		w.waiting[ticket{o.id, v.Ticket()}] = h
+	}
+	if v.Answer() == claims.Known && string(v.Response()) != string(h[:]) {
+		w.t.Fatalf("key %x got the response of another", h[:2])
+	}
+	w.step(o, claims.Tick())
+	return v
+}
+
+// serve executes request i.
+func (w *world) serve(o *owner, i int, lost bool) {
+	a := o.requests[i]
+	o.requests = append(o.requests[:i], o.requests[i+1:]...)
+	ev := failed(a)
+	if !w.outage {
+		if ok := w.store.do(w.now, a); !lost {
+			ev = ok
+		}
+	}
+	o.answers = append(o.answers, ev)
+}
+
+// finish ends one run.
+func (w *world) finish(o *owner, h claims.Hash, how int) {
+	tk, ok := o.running[h]
+	if !ok {
+		return
+	}
+	delete(o.running, h)
+	switch how {
+	case 0:
+		o.p.FinishUnknown(h, tk)
+	case 1:
+		// The target refused it, so it has not run.
+		delete(w.lastRun, h)
+		o.p.FinishNotRun(h, tk)
+	default:
+		o.p.Finish(h, tk, h[:])
+	}
+	o.p.FinishNotRun(h, tk) // a repeated message has no effect
+}
+
+func (w *world) advance(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.store.expire(w.now)
+}
+
+// settle lets all owners that are not paused work without new faults.
+func (w *world) settle(steps int) {
+	for range steps {
+		w.advance(100 * time.Millisecond)
+		for _, o := range w.owners {
+			for len(o.requests) > 0 {
+				w.serve(o, 0, false)
+			}
+			for len(o.answers) > 0 && !o.paused {
+				ev := o.answers[0]
+				o.answers = o.answers[1:]
+				w.step(o, ev)
+			}
+			if !o.paused {
+				w.step(o, claims.Tick())
+			}
+		}
+	}
+}
+
+// checkStore fails if the epochs in the store went back or one has two holders.
+func (w *world) checkStore() {
+	holders := map[uint64]types.TargetID{}
+	top := uint64(0)
+	for _, t := range w.store.tails {
+		if t.Epoch() < top {
+			w.t.Fatalf("epoch went back from %d to %d", top, t.Epoch())
+		}
+		top = t.Epoch()
+		if t.Holder() == "" {
+			continue
+		}
+		if h, ok := holders[top]; ok && h != t.Holder() {
+			w.t.Fatalf("epoch %d held by %s and %s", top, h, t.Holder())
+		}
+		holders[top] = t.Holder()
+	}
+}
+
+func key(i int) claims.Hash { return claims.KeyHash("rota", fmt.Sprint(i)) }
+
+func (w *world) moves() map[string]func(*rapid.T) {
+	pick := func(t *rapid.T) *owner { return rapid.SampledFrom(w.owners).Draw(t, "owner") }
+	ready := func(t *rapid.T) *owner {
+		o := pick(t)
+		if o.paused {
+			t.Skip("paused")
+		}
+		return o
+	}
+	serve := func(lost bool) func(*rapid.T) {
+		return func(t *rapid.T) {
+			o := pick(t)
+			if len(o.requests) == 0 {
+				t.Skip("no request")
+			}
+			w.serve(o, rapid.IntRange(0, len(o.requests)-1).Draw(t, "i"), lost)
+		}
+	}
+	answer := func(keep bool) func(*rapid.T) {
+		return func(t *rapid.T) {
+			o := ready(t)
+			if len(o.answers) == 0 {
+				t.Skip("no answer")
+			}
+			i := rapid.IntRange(0, len(o.answers)-1).Draw(t, "i")
+			ev := o.answers[i]
+			if !keep {
+				o.answers = append(o.answers[:i], o.answers[i+1:]...)
+			}
+			w.step(o, ev)
+		}
+	}
+	rarely := func(t *rapid.T) bool { return rapid.IntRange(0, 2).Draw(t, "rarely") == 2 }
+	claim := func(t *rapid.T) {
+		o := ready(t)
+		for _, other := range w.owners { // those that believe to be owner, more often
+			if o.p.State() != claims.Active && !other.paused {
+				o = other
+			}
+		}
+		w.claim(o, key(rapid.IntRange(0, 29).Draw(t, "key")))
+	}
+	return map[string]func(*rapid.T){
+		"":       func(*rapid.T) { w.checkStore() },
+		"claim":  claim,
+		"claim2": claim,
+		"work": func(t *rapid.T) { // several claims without new faults
+			for range rapid.IntRange(1, 5).Draw(t, "n") {
+				claim(t)
+			}
+			w.settle(2)
+		},
+		"takeover": func(t *rapid.T) {
+			w.step(ready(t), claims.Acquire())
+			w.settle(3)
+		},
+		"serve":     serve(false),
+		"serve2":    serve(false),
+		"serveLost": serve(true),
+		"answer":    answer(false),
+		"answer2":   answer(false),
+		"repeat":    answer(true),
+		"drop": func(t *rapid.T) {
+			o := pick(t)
+			o.answers = nil
+		},
+		"finish": func(t *rapid.T) {
+			w.finish(ready(t), key(rapid.IntRange(0, 29).Draw(t, "key")), rapid.IntRange(0, 4).Draw(t, "how"))
+		},
+		"acquire":  func(t *rapid.T) { w.step(ready(t), claims.Acquire()) },
+		"acquire2": func(t *rapid.T) { w.step(ready(t), claims.Acquire()) },
+		"abdicate": func(t *rapid.T) { w.step(ready(t), claims.Abdicate()) },
+		"advance": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+		},
+		"expire": func(t *rapid.T) {
+			if rarely(t) {
+				w.advance(time.Duration(rapid.IntRange(1, 70).Draw(t, "min")) * time.Minute)
+			}
+		},
+		"settle": func(*rapid.T) { w.settle(5) },
+		"pause":  func(t *rapid.T) { o := pick(t); o.paused = !o.paused && rarely(t) },
+		"outage": func(t *rapid.T) { w.outage = !w.outage && rarely(t) },
+		"crash": func(t *rapid.T) {
+			if rarely(t) {
+				w.start(pick(t))
+			}
+		},
+	}
+}
