io/daemon: run keyed calls at most once through the owner of the key

Cause: a caller that sent a key twice could have its request run twice. The daemon that owns the key's partition now claims the key durably before the run and keeps the response; the entry daemon follows a key that moves while nothing has run. A caller that gives up does not end the run, so that the next request with the key gets its response.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -72,6 +72,10 @@
 	dir    *member.Directory
 	self   types.Target
 	led    *leadership
+	owners map[int]types.Target // by partition, nil when to be computed
+
+	keepMu  sync.Mutex
+	keepers map[int]*keeper
 }
 
 // New returns a daemon that has not started.
@@ -93,6 +97,7 @@
 		config:  config.NewCurrent(),
 		fetches: ring.New[string](fetchRing),
 		beat:    make(chan struct{}, 1),
+		keepers: map[int]*keeper{},
 	}
 	if d.process, err = randomUint64(); err != nil {
 		return nil, err
--- a/io/daemon/flow.go
+++ b/io/daemon/flow.go
@@ -41,5 +41,8 @@
 
 // do runs a call of a caller or of the own target.
 func (d *Daemon) do(ctx context.Context, head *wire.CallHead, body *entry.Body) (*wire.Answer, error) {
+	if isClaimed(head) {
+		return d.once(ctx, head, body)
+	}
 	return d.flow.Do(ctx, head, body)
 }
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -40,6 +40,7 @@
 	d.mu.Unlock()
 	if changed {
 		d.flow.RefreshAll()
+		d.membersMoved()
 		d.pushNow()
 	}
 	return nil
@@ -68,6 +69,7 @@
 	d.mu.Unlock()
 	if changed {
 		d.flow.Refresh(t.Service())
+		d.membersMoved()
 	}
 }
 
--- a/io/daemon/send.go
+++ b/io/daemon/send.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilthread/core/claims"
 	"trefoilthread/core/types"
+	"trefoilthread/io/entry"
 	"trefoilthread/io/peer"
 	"trefoilthread/io/wire"
 )
@@ -41,6 +44,9 @@
 
 // serveCall handles a call that another daemon sent for the own target.
 func (d *Daemon) serveCall(ctx context.Context, head *wire.CallHead, body *wire.BodyReader) (*wire.Answer, error) {
+	if head.Route {
+		return d.serveOnce(ctx, head, body)
+	}
 	s, ok := d.config.Document().Service(types.ServiceName(head.Service))
 	if ok && head.ConfigAt < s.Version() {
 		// The sender routed by an older configuration of this service. It gets
@@ -55,3 +61,37 @@
 func (d *Daemon) refuse(o types.Outcome, reason string) *wire.Failure {
 	return &wire.Failure{Outcome: uint8(o), Reason: reason, Report: d.local.WireReport()}
 }
+
+func (d *Daemon) refuseMoved(reason string) *wire.Failure {
+	f := d.refuse(types.NotRun, reason)
+	f.Moved = true
+	return f
+}
+
+// serveOnce claims the key of a call for another daemon and runs the call.
+func (d *Daemon) serveOnce(ctx context.Context, head *wire.CallHead, body *wire.BodyReader) (*wire.Answer, error) {
+	hash := claims.KeyHash(types.ServiceName(head.Service), head.Key)
+	index := claims.PartitionOf(hash, d.set.Partitions())
+	if t, ok := d.owner(index); !ok || t.ID() != d.id {
+		return nil, d.refuseMoved("the key is kept by another daemon")
+	}
+	b, err := entry.ReadBody(body)
+	if err != nil {
+		return nil, d.refuse(types.BadRequest, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(head.Timeout)*time.Microsecond)
+	defer cancel()
+	ans, err := d.runOnce(ctx, head, b, hash, index)
+	if err == nil {
+		return ans, nil
+	}
+	var mv *movedError
+	if errors.As(err, &mv) {
+		return nil, d.refuseMoved(mv.Reason())
+	}
+	var f *types.Failure
+	if errors.As(err, &f) {
+		return nil, d.refuse(f.Outcome(), f.Reason())
+	}
+	return nil, err
+}
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -19,6 +19,7 @@
 	Tries    int                 `cbor:"tr,omitempty"`
 	Trial    bool                `cbor:"trial,omitempty"` // a suspect on its trial run
 	Claimed  bool                `cbor:"clm,omitempty"`   // the key was claimed by the sender
+	Route    bool                `cbor:"rt,omitempty"`    // the receiver claims the key and routes the call
 	Sender   string              `cbor:"from"`
 	ConfigAt int64               `cbor:"cfg,omitempty"` // configuration version of the sender
 }
@@ -47,6 +48,7 @@
 	Outcome uint8  `cbor:"o"`
 	Reason  string `cbor:"why"`
 	Report  Report `cbor:"r"`
+	Moved   bool   `cbor:"mv,omitempty"` // the key is kept by another daemon
 }
 
 // Error implements error.
