--- a/io/daemon/once.go
+++ b/io/daemon/once.go
@@ -35,10 +35,12 @@
 
 const (
 	// ownerTries bounds how often a keyed call that did not run follows its key
-	// to another owner, for example while a daemon stops.
-	ownerTries = 6
-	// ownerWait is the first pause before that; it doubles.
-	ownerWait = 20 * time.Millisecond
+	// to another owner while the members change. With the pauses it covers some
+	// 4 s, in which a summary reaches all data centres.
+	ownerTries = 30
+	// ownerWait is the first pause before that; it doubles up to ownerMaxWait.
+	ownerWait    = 20 * time.Millisecond
+	ownerMaxWait = 160 * time.Millisecond
 )
 
 // once runs a call with an idempotency key at most once, through the daemon
@@ -57,7 +59,7 @@
 		case <-ctx.Done():
 			return nil, err
 		case <-d.clock.After(wait):
-			wait *= 2
+			wait = min(2*wait, ownerMaxWait)
 		}
 	}
 }
--- a/io/deploy/known.go
+++ b/io/deploy/known.go
@@ -91,3 +91,17 @@
 		},
 	}
 }
+
+// Small returns a deployment for tests and benchmarks: two data centres, one
+// service "echo" with the given number of targets, which answer after typical.
+func Small(targets int, typical time.Duration) Deployment {
+	dcs := []types.DataCentre{"dc-a", "dc-b"}
+	return Deployment{
+		name: "small", dataCentres: dcs, between: 500 * time.Microsecond, callers: time.Millisecond,
+		services: []Service{
+			service("echo", dcs, targets, 12, 250, typical,
+				urgent("read", "/read", 0.8, 2*time.Second, 1),
+				once("write", "/write", 0.2, 5*time.Second, 10)),
+		},
+	}
+}
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -162,7 +162,61 @@
 func (f *Fleet) Runs(key string) int {
 	n := 0
 	for _, node := range f.nodes {
-		n += node.target.Runs(key)
+		n += node.runs(key)
 	}
 	return n
 }
+
+// Replace stops a node gracefully and starts a new daemon and target under the
+// same name, as a rolling restart does. Entries leaves the node out meanwhile.
+func (f *Fleet) Replace(ctx context.Context, i int) error {
+	n := f.nodes[i]
+	n.away.Store(true)
+	defer n.away.Store(false)
+	if err := n.stop(ctx); err != nil {
+		return err
+	}
+	n.former = append(n.former, n.target)
+	if err := n.startDaemon(f); err != nil {
+		return err
+	}
+	if err := n.startTarget(f, f.opts.Seed+uint64(i)); err != nil {
+		return err
+	}
+	return f.waitUp(ctx, n)
+}
+
+// waitUp waits until a node's daemon has all targets and each other daemon has
+// the node's target.
+func (f *Fleet) waitUp(ctx context.Context, n *Node) error {
+	up := func() bool {
+		if !f.knowsAll(n) {
+			return false
+		}
+		for _, other := range f.nodes {
+			if !other.away.Load() && !f.knowsAll(other) {
+				return false
+			}
+		}
+		return true
+	}
+	for !up() {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s did not come back: %s", n.id, n.daemon.Describe())
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// Entries returns the addresses of the daemons that take callers' requests.
+func (f *Fleet) Entries() []string {
+	var out []string
+	for _, n := range f.nodes {
+		if !n.away.Load() {
+			out = append(out, n.entry.Load().(string))
+		}
+	}
+	return out
+}
--- a/io/fleet/node.go
+++ b/io/fleet/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,6 +23,9 @@
 	target  *stand.Target
 	daemon  *daemon.Daemon
 	store   *store.Etcd
+	former  []*stand.Target // earlier targets of the same name, for counting runs
+	away    atomic.Bool     // being replaced
+	entry   atomic.Value    // string, address for callers
 }
 
 // ID returns the name of the target and its daemon.
@@ -76,7 +80,20 @@
 	if err != nil {
 		return err
 	}
-	return n.daemon.Start()
+	if err := n.daemon.Start(); err != nil {
+		return err
+	}
+	n.entry.Store(n.daemon.CallerAddr())
+	return nil
+}
+
+// runs returns how often this node's targets ran a key.
+func (n *Node) runs(key string) int {
+	sum := n.target.Runs(key)
+	for _, t := range n.former {
+		sum += t.Runs(key)
+	}
+	return sum
 }
 
 // startTarget starts the target, which announces itself to the daemon.
--- a/io/load/caller.go
+++ b/io/load/caller.go
@@ -44,6 +44,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		res.aborted, res.reason = errors.Is(ctx.Err(), context.Canceled), err.Error()
 		return res
 	}
 	defer func() {
@@ -52,11 +53,13 @@
 	body, err := io.ReadAll(resp.Body)
 	res.latency = time.Since(due)
 	if err != nil {
+		res.aborted, res.reason = errors.Is(ctx.Err(), context.Canceled), err.Error()
 		return res
 	}
 	res.status = resp.StatusCode
 	res.outcome = outcomeNamed(resp.Header.Get(entry.HeaderOutcome))
 	if res.outcome != types.Done || resp.StatusCode >= 500 {
+		res.reason = string(body[:min(len(body), 200)])
 		return res
 	}
 	var a stand.Answer
--- a/io/load/series.go
+++ b/io/load/series.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 	// histogramMax is the longest latency that is told apart, in microseconds.
 	histogramMax    = 60_000_000
 	histogramDigits = 3
+	// maxReasons bounds the different failures that are told apart.
+	maxReasons = 64
 )
 
 // Series collects the results of one kind of call.
@@ -29,6 +32,8 @@
 	offered  float64
 	keys     []string
 	refused  []string // keys of calls refused as not run
+	aborted  int
+	reasons  map[string]int
 }
 
 func newSeries(k Kind) *Series {
@@ -36,6 +41,7 @@
 		kind:     k,
 		hist:     hdrhistogram.New(1, histogramMax, histogramDigits),
 		outcomes: map[types.Outcome]int{},
+		reasons:  map[string]int{},
 	}
 }
 
@@ -45,8 +51,10 @@
 	status  int
 	latency time.Duration
 	key     string
+	reason  string // why there was no answer
 	crossed bool
 	cut     bool
+	aborted bool // the run ended while the call was under way
 }
 
 func (s *Series) add(r result) {
@@ -60,6 +68,12 @@
 			s.refused = append(s.refused, r.key)
 		}
 	}
+	if r.aborted {
+		s.aborted++
+	}
+	if r.reason != "" && len(s.reasons) < maxReasons {
+		s.reasons[r.reason]++
+	}
 	if r.crossed {
 		s.crossed++
 	}
@@ -109,6 +123,20 @@
 	return s.errors
 }
 
+// Aborted returns the number of calls that the end of the run cut off.
+func (s *Series) Aborted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.aborted
+}
+
+// Describe returns the reasons of failures with their numbers, for messages.
+func (s *Series) Describe() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprint(s.reasons)
+}
+
 // Crossed returns the number of answers that belonged to another call.
 func (s *Series) Crossed() int {
 	s.mu.Lock()
