core/poison: hold suspects and quarantined requests

Cause: a request that crashes every target that runs it is sent again by its caller until no target is left.

Ruled out: a count per request (a report that arrives twice counts twice); removing a cleared suspect (an old report brings the suspicion back); expiry per death (a quarantined request becomes a suspect again when its first death expires); times instead of ages in reports (clocks differ); trials while a run has just broken off (the target may be dead already, and the trial would be blamed); a canceled run keeping trials off in general (losing hedged requests are canceled all the time); sorting a full table for each new suspect.

Change: Table, a merge by death identity that commutes, AdmitTrial, and the rendezvous choice TrialTarget.

--- /dev/null
+++ b/core/poison/doc.go
@@ -0,0 +1,64 @@
+// Package poison keeps the requests that may crash targets: the ones in flight
+// at the local target, the suspects, and the quarantined ones.
+//
+// # Rule
+//
+// Each request in flight when a target dies gets that death on its record.
+// With one death that was not cleared it is a suspect, with two it is
+// quarantined and runs nowhere. A suspect runs only as a trial: on one target
+// that all daemons choose alike (TrialTarget), alone among suspects there
+// (AdmitTrial). A trial that gets a complete response clears the recorded
+// deaths. So a request that crashes each target kills one target as an unknown
+// request and one as a trial. A harmless request that was in flight with it at
+// the first death cannot be in flight with it at the second unless it was
+// cleared before, and then it has only one death.
+//
+// A connection to a dying target often breaks before the daemon notices the
+// death. A run that broke off therefore counts as in flight for Grace, and no
+// trial is admitted in that time: the target may be dead already, and the
+// trial would be blamed for it. A canceled run also counts as in flight for
+// Grace, because the target may still be working on it, but keeps trials off
+// only if it is a suspect: losing hedged requests are canceled all the time.
+//
+// # Merge
+//
+// A death is identified by target, incarnation of the daemon, and its number
+// in that incarnation. Daemons exchange entries with all recorded deaths.
+// Learn takes the union of the deaths; a death that is cleared in either is
+// cleared, and the earlier of two times counts. So neither the order nor the
+// number of messages matters, and a report that arrives again after a trial
+// brings no cleared suspicion back. Ages are sent instead of times, because
+// clocks of daemons differ.
+//
+// # Bounds
+//
+// An entry expires Expiry after its latest death. A record keeps its 16 latest
+// deaths. The table holds at most Capacity entries; a full one keeps
+// quarantined entries before suspects and those before cleared ones, and among
+// equals the ones with the latest death. The merge is independent of the order
+// as long as none of these bounds is reached.
+//
+// A Table is not safe for concurrent use; the caller locks.
+//
+// # Usage
+//
+//	t := poison.New(poison.Options{Target: "bookings-3", Incarnation: 7})
+//	switch t.Check(now, fp) {
+//	case poison.Quarantined:
+//		// Refuse as quarantined.
+//	case poison.Suspect:
+//		if !t.AdmitTrial(now, fp) {
+//			// Refuse as not run; the call may come again.
+//		}
+//	case poison.Clear:
+//		t.Begin(now, fp)
+//	}
+//	// After the run, ok meaning a complete response:
+//	if t.End(now, fp, ok) {
+//		send(t.Entries(now, []types.Fingerprint{fp}))
+//	}
+//	// When the target has died:
+//	send(t.Entries(now, t.TargetDied(now)))
+//	// With entries from another daemon:
+//	t.Learn(now, entries)
+package poison
--- /dev/null
+++ b/core/poison/table.go
@@ -0,0 +1,149 @@
+package poison
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+// Table is one daemon's knowledge of requests that crash targets.
+type Table struct {
+	opts    Options
+	records map[types.Fingerprint]*record
+	flight  flight
+	deaths  uint64
+}
+
+// New returns an empty table.
+func New(o Options) *Table {
+	o = o.withDefaults()
+	return &Table{
+		opts: o, records: map[types.Fingerprint]*record{}, flight: newFlight(o.Grace, o.Capacity),
+	}
+}
+
+// Check returns how a request may run.
+func (t *Table) Check(now time.Time, fp types.Fingerprint) Status {
+	if r := t.find(now, fp); r != nil {
+		return r.status
+	}
+	return Clear
+}
+
+// Begin records that a request that is Clear starts at the local target.
+func (t *Table) Begin(_ time.Time, fp types.Fingerprint) { t.flight.begin(fp) }
+
+// AdmitTrial reports whether a suspect may start at the local target now, and
+// if so records its start in place of Begin. It may not while any suspect is in
+// flight, the same one included, or a run has just broken off.
+func (t *Table) AdmitTrial(now time.Time, fp types.Fingerprint) bool {
+	if t.Check(now, fp) != Suspect || t.flight.broken(now) {
+		return false
+	}
+	for other := range t.flight.all(now) {
+		if t.Check(now, other) != Clear {
+			return false
+		}
+	}
+	t.flight.begin(fp)
+	t.flight.trial, t.flight.onTrial = fp, true
+	return true
+}
+
+// End records that a run ended: ok if its response was complete, not ok if it
+// broke off. It reports whether a successful trial has cleared the request,
+// which is then to be sent to the other daemons. The daemon ends all runs of a
+// target that died before the target takes new ones.
+func (t *Table) End(now time.Time, fp types.Fingerprint, ok bool) bool {
+	trial := t.flight.end(now, fp, !ok)
+	if !ok {
+		t.flight.lastBreak = now
+	}
+	return trial && ok && t.Clear(fp)
+}
+
+// Cancel records that the daemon itself gave up a run. The target may still be
+// working on it, but the end says nothing about the target.
+func (t *Table) Cancel(now time.Time, fp types.Fingerprint) { t.flight.end(now, fp, true) }
+
+// TargetDied records the death of the local target. It returns the requests
+// that were in flight, in ascending order, which are to be sent to the other
+// daemons (Entries).
+func (t *Table) TargetDied(now time.Time) []types.Fingerprint {
+	t.deaths++
+	d := death{
+		id: DeathID{Target: t.opts.Target, Incarnation: t.opts.Incarnation, Number: t.deaths},
+		at: now,
+	}
+	suspects := t.flight.takeAll(now)
+	for _, fp := range suspects {
+		t.record(now, fp).add(d)
+	}
+	t.trim(now)
+	return suspects
+}
+
+// Clear removes the suspicion from a request after a successful trial. A
+// quarantined request stays so: its second death came after the trial began.
+func (t *Table) Clear(fp types.Fingerprint) bool {
+	r := t.records[fp]
+	if r == nil || r.status != Suspect {
+		return false
+	}
+	r.clear()
+	return true
+}
+
+// Lift ends suspicion or quarantine at an operator's request. It reports
+// whether there was any. The entry is then to be sent to the other daemons.
+func (t *Table) Lift(fp types.Fingerprint) bool {
+	r := t.records[fp]
+	if r == nil || r.status == Clear {
+		return false
+	}
+	r.clear()
+	return true
+}
+
+// List returns the suspect and quarantined requests, quarantined first, then
+// by latest death.
+func (t *Table) List(now time.Time) []Entry {
+	var list []*record
+	for fp := range t.records {
+		if r := t.find(now, fp); r != nil && r.status != Clear {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, compareWorth)
+	var entries []Entry
+	for _, r := range list {
+		entries = append(entries, r.entry(now))
+	}
+	return entries
+}
+
+// Entries returns what is known about the given requests, cleared ones
+// included; nil stands for all requests.
+func (t *Table) Entries(now time.Time, fps []types.Fingerprint) []Entry {
+	if fps == nil {
+		fps = slices.Sorted(maps.Keys(t.records))
+	}
+	var entries []Entry
+	for _, fp := range fps {
+		if r := t.find(now, fp); r != nil {
+			entries = append(entries, r.entry(now))
+		}
+	}
+	return entries
+}
+
+// find returns the record of a request unless it has expired.
+func (t *Table) find(now time.Time, fp types.Fingerprint) *record {
+	r := t.records[fp]
+	if r == nil || now.Sub(r.latest()) >= t.opts.Expiry {
+		return nil
+	}
+	return r
+}
