core/admit: keep the order of the queue with a worth that is no number

Cause: a worth of NaN compares as neither more nor less and breaks the heap.

Ruled out: refusing such a call; the configuration is checked elsewhere.

--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // unknownLatency stands for the service time before any call has ended. Only
 // the order of values matters.
@@ -8,6 +11,10 @@
 
 // value returns the worth per slot-second of a call.
 func (g *Gate) value(now time.Time, kind int, worth float64) float64 {
+	// A value that is not a number would break the order of the queue.
+	if math.IsNaN(worth) {
+		worth = 0
+	}
 	mean := g.limit.Mean(now, kind)
 	if mean <= 0 {
 		mean = max(g.limit.Latency(), unknownLatency)
