core/stall: find connections that stopped responding

Cause: an open connection can stop responding for good while new ones work, and silence alone doesn't tell it from a slow target. Ruled out: silence as the only evidence, which would abandon every request that runs longer than 250 ms; abandoning the only connection to a target, for which there is no comparison. Change: Tracker with two kinds of evidence: an unanswered ping for daemons, progress on other connections in the second half of the silence for targets. Silence starts anew after a pause of this process. The table is bounded and drops idle connections first.

--- /dev/null
+++ b/core/stall/tracker_test.go
@@ -0,0 +1,180 @@
+package stall_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"trefoilthread/core/stall"
+)
+
+var start = time.Unix(1000, 0)
+
+func ms(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+
+// run calls Check every 50 ms up to and including the given time and returns
+// when each connection was abandoned, in ms.
+func run(t *stall.Tracker, from, to int, step func(at int)) map[stall.ConnID]int {
+	got := map[stall.ConnID]int{}
+	for at := from; at <= to; at += 50 {
+		if step != nil {
+			step(at)
+		}
+		for _, id := range t.PingsDue(ms(at)) {
+			t.PingSent(ms(at), id)
+		}
+		for _, id := range t.Check(ms(at)) {
+			got[id] = at
+		}
+	}
+	return got
+}
+
+// Guards against a dead connection between daemons that is kept, and against
+// abandoning one whose peer answers but whose target is slow, one that is
+// idle, or one that was never pinged.
+func TestPeerStall(t *testing.T) {
+	is := is.New(t)
+	tr := stall.New(start, stall.Options{})
+	for id := range stall.ConnID(4) {
+		tr.Sent(start, id, 10)
+	}
+	tr.Progress(start, 3, 10) // idle
+	got := run(tr, 0, 1000, func(at int) {
+		tr.PingAnswered(ms(at), 1)
+		tr.Progress(ms(at), 2, 0)
+	})
+	is.Equal(got, map[stall.ConnID]int{0: 300}) // pinged at 150, once returned
+
+	tr = stall.New(start, stall.Options{})
+	tr.Sent(start, 1, 1)
+	for at := 0; at < 2000; at += 100 {
+		is.Equal(len(tr.Check(ms(at))), 0)
+	}
+	is.Equal(tr.PingsDue(ms(2000)), []stall.ConnID{1})
+	tr.PingSent(ms(2000), 1)
+	is.Equal(len(tr.Check(ms(2000))), 0) // the answer needs time
+	is.Equal(len(tr.Check(ms(2100))), 0)
+	tr.PingSent(ms(2100), 1) // doesn't put the answer off
+	is.Equal(len(tr.Check(ms(2125))), 1)
+}
+
+// Guards against silence that is counted from before a request was sent on an
+// idle connection.
+func TestIdleTimeIsNotSilence(t *testing.T) {
+	is := is.New(t)
+	tr := stall.New(start, stall.Options{})
+	tr.Sent(start, 1, 1)
+	tr.Progress(start, 1, 1)
+	is.Equal(len(run(tr, 0, 5000, nil)), 0)
+	tr.Sent(ms(5000), 1, 1)
+	is.Equal(len(run(tr, 5050, 5200, nil)), 0)
+	is.Equal(run(tr, 5250, 6000, nil), map[stall.ConnID]int{1: 5300})
+}
+
+// Guards against abandoning the connections of a straggler, of a target with
+// long requests, or the only connection; and against keeping a silent one.
+func TestTargetStall(t *testing.T) {
+	for name, c := range map[string]struct {
+		others   int // connections beside connection 0
+		until    int // they make progress up to this time, in ms
+		quantile int // 99 %, in ms
+		want     map[stall.ConnID]int
+	}{
+		"stalled":       {3, 2000, 20, map[stall.ConnID]int{0: 250}},
+		"one other":     {1, 2000, 20, map[stall.ConnID]int{0: 250}},
+		"long requests": {3, 2000, 200, map[stall.ConnID]int{0: 800}},
+		"straggler":     {3, 50, 20, map[stall.ConnID]int{}},
+		"single":        {0, 0, 20, map[stall.ConnID]int{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tr := stall.New(start, stall.Options{Kind: stall.Target})
+			tr.SetQuantile(time.Duration(c.quantile) * time.Millisecond)
+			for id := range stall.ConnID(c.others + 1) {
+				tr.Sent(start, id, 1)
+			}
+			got := run(tr, 0, 2000, func(at int) {
+				for id := 1; id <= c.others && at <= c.until; id++ {
+					tr.Sent(ms(at), stall.ConnID(id), 1)
+					tr.Progress(ms(at), stall.ConnID(id), 1)
+				}
+			})
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// Guards against abandoning all connections after this process was paused,
+// when answers are waiting to be read.
+func TestPauseOfThisProcess(t *testing.T) {
+	is := is.New(t)
+	tr := stall.New(start, stall.Options{})
+	tr.Sent(start, 1, 1)
+	is.Equal(len(run(tr, 0, 150, nil)), 0) // pinged
+	is.Equal(len(run(tr, 9000, 9200, nil)), 0)
+	is.Equal(len(run(tr, 9250, 9400, nil)), 1) // still dead
+}
+
+// Guards against tables that grow with connections that are never closed, and
+// against abandoning a connection that isn't known or has nothing outstanding.
+func TestBoundedAndOnlyBusyConnections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]stall.Kind{stall.Peer, stall.Target}).Draw(t, "kind")
+		tr := stall.New(start, stall.Options{Kind: kind, MaxConnections: 4})
+		busy, heard := map[stall.ConnID]int64{}, map[stall.ConnID]time.Time{}
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 125).Draw(t, "ms")) * time.Millisecond)
+			id := stall.ConnID(rapid.IntRange(0, 6).Draw(t, "id"))
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				tr.Sent(now, id, 2)
+				busy[id] += 2
+			case 2:
+				tr.Progress(now, id, 1)
+				busy[id], heard[id] = max(0, busy[id]-1), now
+			case 3:
+				tr.PingSent(now, id)
+			case 4:
+				tr.Closed(id)
+				delete(busy, id)
+			}
+			for _, id := range tr.Check(now) {
+				if busy[id] == 0 || now.Sub(heard[id]) < stall.DefaultStallAfter {
+					t.Fatalf("connection %d abandoned: %d outstanding, heard %v ago", id, busy[id], now.Sub(heard[id]))
+				}
+			}
+			if tr.Len() > 4 {
+				t.Fatalf("%d connections tracked", tr.Len())
+			}
+		}
+	})
+}
+
+// Guards against a full table that drops busy connections instead of idle
+// ones, or hides that it tracks no more.
+func TestFullTableDropsIdleConnections(t *testing.T) {
+	is := is.New(t)
+	tr := stall.New(start, stall.Options{MaxConnections: 2})
+	tr.Sent(start, 1, 1)
+	tr.Sent(start, 2, 1)
+	tr.Sent(start, 3, 1)
+	is.Equal(tr.Untracked(), uint64(1))
+	tr.Progress(start, 2, 1)
+	tr.Sent(start, 3, 1)
+	is.Equal(run(tr, 0, 500, nil), map[stall.ConnID]int{1: 300, 3: 300})
+}
+
+func BenchmarkCheck(b *testing.B) {
+	tr := stall.New(start, stall.Options{Kind: stall.Target})
+	for id := range stall.ConnID(250) {
+		tr.Sent(start, id, 1)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		tr.Check(start)
+	}
+}
