core/route: bound trial calls and use reported latencies

Each daemon also has too few calls to average a straggler's latency soon. Ruled out: longer pauses alone, which would delay the return of a target in a small deployment as much as in a large one. Change: trial calls are at most one in 200 calls of a daemon to the service, or one in 5 s. The latency average of a target's last report counts if it is longer than the own one and twice the service's, and fades by half each second. ParsePolicy and PolicyNames for commands. The queueing loop is shorter, reports latencies, and has the case of 200 daemons; the cases keep their bounds.

--- a/core/route/bench_test.go
+++ b/core/route/bench_test.go
@@ -9,7 +9,9 @@
 	"trefoilthread/core/types"
 )
 
-func busy(policy route.Policy, n int) *route.Picker {
+// busy returns a Picker of n targets in two data centres with reports and
+// calls in flight.
+func busy(policy route.Policy, n int) (*route.Picker, []types.Target) {
 	list := targets(n, "a")
 	for i := 1; i < n; i += 2 {
 		list[i] = target(i, "b")
@@ -18,50 +20,38 @@
 		return ms(int(from[0] ^ to[0]))
 	}})
 	p.Update(start, list)
-	warm(p, start, list)
 	for i, x := range list {
-		r := types.NewReport(types.ReportSpec{InFlight: 2 + i%8, Incarnation: 1})
-		call(p, start, x.ID(), route.Result{Latency: ms(5), Report: r, HasReport: true})
+		call(p, start, x.ID(), loaded(2+i%8))
 		p.Start(start, x.ID())
 	}
-	return p
+	return p, list
 }
 
 func BenchmarkPick(b *testing.B) {
-	for name, policy := range policies {
+	for _, name := range route.PolicyNames() {
 		b.Run(name, func(b *testing.B) {
-			p := busy(policy, 200)
-			now := start.Add(ms(7))
+			policy, _ := route.ParsePolicy(name)
+			p, _ := busy(policy, 200)
 			b.ReportAllocs()
 			for b.Loop() {
-				p.Pick(now, nil)
+				p.Pick(start.Add(ms(7)), nil)
 			}
 		})
 	}
 }
 
 func BenchmarkStartFinish(b *testing.B) {
-	p := busy(route.Weighted, 200)
-	r := types.NewReport(types.ReportSpec{InFlight: 3, Incarnation: 1})
+	p, _ := busy(route.Weighted, 200)
 	b.ReportAllocs()
 	for b.Loop() {
-		p.Finish(start, p.Start(start, "t3"), route.Result{Latency: ms(5), Report: r, HasReport: true})
-	}
-}
-
-func BenchmarkPickFor(b *testing.B) {
-	p := busy(route.Weighted, 200)
-	b.ReportAllocs()
-	for b.Loop() {
-		p.PickFor(start, 7)
+		p.Finish(start, p.Start(start, "t3"), loaded(3))
 	}
 }
 
 func BenchmarkUpdate(b *testing.B) {
 	for _, n := range []int{200, 1000, 5200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			p := busy(route.Weighted, n)
-			list := targets(n, "a")
+			p, list := busy(route.Weighted, n)
 			b.ReportAllocs()
 			for b.Loop() {
 				p.Update(start, list)
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -24,20 +24,23 @@
 // in the 5 s after a start.
 //
 // Latency is the average of the own calls without twice the one-way latency,
-// which the score already has. Failed calls count only when they took longer
-// than the average: a target that fails fast must not look fast. While the
-// oldest call in flight is older than twice the average, half its age takes
-// the place of the average, so that a straggler loses traffic before any of
-// its calls ends. Without own calls, an excess over the service's average and
-// the share of failures halve each second, so that no target is judged by old
-// results for ever.
+// which the score already has, or the average of the target's last report if
+// that is longer. The report covers the calls of all daemons; with many daemons
+// each of them sees too few calls of its own to notice a slowdown in time.
+// Failed calls count only when they took longer than the average: a target that
+// fails fast must not look fast. While the oldest call in flight is older than
+// twice the average, half its age takes the place of the average, so that a
+// straggler loses traffic before any of its calls ends. Without own calls, an
+// excess over the service's average and the share of failures halve each
+// second, so that no target is judged by old results for ever.
 //
 // # Suspension
 //
 // A target is suspended when its oldest call is older than three times the 95 %
 // latency quantile of the service, at least 20 ms, or when more than half of
 // its recent calls failed. It then gets one trial call at a time, with pauses
-// that double from 100 ms to 5 s, until one ends well. A retry is never a
+// that double from 100 ms to 5 s, until one ends well. Trial calls are at most
+// one in 200 calls of this daemon to the service, or one in 5 s. A retry is never a
 // trial call. When more than half of the targets are suspended, suspension is
 // ignored: the fault is then more likely in the calls or in this daemon, and
 // the remaining targets couldn't carry the load. The score still applies.
--- a/core/route/helper_test.go
+++ b/core/route/helper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"trefoilthread/core/route"
@@ -44,20 +45,23 @@
 	return got
 }
 
-// warm gives each target ten good calls of 5 ms.
-func warm(p *route.Picker, now time.Time, list []types.Target) {
-	for range 10 {
-		for _, t := range list {
-			call(p, now, t.ID(), route.Result{Latency: ms(5)})
-		}
+// warmed returns a Picker of n targets that each had ten good calls of 5 ms.
+func warmed(n int) (*route.Picker, []types.Target) {
+	p, list := route.New(route.Options{}), targets(n, "a")
+	p.Update(start, list)
+	for i := range 10 * n {
+		call(p, start, list[i%n].ID(), route.Result{Latency: ms(5)})
 	}
+	return p, list
 }
 
 func status(p *route.Picker, now time.Time, id types.TargetID) route.Status {
-	for _, s := range p.List(now) {
-		if s.Target().ID() == id {
-			return s
-		}
-	}
-	return route.Status{}
+	list := p.List(now)
+	return list[slices.IndexFunc(list, func(s route.Status) bool { return s.Target().ID() == id })]
+}
+
+// loaded returns a result of 5 ms with a report of n calls in flight.
+func loaded(n int) route.Result {
+	r := types.NewReport(types.ReportSpec{InFlight: n, Incarnation: 1})
+	return route.Result{Latency: ms(5), Report: r, HasReport: true}
 }
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -87,18 +87,22 @@
 	return decay(now.Sub(m.observed), idleHalfLife)
 }
 
-// expected returns the latency of a call in nanoseconds, by own calls, else by
-// the last report, else the service's average.
-func (m *member) expected(weight, service float64) float64 {
-	switch {
-	case m.latency.set && m.latency.value > service:
-		return service + (m.latency.value-service)*weight
-	case m.latency.set:
-		return m.latency.value
-	case m.reportLatency > 0:
-		return float64(m.reportLatency)
+// expected returns the latency of a call in nanoseconds: the own average or
+// that of the target's last report, whichever is longer, else the service's
+// average. The target averages the calls of all daemons and therefore shows a
+// slowdown before each daemon has seen enough calls of its own.
+func (m *member) expected(now time.Time, weight, service float64) float64 {
+	latency := service
+	if m.latency.set {
+		latency = m.latency.value
+		if latency > service {
+			latency = service + (latency-service)*weight
+		}
+	}
+	if r := float64(m.reportLatency); r > latency && r > 2*service {
+		latency += (r - latency) * decay(now.Sub(m.reported), idleHalfLife)
 	}
-	return service
+	return latency
 }
 
 // settle applies the idle time to the past results before a call starts.
@@ -108,7 +112,7 @@
 	}
 	w := m.idleWeight(now)
 	if m.latency.set {
-		m.latency.value = m.expected(w, service)
+		m.latency.value = m.expected(now, w, service)
 	}
 	m.failures *= w
 	m.observed = now
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -10,17 +10,13 @@
 	"trefoilthread/core/types"
 )
 
-var policies = map[string]route.Policy{
-	"weighted": route.Weighted, "random": route.Random,
-	"roundRobin": route.RoundRobin, "leastOutstanding": route.LeastOutstanding,
-}
-
 // Guards against calls to targets that take none, to targets whose drain is
 // known only from a report, and against a second attempt at the same target.
 func TestPickOnlyUsableTargets(t *testing.T) {
-	for name, policy := range policies {
+	for _, name := range route.PolicyNames() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
+			policy, _ := route.ParsePolicy(name)
 			p := route.New(route.Options{Policy: policy})
 			_, ok := p.Pick(start, nil)
 			is.True(!ok)
@@ -59,14 +55,9 @@
 		return 1500 * time.Microsecond
 	}})
 	p.Update(start, list)
-	for range 10 {
-		for i := range list {
-			d := ms(5)
-			if i >= 3 {
-				d += ms(3) // two ways of 1.5 ms
-			}
-			call(p, start, list[i].ID(), route.Result{Latency: d})
-		}
+	for i := range 60 {
+		// Calls to the other data centre take two ways of 1.5 ms more.
+		call(p, start, list[i%6].ID(), route.Result{Latency: ms(5 + i%6/3*3)})
 	}
 	got := count(p, start, 300)
 	is.Equal(got["t3"]+got["t4"]+got["t5"], 0)
@@ -91,8 +82,7 @@
 			p := route.New(route.Options{Self: target(i, "a").ID()})
 			p.Update(start, list)
 			for k, x := range list {
-				r := types.NewReport(types.ReportSpec{InFlight: 10 * min(k, 1), Incarnation: 1})
-				call(p, start, x.ID(), route.Result{Latency: ms(5), Report: r, HasReport: true})
+				call(p, start, x.ID(), loaded(10*min(k, 1)))
 			}
 			x, _ := p.Pick(start, nil)
 			got[x.ID()]++
@@ -108,13 +98,10 @@
 // difference from the average is left, and later none.
 func TestReportFadesToAverage(t *testing.T) {
 	is := is.New(t)
-	p := route.New(route.Options{})
-	p.Update(start, targets(2, "a"))
+	p, _ := warmed(2)
 	for range 200 {
-		for id, n := range map[types.TargetID]int{"t0": 2, "t1": 10} {
-			r := types.NewReport(types.ReportSpec{InFlight: n, Incarnation: 1})
-			call(p, start, id, route.Result{Latency: ms(5), Report: r, HasReport: true})
-		}
+		call(p, start, "t0", loaded(2))
+		call(p, start, "t1", loaded(10))
 	}
 	others := func(d time.Duration) float64 { return status(p, start.Add(d), "t1").Others() }
 	mean := others(time.Hour)
@@ -124,12 +111,23 @@
 	is.Equal(others(ms(100)), mean+(10-mean)/4)
 }
 
+// Guards against a straggler that each of many daemons has to find by itself,
+// and against an old report that keeps calls away from it.
+func TestReportedLatencyCounts(t *testing.T) {
+	is := is.New(t)
+	p, _ := warmed(3)
+	r := types.NewReport(types.ReportSpec{Incarnation: 1, Latency: ms(45)})
+	call(p, start, "t0", route.Result{Latency: ms(5), Report: r, HasReport: true})
+	is.Equal(status(p, start, "t0").Latency(), ms(45))
+	is.Equal(status(p, start.Add(time.Second), "t0").Latency(), ms(25))
+	is.Equal(status(p, start.Add(time.Minute), "t0").Latency(), ms(5))
+}
+
 // Guards against a decision that allocates, which costs garbage collection on
 // the path of each call.
 func TestPickDoesNotAllocate(t *testing.T) {
 	is := is.New(t)
-	p := route.New(route.Options{})
-	p.Update(start, targets(200, "a"))
+	p, _ := warmed(200)
 	tried := []types.TargetID{"t1", "t2"}
 	is.Equal(testing.AllocsPerRun(1000, func() {
 		x, _ := p.Pick(start, tried)
@@ -140,8 +138,8 @@
 // Guards against baselines that aren't what they are called.
 func TestBaselines(t *testing.T) {
 	is := is.New(t)
-	for _, name := range []string{"random", "roundRobin"} {
-		p := route.New(route.Options{Policy: policies[name]})
+	for _, policy := range []route.Policy{route.Random, route.RoundRobin} {
+		p := route.New(route.Options{Policy: policy})
 		p.Update(start, targets(4, "a"))
 		for _, n := range count(p, start, 4000) {
 			is.True(n > 900 && n < 1100)
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -23,11 +23,15 @@
 	near    int       // size of that first part
 	ranked  []ranked  // buffer of Update
 
-	calls     calls
-	suspended int // in the subset
-	mean      average
-	others    average // reported calls of other daemons, over all targets
-	high      quantile
+	calls       calls
+	suspended   int       // in the subset
+	picks       uint64    // decisions so far
+	trialed     time.Time // last trial call, or first suspension
+	trialedPick uint64    // number of its decision
+
+	mean   average
+	others average // reported calls of other daemons, over all targets
+	high   quantile
 }
 
 // New returns a Picker without targets.
@@ -50,6 +54,7 @@
 func (p *Picker) Pick(now time.Time, tried []types.TargetID) (types.Target, bool) {
 	// The copy keeps the caller's slice from escaping to the heap.
 	p.tried = append(p.tried[:0], tried...)
+	p.picks++
 	i := p.opts.Policy(View{p: p, now: now})
 	if i < 0 {
 		return types.Target{}, false
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -1,9 +1,31 @@
 package route
 
+import (
+	"maps"
+	"slices"
+)
+
 // Policy selects a target of the view and returns its number, or -1 if none is
 // usable.
 type Policy func(v View) int
 
+// byName holds the policies that commands and settings can name.
+var byName = map[string]Policy{
+	"weighted":         Weighted,
+	"random":           Random,
+	"roundRobin":       RoundRobin,
+	"leastOutstanding": LeastOutstanding,
+}
+
+// ParsePolicy returns the policy with the given name.
+func ParsePolicy(name string) (Policy, bool) {
+	p, ok := byName[name]
+	return p, ok
+}
+
+// PolicyNames returns the names that ParsePolicy accepts, sorted.
+func PolicyNames() []string { return slices.Sorted(maps.Keys(byName)) }
+
 // Random selects each usable target with the same probability. It is a
 // baseline for comparisons.
 func Random(v View) int {
--- a/core/route/queue_test.go
+++ b/core/route/queue_test.go
@@ -13,24 +13,25 @@
 	"trefoilthread/core/types"
 )
 
+const (
+	loopSlots = 12
+	loopMean  = 5 * time.Millisecond
+)
+
 // loop is a deterministic queueing model: Poisson arrivals at several pickers,
 // targets with slots and a queue, exponential service times.
 type loop struct {
-	policy   route.Policy
-	pickers  int
-	targets  int
-	load     float64       // offered load relative to the capacity
-	way      time.Duration // one-way latency
-	changeAt time.Duration // when target 0 becomes slow or failing
-	slow     float64       // factor on the service time of target 0
-	fails    bool          // target 0 fails in 100 us
-	end      time.Duration
+	pickers, targets int
+	load             float64       // offered load relative to the capacity
+	way              time.Duration // one-way latency
+	changeAt, end    time.Duration // when target 0 becomes slow or failing
+	slow             float64       // factor on the service time of target 0
+	fails            bool          // target 0 fails in 100 us
 }
 
 type outcome struct {
-	p99    time.Duration // of the calls from changeAt on that succeeded
-	failed float64       // share of the calls from changeAt on
-	late   float64       // share of target 0 from 100 ms after changeAt on
+	p99          time.Duration // of the calls from changeAt on that succeeded
+	failed, late float64       // share of failed calls; of target 0 after 100 ms
 }
 
 type event struct {
@@ -38,52 +39,39 @@
 	run func(at time.Duration)
 }
 
-const (
-	loopSlots = 12
-	loopMean  = 5 * time.Millisecond
-)
-
-func (l loop) run() outcome {
+func (l loop) run(policy route.Policy) outcome {
 	var queue []event
 	at := func(t time.Duration, f func(time.Duration)) {
 		i, _ := slices.BinarySearchFunc(queue, t, func(e event, t time.Duration) int { return cmp.Compare(e.at, t) })
 		queue = slices.Insert(queue, i, event{t, f})
 	}
 	rng := rand.New(rand.NewPCG(1, 2))
-
-	members := make([]types.Target, l.targets)
-	index := map[types.TargetID]int{}
-	for i := range members {
-		members[i] = target(i, "a")
-		index[members[i].ID()] = i
-	}
 	pickers := make([]*route.Picker, l.pickers)
 	for i := range pickers {
-		pickers[i] = route.New(route.Options{Self: target(i, "a").ID(), Seed: uint64(i), Policy: l.policy})
-		pickers[i].Update(start, members)
-	}
-
-	type state struct {
-		inFlight int
-		waiting  []func(time.Duration)
+		pickers[i] = route.New(route.Options{Self: target(i, "a").ID(), Seed: uint64(i), Policy: policy})
+		pickers[i].Update(start, targets(l.targets, "a"))
 	}
-	states := make([]state, l.targets)
+	states := map[types.TargetID]*state{}
 	var latencies []time.Duration
 	var failed, late, late0 int
 
 	place := func(p *route.Picker, began time.Duration) {
 		t, _ := p.Pick(start.Add(began), nil)
-		n := index[t.ID()]
-		s := &states[n]
 		tok := p.Start(start.Add(began), t.ID())
+		if states[t.ID()] == nil {
+			states[t.ID()] = &state{}
+		}
+		s, first := states[t.ID()], t.ID() == "t0"
 		if began >= l.changeAt+ms(100) {
 			late++
-			if n == 0 {
+			if first {
 				late0++
 			}
 		}
 		end := func(now time.Duration, fail bool) {
-			r := types.NewReport(types.ReportSpec{InFlight: s.inFlight, Queued: len(s.waiting), Limit: loopSlots})
+			r := types.NewReport(types.ReportSpec{
+				InFlight: s.inFlight, Queued: len(s.waiting), Limit: loopSlots, Latency: time.Duration(s.latency),
+			})
 			at(now+l.way, func(now time.Duration) {
 				res := route.Result{Latency: now - began, Failed: fail, Report: r, HasReport: true}
 				p.Finish(start.Add(now), tok, res)
@@ -95,13 +83,14 @@
 			})
 		}
 		serve := func(now time.Duration) {
-			d := time.Duration(rng.ExpFloat64() * float64(loopMean))
-			if n == 0 && now >= l.changeAt && l.slow > 0 {
-				d = time.Duration(float64(d) * l.slow)
+			d := rng.ExpFloat64() * float64(loopMean)
+			if first && now >= l.changeAt && l.slow > 0 {
+				d *= l.slow
 			}
 			s.inFlight++
-			at(now+d, func(now time.Duration) {
+			at(now+time.Duration(d), func(now time.Duration) {
 				s.inFlight--
+				s.latency += (d - s.latency) / 16
 				end(now, false)
 				if len(s.waiting) > 0 {
 					next := s.waiting[0]
@@ -112,7 +101,7 @@
 		}
 		at(began+l.way, func(now time.Duration) {
 			switch {
-			case n == 0 && now >= l.changeAt && l.fails:
+			case first && now >= l.changeAt && l.fails:
 				at(now+100*time.Microsecond, func(now time.Duration) { end(now, true) })
 			case s.inFlight < loopSlots:
 				serve(now)
@@ -121,16 +110,15 @@
 			}
 		})
 	}
-
 	gap := float64(loopMean) / (loopSlots * float64(l.targets) * l.load)
-	var arrive func(time.Duration)
-	arrive = func(now time.Duration) {
-		place(pickers[rng.IntN(len(pickers))], now)
-		if next := now + time.Duration(rng.ExpFloat64()*gap); next < l.end {
-			at(next, arrive)
+	for now := time.Duration(0); now < l.end; now += time.Duration(rng.ExpFloat64() * gap) {
+		for len(queue) > 0 && queue[0].at <= now {
+			e := queue[0]
+			queue = queue[1:]
+			e.run(e.at)
 		}
+		place(pickers[rng.IntN(len(pickers))], now)
 	}
-	at(0, arrive)
 	for len(queue) > 0 {
 		e := queue[0]
 		queue = queue[1:]
@@ -144,42 +132,35 @@
 	}
 }
 
-var (
-	straggler  = loop{pickers: 10, targets: 10, load: 0.6, way: 250 * time.Microsecond, changeAt: time.Second, slow: 10, end: 3 * time.Second}
-	failFast   = loop{pickers: 10, targets: 10, load: 0.6, way: 250 * time.Microsecond, changeAt: time.Second, fails: true, end: 3 * time.Second}
-	staleLoads = loop{pickers: 200, targets: 20, load: 0.95, way: 750 * time.Microsecond, end: 2 * time.Second}
-)
-
-func compare(t *testing.T, name string, l loop) (weighted, random outcome) {
-	t.Helper()
-	l.policy = route.Weighted
-	weighted = l.run()
-	l.policy = route.Random
-	random = l.run()
-	l.policy = route.LeastOutstanding
-	t.Logf("%s: weighted %+v, random %+v, least outstanding %+v", name, weighted, random, l.run())
-	return weighted, random
+// state is a target of the model.
+type state struct {
+	inFlight int
+	latency  float64 // average service time
+	waiting  []func(time.Duration)
 }
 
-// Guards against a straggler that keeps its share of the calls.
-func TestStragglerLosesTraffic(t *testing.T) {
-	is := is.New(t)
-	weighted, random := compare(t, "straggler", straggler)
-	is.True(weighted.p99 < random.p99/4)
-	is.True(weighted.late < 0.01)
-}
-
-// Guards against short latencies of failures that attract traffic.
-func TestFailFastTargetLosesTraffic(t *testing.T) {
-	is := is.New(t)
-	weighted, random := compare(t, "fail-fast", failFast)
-	is.True(weighted.late < 0.005)
-	is.True(weighted.failed < random.failed/5)
-}
-
-// Guards against reports that are worse than none once they are stale.
-func TestStaleReportsStillHelp(t *testing.T) {
-	is := is.New(t)
-	weighted, random := compare(t, "stale", staleLoads)
-	is.True(weighted.p99 < random.p99)
+// Guards against a straggler that keeps its share of the calls, against short
+// latencies of failures that attract calls, and against stale reports that
+// are worse than none.
+func TestWeightedAgainstRandom(t *testing.T) {
+	way := 250 * time.Microsecond
+	for name, c := range map[string]struct {
+		loop
+		good func(weighted, random outcome) bool
+	}{
+		"straggler": {loop{pickers: 10, targets: 10, load: 0.6, way: way, changeAt: time.Second, end: 3 * time.Second, slow: 10},
+			func(w, r outcome) bool { return w.p99 < r.p99/4 && w.late < 0.01 }},
+		"stragglerOfMany": {loop{pickers: 200, targets: 20, load: 0.6, way: way, changeAt: time.Second, end: 3 * time.Second, slow: 10},
+			func(w, _ outcome) bool { return w.p99 < 8*loopMean && w.late < 0.006 }},
+		"failFast": {loop{pickers: 10, targets: 10, load: 0.6, way: way, changeAt: time.Second, end: 3 * time.Second, fails: true},
+			func(w, r outcome) bool { return w.failed < r.failed/5 && w.late < 0.005 }},
+		"stale": {loop{pickers: 200, targets: 20, load: 0.95, way: 3 * way, end: 2 * time.Second},
+			func(w, r outcome) bool { return w.p99 < r.p99 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, r := c.run(route.Weighted), c.run(route.Random)
+			t.Logf("weighted %+v, random %+v, least outstanding %+v", w, r, c.run(route.LeastOutstanding))
+			is.New(t).True(c.good(w, r))
+		})
+	}
 }
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -19,7 +19,7 @@
 // score returns the estimated wait at m in nanoseconds, with penalties.
 func (p *Picker) score(now time.Time, m *member) float64 {
 	weight := m.idleWeight(now)
-	latency := m.expected(weight, p.typical())
+	latency := m.expected(now, weight, p.typical())
 	if age := float64(p.calls.age(now, m) - 2*m.distance); age > 2*latency {
 		latency = age / 2
 	}
--- a/core/route/status.go
+++ b/core/route/status.go
@@ -31,7 +31,7 @@
 		suspended: m.suspended,
 		inFlight:  m.inFlight,
 		oldest:    p.calls.age(now, m),
-		latency:   time.Duration(m.expected(w, p.typical())),
+		latency:   time.Duration(m.expected(now, w, p.typical())),
 		failures:  m.failures * w,
 		others:    p.othersAt(now, m),
 		warmth:    m.warmth(now),
--- a/core/route/suspend.go
+++ b/core/route/suspend.go
@@ -19,6 +19,13 @@
 	// slowUnknown holds while no call of the service has succeeded.
 	slowUnknown = 250 * time.Millisecond
 
+	// trialEvery bounds trial calls to one in 200 of this daemon's calls to the
+	// service, however many daemons and suspended targets there are. With
+	// pauses alone, 200 daemons sent 0.9 % of the calls to one straggler and
+	// raised the 99 % latency quantile. After maxBackoff without a trial call
+	// the bound doesn't hold, so that targets also resume at low rates.
+	trialEvery = 200
+
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 5 * time.Second
 )
@@ -40,6 +47,9 @@
 	m.suspended = true
 	m.backoff = minBackoff
 	m.nextTrial = now.Add(m.backoff)
+	if p.suspended == 0 {
+		p.trialed, p.trialedPick = now, p.picks
+	}
 	if m.inSubset {
 		p.suspended++
 	}
@@ -74,6 +84,10 @@
 	if len(p.tried) > 0 || m.trials > 0 || now.Before(m.nextTrial) {
 		return false
 	}
+	if p.picks-p.trialedPick < trialEvery && now.Sub(p.trialed) < maxBackoff {
+		return false
+	}
+	p.trialed, p.trialedPick = now, p.picks
 	m.nextTrial = now.Add(m.backoff)
 	return true
 }
--- a/core/route/suspend_test.go
+++ b/core/route/suspend_test.go
@@ -14,10 +14,7 @@
 // more than one trial call at a time, or never comes back.
 func TestStragglerIsSuspendedByAge(t *testing.T) {
 	is := is.New(t)
-	list := targets(5, "a")
-	p := route.New(route.Options{})
-	p.Update(start, list)
-	warm(p, start, list)
+	p, list := warmed(5)
 	var later []route.Token
 	hung := p.Start(start, "t0")
 	for _, x := range list[1:] {
@@ -61,10 +58,7 @@
 // against a single failure that removes a good target.
 func TestFailFastTargetIsSuspended(t *testing.T) {
 	is := is.New(t)
-	list := targets(5, "a")
-	p := route.New(route.Options{})
-	p.Update(start, list)
-	warm(p, start, list)
+	p, list := warmed(5)
 	for i := range 6 {
 		is.True(!status(p, start, "t0").Suspended())
 		call(p, start, "t0", route.Result{Latency: ms(1) / 10, Failed: true})
@@ -85,14 +79,28 @@
 	is.Equal(x.ID(), types.TargetID("t0"))
 }
 
+// Guards against trial calls of many daemons that raise the tail latency, and
+// against a daemon with few calls that never tries again.
+func TestTrialsAreFewOfTheCalls(t *testing.T) {
+	is := is.New(t)
+	p, _ := warmed(5)
+	for range 8 {
+		call(p, start, "t0", route.Result{Latency: ms(1), Failed: true})
+		call(p, start, "t1", route.Result{Latency: ms(1), Failed: true})
+	}
+	is.Equal(len(count(p, start.Add(ms(4000)), 199)), 3)
+	got := count(p, start.Add(ms(4000)), 40)
+	is.Equal(got["t0"]+got["t1"], 1)
+	is.Equal(len(count(p, start.Add(ms(8999)), 40)), 3)
+	got = count(p, start.Add(ms(9000)), 40)
+	is.Equal(got["t0"]+got["t1"], 1)
+}
+
 // Guards against refusals that suspend a full target like a broken one, or
 // that leave its traffic as it is.
 func TestRefusalsLowerTrafficWithoutSuspension(t *testing.T) {
 	is := is.New(t)
-	list := targets(5, "a")
-	p := route.New(route.Options{})
-	p.Update(start, list)
-	warm(p, start, list)
+	p, _ := warmed(5)
 	for range 100 {
 		call(p, start, "t0", route.Result{Latency: ms(1), Outcome: types.NotRun})
 	}
@@ -105,10 +113,7 @@
 // traffic to the few targets that aren't suspended yet.
 func TestSuspensionIsIgnoredForMostTargets(t *testing.T) {
 	is := is.New(t)
-	list := targets(5, "a")
-	p := route.New(route.Options{})
-	p.Update(start, list)
-	warm(p, start, list)
+	p, list := warmed(5)
 	for n := range 4 {
 		for range 8 {
 			call(p, start, list[n].ID(), route.Result{Latency: ms(1), Outcome: types.Unknown})
--- a/core/route/update_test.go
+++ b/core/route/update_test.go
@@ -21,11 +21,8 @@
 // against an update that forgets the targets that stay.
 func TestNewIncarnationStartsAnew(t *testing.T) {
 	is := is.New(t)
-	list := targets(5, "a")
-	p := route.New(route.Options{})
-	p.Update(start, list)
+	p, list := warmed(5)
 	is.Equal(status(p, start, "t0").Warmth(), 1.0) // only this daemon is new
-	warm(p, start, list)
 	old, kept := p.Start(start, "t0"), p.Start(start, "t1")
 	list[0] = incarnation(0, 2)
 	p.Update(start, list)
@@ -56,48 +53,43 @@
 // Guards against counts that drift when calls end in any order, twice, or
 // after their target left, and against a wrong oldest call.
 func TestCallsMatchModel(t *testing.T) {
-	type started struct {
+	type open struct {
 		tok route.Token
-		id  types.TargetID
 		at  time.Time
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		p := route.New(route.Options{})
-		list := []types.Target{incarnation(0, 1), incarnation(1, 1), incarnation(2, 1)}
-		p.Update(start, list)
-		var open []started
+		p, list := warmed(3)
+		var calls [3][]open
 		now, gone := start, []route.Token{{}}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Microsecond)
 			i := rapid.IntRange(0, 2).Draw(t, "target")
-			switch n := len(open); {
-			case rapid.IntRange(0, 9).Draw(t, "restart") == 0:
+			switch n := len(calls[i]); rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
 				list[i] = incarnation(i, list[i].Incarnation()+1)
 				p.Update(now, list)
-				open = slices.DeleteFunc(open, func(s started) bool {
-					if s.id == list[i].ID() {
-						gone = append(gone, s.tok)
-					}
-					return s.id == list[i].ID()
-				})
-			case n > 0 && rapid.Bool().Draw(t, "finish"):
-				k := rapid.IntRange(0, n-1).Draw(t, "call")
-				p.Finish(now, open[k].tok, route.Result{Latency: now.Sub(open[k].at)})
-				gone = append(gone, open[k].tok)
-				open = slices.Delete(open, k, k+1)
+				for _, c := range calls[i] {
+					gone = append(gone, c.tok)
+				}
+				calls[i] = nil
+			case 1, 2, 3, 4:
+				if n > 0 {
+					k := rapid.IntRange(0, n-1).Draw(t, "call")
+					p.Finish(now, calls[i][k].tok, route.Result{Latency: ms(5)})
+					gone = append(gone, calls[i][k].tok)
+					calls[i] = slices.Delete(calls[i], k, k+1)
+				}
 			default:
-				open = append(open, started{p.Start(now, list[i].ID()), list[i].ID(), now})
+				calls[i] = append(calls[i], open{p.Start(now, list[i].ID()), now})
 			}
 			p.Finish(now, gone[rapid.IntRange(0, len(gone)-1).Draw(t, "again")], route.Result{Failed: true})
-			for _, s := range p.List(now) {
-				n, oldest := 0, time.Duration(0)
-				for _, o := range open {
-					if o.id == s.Target().ID() {
-						n, oldest = n+1, max(oldest, now.Sub(o.at))
-					}
+			for i, s := range p.List(now) {
+				n, oldest := len(calls[i]), time.Duration(0)
+				if n > 0 {
+					oldest = now.Sub(calls[i][0].at)
 				}
 				if s.InFlight() != n || s.Oldest() != oldest {
-					t.Fatalf("%s: %d calls, oldest %v; want %d, %v", s.Target().ID(), s.InFlight(), s.Oldest(), n, oldest)
+					t.Fatalf("t%d: %d calls, oldest %v; want %d, %v", i, s.InFlight(), s.Oldest(), n, oldest)
 				}
 			}
 		}
