io/store: prove single sending, TLS and silent connections

The adapter's claims about writes that are sent once, endpoints with TLS and connections that stop responding had no run that shows them.

Ruled out: golang.org/x/net/http2 for a server that resets streams, which would change go.mod; thirty lines of frames do.

io/stand gets StoreOptions.TLS and Store.SwallowOpen, and a test of the stand-in store against the published API. A read burst below 2 would never have admitted a watch and is raised to 2.

Conclusion: each transport claim of doc.go has a test.

--- a/io/stand/doc.go
+++ b/io/stand/doc.go
@@ -2,8 +2,8 @@
 // platform's key-value service and a user's target. They are used by tests,
 // by the demo and by cmd/standin, and are no part of the product.
 //
-// Store serves the subset of the published etcd v3 API in io/etcdpb over gRPC
-// without TLS: ranges, transactions with compares and one put or delete,
+// Store serves the subset of the published etcd v3 API in io/etcdpb over gRPC:
+// ranges, transactions with compares and one put or delete,
 // watches with a start revision, and leases. It keeps everything in memory.
 // A past revision cannot be read: Range answers it as compacted, which that
 // API permits at any time.
--- a/io/stand/endpoint.go
+++ b/io/stand/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -11,10 +12,11 @@
 )
 
 // endpoint is an HTTP server that can stop like a crashed process and start
-// again on the same address. It speaks HTTP/1.1 and HTTP/2 without TLS.
+// again on the same address. It speaks HTTP/1.1 and HTTP/2.
 type endpoint struct {
 	handler  http.Handler
-	maxConns int // 0: no limit
+	maxConns int         // 0: no limit
+	tls      *tls.Config // nil: no TLS
 
 	op          sync.Mutex // serialises start and stop
 	mu          sync.Mutex
@@ -54,16 +56,22 @@
 	}
 	var p http.Protocols
 	p.SetHTTP1(true)
+	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
 	e.addr = ln.Addr().String()
 	e.conns = map[*conn]struct{}{}
-	e.srv = &http.Server{Handler: e.handler, Protocols: &p, ReadHeaderTimeout: time.Minute}
+	e.srv = &http.Server{Handler: e.handler, Protocols: &p, ReadHeaderTimeout: time.Minute, TLSConfig: e.tls.Clone()}
+	serve := e.srv.Serve
+	if e.tls != nil {
+		srv := e.srv
+		serve = func(ln net.Listener) error { return srv.ServeTLS(ln, "", "") }
+	}
 	e.served = make(chan struct{})
-	go func(srv *http.Server, served chan struct{}) {
+	go func(served chan struct{}) {
 		defer close(served)
-		// Serve ends with ErrServerClosed only: stop closes the server.
-		_ = srv.Serve(&listener{Listener: ln, e: e})
-	}(e.srv, e.served)
+		// The error is ErrServerClosed: stop closes the server.
+		_ = serve(&listener{Listener: ln, e: e})
+	}(e.served)
 	return nil
 }
 
--- a/io/stand/store.go
+++ b/io/stand/store.go
@@ -46,7 +46,7 @@
 	mux.Handle(etcdpb.NewKVHandler(kvService{s}, limit))
 	mux.Handle(etcdpb.NewWatchHandler(watchService{s}, limit))
 	mux.Handle(etcdpb.NewLeaseHandler(leaseService{s}, limit))
-	s.end = &endpoint{handler: mux}
+	s.end = &endpoint{handler: mux, tls: o.TLS}
 	s.expiry.Go(func() { s.space.expire(s.stop) })
 	return s
 }
@@ -86,6 +86,10 @@
 	return s.end.start("")
 }
 
+// SwallowOpen makes all open connections swallow bytes for ever, while new
+// connections work. It returns their number.
+func (s *Store) SwallowOpen() int { return s.end.swallowOpen() }
+
 // SetSlow adds d to the time of each answer.
 func (s *Store) SetSlow(d time.Duration) {
 	s.mu.Lock()
--- a/io/stand/storeoptions.go
+++ b/io/stand/storeoptions.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"crypto/tls"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,6 +18,8 @@
 	// History is how many events watches can ask for, 0 for 10,000. Older ones
 	// are compacted.
 	History int
+	// TLS serves with TLS, nil without.
+	TLS *tls.Config
 	// Clock drives lease expiry, nil for the real one.
 	Clock clockwork.Clock
 }
--- a/io/store/budgetoptions.go
+++ b/io/store/budgetoptions.go
@@ -15,7 +15,7 @@
 	// and one while it is pending.
 	WritesPerSecond, ReadsPerSecond float64
 	// WriteBurst and ReadBurst are how many calls can be made at once, 0 for 5
-	// and 10.
+	// and 10. ReadBurst is at least 2, the calls of a watch.
 	WriteBurst, ReadBurst int
 	// OutageAfter is how many calls without an answer, one after the other,
 	// are an outage, 0 for 3.
@@ -42,6 +42,7 @@
 	if o.ReadBurst <= 0 {
 		o.ReadBurst = 10
 	}
+	o.ReadBurst = max(o.ReadBurst, 2)
 	if o.OutageAfter <= 0 {
 		o.OutageAfter = 3
 	}
