io/stand: test slow, stalled and full targets and lease expiry by time

Cold starts, stalls, the connection limit, a lagging load endpoint, leases that run out and writes refused by a rate had no test.

Ruled out: measuring answer times; a factor of 1e9 with a short deadline shows slowness without a timed assertion, and a fake clock expires leases.

A lagging load endpoint answered the first load instead of none for times before the first request; each start now records an idle load. A budget without a seed takes a random one, because daemons with one seed would leave an outage together.

Conclusion: each fault of the stand-ins has a test.

--- a/io/stand/target.go
+++ b/io/stand/target.go
@@ -64,6 +64,7 @@
 	t.crashed = make(chan struct{})
 	t.coldEnds = time.Now().Add(t.opts.ColdStart)
 	t.faults.draining = false
+	t.noteLoad()
 }
 
 // Addr returns the address the target listens on.
--- a/io/stand/target_faults_test.go
+++ b/io/stand/target_faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -119,13 +120,15 @@
 	tg.SetLoadLie(&stand.Load{InFlight: 9, Slots: 3})
 	is.Equal(load().InFlight, 9)
 	tg.SetLoadLie(nil)
+	tg.SetLoadLag(time.Hour)
+	is.Equal(load().InFlight, 0) // before the request
 	tg.SetHealthLie(http.StatusTeapot)
 	status, _ := get(t, base+"/health")
 	is.Equal(status, http.StatusTeapot)
 	cancel()
 	wg.Wait()
 	tr.CloseIdleConnections()
-	is.Equal(tg.Stats().LoadProbes, 2)
+	is.Equal(tg.Stats().LoadProbes, 3)
 }
 
 // Guards against chains that lose a hop or give two hops one identity, and
@@ -196,3 +199,43 @@
 	is.Equal(tg.Stats().RunsWhileDraining, 1)
 	tg.Close()
 }
+
+// Guards against slow, stalled and full targets that answer like others.
+func TestTargetSlowStalledFull(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, stand.TargetOptions{
+		Connections: 2, ServiceTime: stand.ServiceTime{Mean: time.Microsecond}, ColdStart: time.Hour, ColdFactor: 1e9,
+	})
+	url := "http://" + tg.Addr() + "/"
+	status, _ := get(t, url, "Trefoil-Timeout", "5") // milliseconds
+	is.Equal(status, http.StatusGatewayTimeout)      // cold
+	warm := startTarget(t, stand.TargetOptions{ServiceTime: stand.ServiceTime{Mean: time.Microsecond}})
+	warm.SetSlowdown(1e9)
+	status, _ = get(t, "http://"+warm.Addr()+"/", "Trefoil-Timeout", "5ms")
+	is.Equal(status, http.StatusGatewayTimeout)
+	warm.SetSlowdown(1)
+
+	warm.SetStalled(true)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if status, _ := get(t, "http://"+warm.Addr()+"/"); status != 0 {
+			t.Errorf("stalled target answered %d", status)
+		}
+	})
+	until(t, "a stalled request", func() bool { return warm.Stats().Stalled == 1 })
+	warm.SetStalled(false)
+	status, _ = get(t, "http://"+warm.Addr()+"/")
+	is.Equal(status, http.StatusOK)
+	warm.Crash() // ends the stalled request
+	wg.Wait()
+
+	for range 2 {
+		c, err := net.Dial("tcp", tg.Addr())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+	}
+	until(t, "two connections", func() bool { return tg.Stats().OpenConnections == 2 })
+	status, _ = get(t, url)
+	is.Equal(status, 0)
+	is.Equal(tg.Stats().RefusedConnections, 1)
+}
--- a/io/store/budget_test.go
+++ b/io/store/budget_test.go
@@ -33,7 +33,7 @@
 		daemons = append(daemons, store.Budgeted(client(t, store.EtcdOptions{CallTimeout: 100 * time.Millisecond}, srv),
 			store.NewBudget(store.BudgetOptions{
 				WritesPerSecond: rate, ReadsPerSecond: rate, WriteBurst: burst, ReadBurst: burst,
-				Seed: uint64(i), Clock: clock,
+				Seed: uint64(i + 1), Clock: clock,
 			})))
 	}
 	steps := 0
--- a/io/store/budgetoptions.go
+++ b/io/store/budgetoptions.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -23,7 +24,8 @@
 	// MinBackoff and MaxBackoff bound the time between trial calls in an
 	// outage, 0 for 100 ms and 2 s.
 	MinBackoff, MaxBackoff time.Duration
-	// Seed varies the jitter; each daemon needs its own.
+	// Seed varies the jitter, 0 for a random one: daemons with the same jitter
+	// would return from an outage together.
 	Seed uint64
 	// Clock is the time source, nil for the real one.
 	Clock clockwork.Clock
@@ -52,6 +54,9 @@
 	if o.MaxBackoff <= 0 {
 		o.MaxBackoff = 2 * time.Second
 	}
+	for o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
@@ -174,35 +175,69 @@
 }
 
 // Guards against keys of a dead holder that stay, which would keep others from
-// taking its place.
+// taking its place, whether its lease runs out or is ended.
 func TestLeaseExpiryDeletesKeys(t *testing.T) {
-	is := is.New(t)
-	srv := startStore(t, stand.StoreOptions{})
+	clock := clockwork.NewFakeClock()
+	srv := startStore(t, stand.StoreOptions{Clock: clock})
 	st := client(t, store.EtcdOptions{}, srv)
-	ctx, cancel := context.WithCancel(t.Context())
-	id, err := st.Grant(ctx, 10*time.Second)
-	is.NoErr(err)
-	_, err = st.CompareAndSwap(ctx, "dc/a/leader", 0, []byte("x"), id)
-	is.NoErr(err)
-	ttl, err := st.Renew(ctx, id)
+	for name, expire := range map[string]func(store.LeaseID) error{
+		"run out": func(store.LeaseID) error {
+			// The timer of the lease is set.
+			if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+				return err
+			}
+			clock.Advance(10 * time.Second)
+			return nil
+		},
+		"ended": func(id store.LeaseID) error {
+			if !srv.ExpireLease(int64(id)) {
+				return errors.New("no lease to expire")
+			}
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			id, err := st.Grant(ctx, 9500*time.Millisecond)
+			is.NoErr(err)
+			_, err = st.CompareAndSwap(ctx, "dc/a/leader", 0, []byte("x"), id)
+			is.NoErr(err)
+			ttl, err := st.Renew(ctx, id)
+			is.NoErr(err)
+			is.Equal(ttl, 10*time.Second)
+			var events []store.Event
+			err = st.Watch(ctx, "dc/", func(ev store.Event) {
+				events = append(events, ev)
+				if ev.Deleted {
+					cancel()
+				} else if err := expire(id); err != nil {
+					t.Error(err)
+				}
+			})
+			is.True(errors.Is(err, context.Canceled))
+			is.Equal(len(events), 2)
+			is.Equal(events[0].Item.Lease, id)
+			is.Equal(events[1].Item.Key, "dc/a/leader")
+			_, err = st.Renew(t.Context(), id)
+			is.True(errors.Is(err, store.ErrLeaseGone))
+			is.True(errors.Is(st.Revoke(t.Context(), id), store.ErrLeaseGone))
+			_, err = st.Get(t.Context(), "dc/a/leader")
+			is.True(errors.Is(err, store.ErrNotFound))
+		})
+	}
+}
+
+// Guards against a write that the store refused because of its rate being
+// treated as if it might have taken effect.
+func TestRefusedWriteIsNotUnknown(t *testing.T) {
+	is := is.New(t)
+	st := client(t, store.EtcdOptions{}, startStore(t, stand.StoreOptions{WritesPerSecond: 0.001}))
+	_, err := st.CompareAndSwap(t.Context(), "a", 0, nil, 0)
 	is.NoErr(err)
-	is.Equal(ttl, 10*time.Second)
-	var events []store.Event
-	err = st.Watch(ctx, "dc/", func(ev store.Event) {
-		events = append(events, ev)
-		if ev.Deleted {
-			cancel()
-		} else if !srv.ExpireLease(int64(id)) {
-			t.Error("no lease to expire")
-		}
-	})
-	is.True(errors.Is(err, context.Canceled))
-	is.Equal(len(events), 2)
-	is.Equal(events[0].Item.Lease, id)
-	is.Equal(events[1].Item.Key, "dc/a/leader")
-	_, err = st.Renew(t.Context(), id)
-	is.True(errors.Is(err, store.ErrLeaseGone))
-	is.True(errors.Is(st.Revoke(t.Context(), id), store.ErrLeaseGone))
-	_, err = st.Get(t.Context(), "dc/a/leader")
+	_, err = st.CompareAndSwap(t.Context(), "b", 0, nil, 0)
+	is.True(errors.Is(err, store.ErrUnavailable))
+	is.True(!errors.Is(err, store.ErrUnknown))
+	_, err = st.Get(t.Context(), "b")
 	is.True(errors.Is(err, store.ErrNotFound))
 }
