--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -27,6 +27,7 @@
 	FailShare    float64           `help:"Share of requests that fail at once, 0 to 1."`
 	LoadLag      time.Duration     `help:"Age of the load that /load answers."`
 	LoadLie      int               `default:"-1" help:"Requests in flight that /load always answers, -1 for the truth."`
+	HealthLag    time.Duration     `help:"Time after which /health reports a drain."`
 	HealthLie    int               `help:"Status that /health always answers, 0 for the truth."`
 	SwallowNext  int               `help:"First connections that take bytes and answer nothing."`
 	RestartAfter time.Duration     `help:"Time from a crash to the restart, 0 for none."`
@@ -53,6 +54,7 @@
 	t.SetSlowdown(c.Slowdown)
 	t.SetFailing(c.FailShare)
 	t.SetLoadLag(c.LoadLag)
+	t.SetHealthLag(c.HealthLag)
 	t.SetHealthLie(c.HealthLie)
 	t.SwallowNext(c.SwallowNext)
 	if c.LoadLie >= 0 {
--- a/io/stand/faults.go
+++ b/io/stand/faults.go
@@ -9,7 +9,9 @@
 	failNext  int
 	stalled   bool
 	draining  bool
+	drainedAt time.Time
 	loadLag   time.Duration
+	healthLag time.Duration
 	loadLie   *Load
 	healthLie int // 0: honest, otherwise the status that is answered
 }
--- a/io/stand/serve.go
+++ b/io/stand/serve.go
@@ -161,7 +161,7 @@
 	t.mu.Lock()
 	t.stats.HealthProbes++
 	status, text := http.StatusOK, "up"
-	if t.faults.draining {
+	if t.faults.draining && time.Since(t.faults.drainedAt) >= t.faults.healthLag {
 		status, text = http.StatusServiceUnavailable, "draining"
 	}
 	if t.faults.healthLie != 0 {
--- a/io/stand/targetset.go
+++ b/io/stand/targetset.go
@@ -45,6 +45,11 @@
 	t.set(func(f *targetFaults) { f.loadLie = l })
 }
 
+// SetHealthLag makes /health report a drain only d after it began.
+func (t *Target) SetHealthLag(d time.Duration) {
+	t.set(func(f *targetFaults) { f.healthLag = d })
+}
+
 // SetHealthLie makes /health answer a status whatever the state; 0 ends it.
 func (t *Target) SetHealthLie(status int) {
 	t.set(func(f *targetFaults) { f.healthLie = status })
@@ -53,7 +58,11 @@
 // Drain announces "draining" at once. Requests that run are finished, and new
 // ones still run, but are counted as RunsWhileDraining.
 func (t *Target) Drain() {
-	t.set(func(f *targetFaults) { f.draining = true })
+	t.set(func(f *targetFaults) {
+		if !f.draining {
+			f.draining, f.drainedAt = true, time.Now()
+		}
+	})
 	if t.announcer != nil {
 		t.announcer.now()
 	}
