--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -28,7 +28,7 @@
 	}
 	c.check(p.Slots >= 1 && p.Slots <= MaxSlots, -1, "slots", strconv.Itoa(p.Slots), fmt.Sprintf("1 to %d", MaxSlots))
 	c.check(p.Connections >= max(p.Slots, 1) && p.Connections <= MaxConnections, -1, "connections",
-		strconv.Itoa(p.Connections), fmt.Sprintf("slots (%d) to %d", p.Slots, MaxConnections))
+		strconv.Itoa(p.Connections), fmt.Sprintf("%d (slots) to %d", max(p.Slots, 1), MaxConnections))
 	c.check(p.ProbeBudget >= 0 && p.ProbeBudget <= MaxProbeBudget, -1, "probeBudget",
 		p.ProbeBudget.String(), "0s to "+MaxProbeBudget.String())
 	c.check(p.RetryShare >= 0 && p.RetryShare <= 1, -1, "retryShare", formatFloat(p.RetryShare), "0 to 1")
