--- a/io/admin/await.go
+++ b/io/admin/await.go
@@ -29,9 +29,11 @@
 		case <-timer.Chan():
 		case <-ctx.Done():
 		}
+		// The status may have changed together with the end of the wait.
+		list = h.opt.Status()
 		for _, dc := range stage.Missing(list, version) {
 			missing = append(missing, string(dc))
 		}
-		return false, missing
+		return stage.Accepted(list, version), missing
 	}
 }
