--- /dev/null
+++ b/core/claims/bench_test.go
@@ -0,0 +1,99 @@
+package claims_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"trefoilthread/core/claims"
+)
+
+// takeAll serves the calls that follow ev at once and returns the claims to run.
+func takeAll(p *claims.Partition, now time.Time, s *fakeStore, ev claims.Event) []claims.Action {
+	var run []claims.Action
+	queue := p.Step(now, ev)
+	for len(queue) > 0 {
+		a := queue[0]
+		queue = queue[1:]
+		if a.Kind() == claims.Run {
+			run = append(run, a)
+			continue
+		}
+		queue = append(queue, p.Step(now, s.do(now, a))...)
+		s.tails = nil
+	}
+	return run
+}
+
+func hashOf(i int) (h claims.Hash) {
+	binary.BigEndian.PutUint64(h[:], uint64(i)*0x9e3779b97f4a7c15)
+	return h
+}
+
+// fill claims and finishes n keys without responses, in batches of 64.
+func fill(p *claims.Partition, s *fakeStore, from, n int) {
+	now := time.Unix(1000, 0).Add(time.Duration(from) * time.Millisecond)
+	for i := from; i < from+n; i += 64 {
+		for k := i; k < min(i+64, from+n); k++ {
+			p.Claim(now, hashOf(k))
+		}
+		for _, a := range takeAll(p, now, s, claims.Tick()) {
+			p.FinishUnknown(a.Hash(), a.Ticket())
+		}
+		now = now.Add(60 * time.Millisecond)
+	}
+}
+
+// take returns an active owner of the partition in s.
+func take(s *fakeStore, maxKeys int) *claims.Partition {
+	p := claims.NewPartition(time.Unix(1000, 0), claims.Spec{Holder: "x", MaxKeys: maxKeys})
+	takeAll(p, time.Unix(1000, 0), s, claims.Acquire())
+	return p
+}
+
+// BenchmarkMemory reports the heap of a partition's table for one key, without
+// responses, and the time of a takeover of that size.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{10_000, 50_000, 200_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newFakeStore()
+			p := take(s, n)
+			fill(p, s, 0, n)
+			used, size := heap(), p.Len()
+			runtime.KeepAlive(p)
+			p = nil
+			used -= heap()
+			b.ReportAllocs()
+			for b.Loop() {
+				if q := take(s, n); q.Len() != size {
+					b.Fatalf("%d keys taken over, want %d", q.Len(), size)
+				}
+			}
+			b.ReportMetric(used/float64(size), "B/key")
+			b.ReportMetric(float64(size), "keys")
+		})
+	}
+}
+
+// BenchmarkClaim is one claim with its share of the batch, the seal and the
+// codec; the store is the test's map.
+func BenchmarkClaim(b *testing.B) {
+	s := newFakeStore()
+	p := take(s, 1<<30)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		if n%64 == 0 {
+			fill(p, s, n, 64)
+		}
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/core/claims/partition_test.go
@@ -0,0 +1,205 @@
+package claims_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilthread/core/claims"
+	"trefoilthread/core/types"
+)
+
+// owned returns a world whose first owner is active.
+func owned(t *testing.T, n int) (*world, *owner) {
+	w := newWorld(t, n)
+	w.step(w.owners[0], claims.Acquire())
+	w.settle(5)
+	is.New(t).Equal(w.owners[0].p.State(), claims.Active)
+	return w, w.owners[0]
+}
+
+// Guards against a former owner that runs claims when it wakes after the
+// takeover, although its batch was written before it.
+func TestOwnerThatWakesAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	w, a := owned(t, 2)
+	b := w.owners[1]
+	is.Equal(w.claim(a, key(1)).Answer(), claims.Fresh)
+	w.serve(a, 0, false) // written, but not yet known to a
+	a.paused = true
+	w.step(b, claims.Acquire())
+	w.settle(30)
+	is.Equal(b.p.State(), claims.Active)
+	is.Equal(w.claim(b, key(1)).Answer(), claims.UnknownOutcome)
+	a.paused = false
+	w.settle(2)
+	is.Equal(w.runs, 0)
+	is.Equal(w.refusals, 1) // told as not run, which is true
+	is.Equal(w.claim(a, key(2)).Answer(), claims.Fresh)
+	w.settle(5)
+	is.Equal(w.runs, 0)
+	is.Equal(a.p.State(), claims.Released)
+}
+
+// Guards against a claim that runs after its write and its read-back were lost
+// and its caller was told so, and against a key that is blocked by it.
+func TestLostWriteAndLostReadBack(t *testing.T) {
+	is := is.New(t)
+	w, a := owned(t, 2)
+	w.claim(a, key(1))
+	w.serve(a, 0, true) // took effect, the answer is lost
+	w.outage = true
+	w.settle(30)
+	is.Equal(w.refusals, 1)
+	w.outage = false
+	w.settle(20)
+	is.Equal(w.runs, 0)
+	is.Equal(w.claim(a, key(1)).Answer(), claims.Fresh) // a knows that it did not run
+	w.settle(5)
+	is.Equal(w.runs, 1)
+	is.Equal(w.claim(a, key(1)).Answer(), claims.Running)
+	w.finish(a, key(1), 2)
+	v := w.claim(a, key(1))
+	is.Equal(v.Answer(), claims.Known)
+	k := key(1)
+	is.Equal(v.Response(), k[:])
+	b := w.owners[1]
+	w.step(b, claims.Acquire())
+	w.settle(5)
+	is.Equal(w.claim(b, key(1)).Answer(), claims.UnknownOutcome)
+}
+
+// Guards against a new owner that stops at a segment number which a former
+// owner used after the takeover, and against keys lost between tail and segment.
+func TestSegmentOfFormerOwner(t *testing.T) {
+	is := is.New(t)
+	w, a := owned(t, 2)
+	b := w.owners[1]
+	for i := range 3 {
+		w.claim(a, key(i))
+	}
+	exchange := func(o *owner) {
+		w.serve(o, 0, false)
+		ev := o.answers[0]
+		o.answers = o.answers[1:]
+		w.step(o, ev)
+	}
+	for a.requests[0].Key() != claims.SegmentKey(3, 0) {
+		exchange(a)
+		if len(a.requests) == 0 {
+			w.settle(1)
+		}
+	}
+	a.paused = true
+	w.step(b, claims.Acquire())
+	for b.p.State() != claims.Active {
+		exchange(b)
+	}
+	w.serve(a, 0, false) // segment 0, created after the takeover
+	for i := range 9 {
+		w.claim(b, key(10+i))
+	}
+	w.settle(20)
+	w.claim(b, key(20)) // its write leaves out the sealed claims
+	w.settle(5)
+	last := w.store.tails[len(w.store.tails)-1]
+	_, end := last.Segments()
+	is.Equal(end, uint64(5)) // 12 claims in segments 1 to 4
+	is.Equal(len(last.Claims()), 1)
+	for i := range 3 {
+		is.True(w.claim(b, key(i)).Answer() != claims.Fresh)
+	}
+	w.start(a)
+	a.paused = false
+	w.step(a, claims.Acquire())
+	w.settle(10)
+	for i := range 9 {
+		is.Equal(w.claim(a, key(10+i)).Answer(), claims.UnknownOutcome)
+	}
+}
+
+// Guards against keys kept for ever, forgotten before the retention time, or
+// dropped from the store while the owner still knows them.
+func TestRetention(t *testing.T) {
+	is := is.New(t)
+	w, a := owned(t, 1)
+	for i := range 7 {
+		w.claim(a, key(i))
+		w.settle(5)
+		w.finish(a, key(i), 2)
+	}
+	w.advance(retention - 10*time.Second)
+	w.settle(1)
+	is.Equal(a.p.Len(), 7)
+	w.advance(20 * time.Second)
+	w.settle(1)
+	is.Equal(a.p.Len(), 0)
+	is.Equal(w.claim(a, key(0)).Answer(), claims.Fresh)
+	w.settle(5)
+	is.Equal(w.runs, 8)
+	last := w.store.tails[len(w.store.tails)-1]
+	first, end := last.Segments()
+	is.Equal(first, end) // no segment is left to be read
+	is.Equal(len(last.Claims()), 1)
+}
+
+// Guards against unbounded memory: full tables refuse as not run, and old
+// responses give way.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	w, a := owned(t, 1)
+	for i := range 10 { // 64 bytes hold four responses
+		w.claim(a, key(i))
+		w.settle(5)
+		w.finish(a, key(i), 2)
+	}
+	is.Equal(w.claim(a, key(9)).Answer(), claims.Known)
+	is.Equal(w.claim(a, key(0)).Answer(), claims.UnknownOutcome)
+	w.outage = true
+	var v claims.Verdict
+	for i := range 13 { // the tail has room for four segments of three
+		v = w.claim(a, key(100+i))
+	}
+	is.Equal(v.Reason(), "claims cannot be written to the store")
+	p := take(newFakeStore(), 2)
+	for i := range 3 {
+		is.Equal(p.Claim(w.now, key(i)).Answer() == claims.Refused, i == 2)
+	}
+}
+
+// Guards against an owner that still takes claims after it has to move, and
+// against claims left without result by the move.
+func TestAbdicate(t *testing.T) {
+	is := is.New(t)
+	w, a := owned(t, 2)
+	w.claim(a, key(1)) // written at once
+	w.claim(a, key(2)) // waits for the next write
+	w.step(a, claims.Abdicate())
+	is.Equal(w.claim(a, key(3)).Answer(), claims.Refused)
+	w.settle(5)
+	is.Equal(w.runs, 1)
+	is.Equal(w.refusals, 1)
+	is.Equal(a.p.State(), claims.Released)
+	is.Equal(w.store.tails[len(w.store.tails)-1].Holder(), types.TargetID(""))
+	w.step(w.owners[1], claims.Acquire())
+	w.settle(5)
+	is.Equal(w.claim(w.owners[1], key(1)).Answer(), claims.UnknownOutcome)
+	is.Equal(w.claim(w.owners[1], key(2)).Answer(), claims.Fresh)
+}
+
+// Guards against keys that collide because service and key run together, and
+// against a change of members that moves partitions it need not move.
+func TestHashAndOwner(t *testing.T) {
+	is := is.New(t)
+	is.True(claims.KeyHash("ab", "c") != claims.KeyHash("a", "bc"))
+	members := []types.TargetID{"a", "b", "c", "d", "e"}
+	for p := range 64 {
+		was, _ := claims.Owner(p, members)
+		now, ok := claims.Owner(p, members[:4])
+		is.True(ok)
+		is.True(now == was || was == "e")
+	}
+	_, ok := claims.Owner(0, nil)
+	is.True(!ok)
+}
--- a/core/claims/world_test.go
+++ b/core/claims/world_test.go
@@ -211,28 +211,27 @@
 
 func (w *world) moves() map[string]func(*rapid.T) {
 	pick := func(t *rapid.T) *owner { return rapid.SampledFrom(w.owners).Draw(t, "owner") }
+	need := func(t *rapid.T, ok bool) {
+		if !ok {
+			t.Skip("not possible now")
+		}
+	}
 	ready := func(t *rapid.T) *owner {
 		o := pick(t)
-		if o.paused {
-			t.Skip("paused")
-		}
+		need(t, !o.paused)
 		return o
 	}
 	serve := func(lost bool) func(*rapid.T) {
 		return func(t *rapid.T) {
 			o := pick(t)
-			if len(o.requests) == 0 {
-				t.Skip("no request")
-			}
+			need(t, len(o.requests) > 0)
 			w.serve(o, rapid.IntRange(0, len(o.requests)-1).Draw(t, "i"), lost)
 		}
 	}
 	answer := func(keep bool) func(*rapid.T) {
 		return func(t *rapid.T) {
 			o := ready(t)
-			if len(o.answers) == 0 {
-				t.Skip("no answer")
-			}
+			need(t, len(o.answers) > 0)
 			i := rapid.IntRange(0, len(o.answers)-1).Draw(t, "i")
 			ev := o.answers[i]
 			if !keep {
@@ -271,10 +270,7 @@
 		"answer":    answer(false),
 		"answer2":   answer(false),
 		"repeat":    answer(true),
-		"drop": func(t *rapid.T) {
-			o := pick(t)
-			o.answers = nil
-		},
+		"drop":      func(t *rapid.T) { pick(t).answers = nil },
 		"finish": func(t *rapid.T) {
 			w.finish(ready(t), key(rapid.IntRange(0, 29).Draw(t, "key")), rapid.IntRange(0, 4).Draw(t, "how"))
 		},
@@ -285,17 +281,15 @@
 			w.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 		},
 		"expire": func(t *rapid.T) {
-			if rarely(t) {
-				w.advance(time.Duration(rapid.IntRange(1, 70).Draw(t, "min")) * time.Minute)
-			}
+			need(t, rarely(t))
+			w.advance(time.Duration(rapid.IntRange(1, 70).Draw(t, "min")) * time.Minute)
 		},
 		"settle": func(*rapid.T) { w.settle(5) },
 		"pause":  func(t *rapid.T) { o := pick(t); o.paused = !o.paused && rarely(t) },
 		"outage": func(t *rapid.T) { w.outage = !w.outage && rarely(t) },
 		"crash": func(t *rapid.T) {
-			if rarely(t) {
-				w.start(pick(t))
-			}
+			need(t, rarely(t))
+			w.start(pick(t))
 		},
 	}
 }
