core/route: sample data centres by distance groups

Cause: with several regions, a sample of all other data centres mostly misses the few targets of the own region, so that overflow would go to other regions or stay in the queue. Ruled out: more choices, which cost time and raise herding. Change: three groups by distance (the nearest, up to four times the next distance, all others) are sampled separately; View has Groups and Group. Status has the age of the report and the time of the next trial. Conclusion: the groups are tested with three sets of fixed distances, not in the queueing loop.

--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -48,9 +48,10 @@
 // # Data centres
 //
 // Sampling three targets of all data centres would send most calls to other
-// ones even when the nearest is idle. The targets of the nearest data centre
-// and the others are therefore sampled separately, and the lower score wins:
-// the near target is used until its queueing outweighs the one-way latency.
+// ones even when the nearest is idle. The targets of the nearest data centre,
+// of those at up to four times the next distance, and all others are therefore
+// sampled separately, and the lowest score wins: the near target is used until
+// its queueing outweighs the one-way latency, and then one of the same region.
 //
 // # Subset
 //
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -20,10 +20,11 @@
 	round   uint64
 	byID    map[types.TargetID]*member
 	members []*member // in the order of the last Update
-	subset  []*member // up, the nearest data centre first
-	near    int       // size of that first part
+	subset  []*member // up, ordered by groups of distance
 	ranked  []ranked  // buffer of Update
 
+	groupEnd [groups]int // end of each group in the subset
+
 	calls       calls
 	suspended   int           // in the subset
 	picks       uint64        // decisions so far
--- a/core/route/status.go
+++ b/core/route/status.go
@@ -20,11 +20,13 @@
 	others    float64
 	warmth    float64
 	score     time.Duration
+	reportAge time.Duration
+	nextTrial time.Duration
 }
 
 func (p *Picker) status(now time.Duration, m *member) Status {
 	w := m.idleWeight(now)
-	return Status{
+	s := Status{
 		target:    m.target,
 		usable:    m.isUsable(now),
 		inSubset:  m.inSubset,
@@ -36,7 +38,15 @@
 		others:    p.othersAt(now, m),
 		warmth:    m.warmth(now),
 		score:     time.Duration(p.score(now, m)),
+		reportAge: -1,
 	}
+	if m.reported != never {
+		s.reportAge = now - m.reported
+	}
+	if m.suspended {
+		s.nextTrial = max(0, m.nextTrial-now)
+	}
+	return s
 }
 
 func compareStatus(a, b Status) int { return cmp.Compare(a.target.ID(), b.target.ID()) }
@@ -73,5 +83,13 @@
 // Warmth returns the progress of the slow start, from 0.1 to 1.
 func (s Status) Warmth() float64 { return s.warmth }
 
+// ReportAge returns the time since the last load report, or a negative value
+// if there is none from this incarnation.
+func (s Status) ReportAge() time.Duration { return s.reportAge }
+
+// NextTrial returns the time until a suspended target may get a trial call, or
+// zero if it may get one now or isn't suspended.
+func (s Status) NextTrial() time.Duration { return s.nextTrial }
+
 // Score returns the estimated wait with penalties, by which Weighted compares.
 func (s Status) Score() time.Duration { return s.score }
--- a/core/route/update.go
+++ b/core/route/update.go
@@ -76,33 +76,29 @@
 	}
 }
 
-// selectSubset chooses the targets that Pick uses and puts the nearest data
-// centre first.
+// selectSubset chooses the targets that Pick uses and orders them by groups.
 func (p *Picker) selectSubset() {
 	p.ranked = p.ranked[:0]
-	nearest := time.Duration(math.MaxInt64)
+	g := grouping{nearest: math.MaxInt64, next: math.MaxInt64}
 	for _, m := range p.members {
 		m.inSubset = false
 		if m.target.State() == types.Up {
 			p.ranked = append(p.ranked, ranked{m: m})
-			nearest = min(nearest, m.distance)
+			g.add(m.distance)
 		}
 	}
 	chosen := p.ranked
 	if len(chosen) > p.opts.Subset {
-		chosen = p.rank(nearest)
+		chosen = p.rank(g.nearest)
 	}
 	p.subset = p.subset[:0]
-	for _, r := range chosen {
-		if r.m.distance == nearest {
-			p.subset = append(p.subset, r.m)
-		}
-	}
-	p.near = len(p.subset)
-	for _, r := range chosen {
-		if r.m.distance != nearest {
-			p.subset = append(p.subset, r.m)
+	for i := range p.groupEnd {
+		for _, r := range chosen {
+			if g.of(r.m.distance) == i {
+				p.subset = append(p.subset, r.m)
+			}
 		}
+		p.groupEnd[i] = len(p.subset)
 	}
 	p.suspended = 0
 	for _, m := range p.subset {
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -8,7 +8,7 @@
 )
 
 // View is what a Policy sees of a Picker: the subset as numbers from 0 to
-// Len()-1, targets of the nearest data centre first. It is valid only during
+// Len()-1, ordered by groups of distance. It is valid only during
 // the call of the policy.
 type View struct {
 	p   *Picker
@@ -18,8 +18,17 @@
 // Len returns the size of the subset.
 func (v View) Len() int { return len(v.p.subset) }
 
-// Near returns the number of targets in the nearest data centre.
-func (v View) Near() int { return v.p.near }
+// Groups returns the number of groups by distance, the nearest first. Groups
+// may be empty.
+func (v View) Groups() int { return groups }
+
+// Group returns the first number of a group and the one after its last.
+func (v View) Group(g int) (lo, hi int) {
+	if g > 0 {
+		lo = v.p.groupEnd[g-1]
+	}
+	return lo, v.p.groupEnd[g]
+}
 
 // Usable reports whether target i takes calls and hasn't been tried.
 func (v View) Usable(i int) bool {
--- a/core/route/weighted.go
+++ b/core/route/weighted.go
@@ -2,25 +2,28 @@
 
 import "math"
 
-// Weighted is the default policy: the lowest score of a random sample of the
-// nearest data centre and of one of the others. A suspended target is selected
+// Weighted is the default policy: the lowest score of a random sample of each
+// group of distance. A suspended target is selected
 // only for a trial call, or if no other target is usable.
 func Weighted(v View) int {
 	if v.Len() == 0 {
 		return -1
 	}
-	near, score, isTrial := sample(v, 0, v.Near())
-	if isTrial {
-		return near
-	}
-	far, farScore, isTrial := sample(v, v.Near(), v.Len())
-	if isTrial || farScore < score {
-		return far
+	best, score := -1, math.Inf(1)
+	for g := range v.Groups() {
+		lo, hi := v.Group(g)
+		i, s, isTrial := sample(v, lo, hi)
+		if isTrial {
+			return i
+		}
+		if s < score {
+			best, score = i, s
+		}
 	}
-	if near >= 0 {
-		return near
+	if best < 0 {
+		return scan(v)
 	}
-	return scan(v)
+	return best
 }
 
 // sample returns the lowest score among random targets from lo to hi-1, or -1
