core/probe: test the full ring without chance

Cause: with the replay files removed, the property test found a broken rule for a full ring in only one of three runs of 100 checks. Ruled out: more checks by default, which would slow each run. Change: a fixed sequence for the full ring, next to that for time that runs backwards. Three pairs of assertions in the three packages share a line.

--- a/core/probe/budget_test.go
+++ b/core/probe/budget_test.go
@@ -69,14 +69,13 @@
 		now = now.Add(d.Wait())
 		is.True(b.Grant(now, probe.Cost).Granted())
 	}
-	is.Equal(b.Used(now), probe.Cost)
-	is.True(b.Grant(now, probe.DefaultBudget+1).Never())
+	is.True(b.Used(now) == probe.Cost && b.Grant(now, probe.DefaultBudget+1).Never())
 	is.Equal(b.Refused(), uint64(7))
 }
 
 // Guards against a step back in time that returns to a window whose grants
-// have been dropped.
-func TestNoGrantWhenTimeRunsBackwards(t *testing.T) {
+// have been dropped, and against a full ring that forgets its last grant.
+func TestBackwardsTimeAndFullRing(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	b := probe.New(now.Add(-time.Hour), probe.Options{})
@@ -84,4 +83,7 @@
 	now = now.Add(probe.DefaultWindow + 1)
 	is.True(b.Grant(now, time.Millisecond).Granted())
 	is.True(!b.Grant(now.Add(-2), 2*time.Millisecond).Granted())
+	b = probe.New(now.Add(-time.Hour), probe.Options{Budget: 2, Records: 1})
+	is.True(b.Grant(now, 1).Granted() && b.Grant(now.Add(time.Second/2), 1).Granted())
+	is.True(!b.Grant(now.Add(time.Second+1), 2).Granted())
 }
--- a/core/route/update_test.go
+++ b/core/route/update_test.go
@@ -42,8 +42,7 @@
 	is.True(status(p, start, "t2").Usable())
 	call(p, start, "t2", reported(types.ReportSpec{Incarnation: 1, Draining: true}))
 	is.True(status(p, start, "t2").Usable())
-	is.Equal(status(p, start, "t2").Failures(), 0.0)
-	is.Equal(status(p, start, "t2").Warmth(), 0.1)
+	is.True(status(p, start, "t2").Failures() == 0 && status(p, start, "t2").Warmth() == 0.1)
 }
 
 // Guards against counts that drift when calls end in any order, twice, or
--- a/core/stall/tracker_test.go
+++ b/core/stall/tracker_test.go
@@ -54,9 +54,8 @@
 	}
 	is.Equal(tr.PingsDue(ms(2000)), []stall.ConnID{1})
 	tr.PingSent(ms(2000), 1)
-	is.Equal(len(tr.Check(ms(2000))), 0) // the answer needs time
-	is.Equal(len(tr.Check(ms(2100))), 0)
-	tr.PingSent(ms(2100), 1) // doesn't put the answer off
+	is.Equal(len(tr.Check(ms(2000)))+len(tr.Check(ms(2100))), 0) // the answer needs time
+	tr.PingSent(ms(2100), 1)                                     // doesn't put the answer off
 	is.Equal(len(tr.Check(ms(2125))), 1)
 }
 
