--- a/core/route/update.go
+++ b/core/route/update.go
@@ -20,9 +20,10 @@
 // target was known before: then this daemon started, not they.
 func (p *Picker) Update(now time.Time, targets []types.Target) {
 	p.round++
-	started := now
+	at := p.since(now)
+	started := at
 	if len(p.byID) == 0 {
-		started = time.Time{}
+		started = never
 	}
 	p.members = p.members[:0]
 	for _, t := range targets {
@@ -35,18 +36,18 @@
 			p.byID[t.ID()] = m
 		case m.round == p.round:
 			if t.Newer(m.target) {
-				p.replace(now, m, t)
+				p.replace(at, m, t)
 			}
 			continue
 		default:
-			p.replace(now, m, t)
+			p.replace(at, m, t)
 		}
 		m.round = p.round
 		p.members = append(p.members, m)
 	}
 	for id, m := range p.byID {
 		if m.round != p.round {
-			p.restart(m, time.Time{})
+			p.restart(m, never)
 			delete(p.byID, id)
 		}
 	}
@@ -54,7 +55,7 @@
 }
 
 // replace sets the membership's view of a known target.
-func (p *Picker) replace(now time.Time, m *member, t types.Target) {
+func (p *Picker) replace(now time.Duration, m *member, t types.Target) {
 	old := m.target
 	switch {
 	case t.Incarnation() < m.incarnation:
@@ -67,7 +68,7 @@
 		// The target restarted without its daemon.
 		p.restart(m, now)
 	case t.Newer(old) && t.State() == types.Up:
-		m.drained = time.Time{}
+		m.drained = never
 	}
 	m.target = t
 	if t.DataCentre() != old.DataCentre() {
@@ -75,33 +76,29 @@
 	}
 }
 
-// selectSubset chooses the targets that Pick uses and puts the nearest data
-// centre first.
+// selectSubset chooses the targets that Pick uses and orders them by groups.
 func (p *Picker) selectSubset() {
 	p.ranked = p.ranked[:0]
-	nearest := time.Duration(math.MaxInt64)
+	g := grouping{nearest: math.MaxInt64, next: math.MaxInt64}
 	for _, m := range p.members {
 		m.inSubset = false
 		if m.target.State() == types.Up {
 			p.ranked = append(p.ranked, ranked{m: m})
-			nearest = min(nearest, m.distance)
+			g.add(m.distance)
 		}
 	}
 	chosen := p.ranked
 	if len(chosen) > p.opts.Subset {
-		chosen = p.rank(nearest)
+		chosen = p.rank(g.nearest)
 	}
 	p.subset = p.subset[:0]
-	for _, r := range chosen {
-		if r.m.distance == nearest {
-			p.subset = append(p.subset, r.m)
-		}
-	}
-	p.near = len(p.subset)
-	for _, r := range chosen {
-		if r.m.distance != nearest {
-			p.subset = append(p.subset, r.m)
+	for i := range p.groupEnd {
+		for _, r := range chosen {
+			if g.of(r.m.distance) == i {
+				p.subset = append(p.subset, r.m)
+			}
 		}
+		p.groupEnd[i] = len(p.subset)
 	}
 	p.suspended = 0
 	for _, m := range p.subset {
