io/admin: let racing operators wait for modelled data centres

Cause: the model of racing operators took every version as accepted at once, so nothing tied "accepted" to what the members of the data centres serve by.

Change: the model has two data centres with core/stage and a config.Current for each member. Documents, acknowledgements and reports arrive in any order, late or never, and members restart. Each answer "accepted" is compared with the versions of the members that serve.

Conclusion: no update lost, no request applied twice, no version going back, and accepted means in force, in this model. Two operators' daemons with their own delayed view of the member summaries are not modelled.

--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
 
 	"trefoilthread/core/config"
 	"trefoilthread/core/stage"
@@ -113,6 +114,21 @@
 	return f.rev, nil
 }
 
+// documents returns all documents written so far.
+func (f *fakeStore) documents(t *rapid.T) []config.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var docs []config.Document
+	for _, b := range f.written {
+		doc, err := config.Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		docs = append(docs, doc)
+	}
+	return docs
+}
+
 // settle lets the delayed writes take effect whose time has come.
 func (f *fakeStore) settle() {
 	var rest []delayed
--- a/io/admin/race_test.go
+++ b/io/admin/race_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -19,6 +20,8 @@
 	waiting chan turn
 	done    chan result
 	quit    chan struct{}
+	// step runs before each turn, while all operators wait.
+	step func()
 }
 
 type turn struct {
@@ -70,6 +73,7 @@
 		if len(active) == 0 {
 			return nil
 		}
+		s.step()
 		i := rapid.SampledFrom(active).Draw(t, "operator")
 		f := none
 		if faults > 0 {
@@ -86,7 +90,8 @@
 // increments adds 1 to the slots of the given services, one after the other,
 // the way an operator's script does: read, change, on a conflict read again,
 // on an unclear answer send the same request again.
-func increments(c opspb.OpsClient, operator int, services []string, quit <-chan struct{}) error {
+// It passes each version that is accepted to accepted.
+func increments(c opspb.OpsClient, operator int, services []string, quit <-chan struct{}, accepted func(int64) error) error {
 	ctx := context.Background()
 	for n, name := range services {
 		var req *opspb.ChangeRequest
@@ -107,7 +112,10 @@
 					Service: svc, BaseVersion: svc.GetVersion(), RequestId: fmt.Sprintf("%d-%d-%d", operator, n, attempt),
 				}
 			}
-			_, err := c.UpdateService(ctx, connect.NewRequest(req))
+			res, err := c.UpdateService(ctx, connect.NewRequest(req))
+			if err == nil && res.Msg.GetState() == "accepted" {
+				err = accepted(res.Msg.GetVersion())
+			}
 			if err == nil {
 				break
 			}
@@ -124,9 +132,11 @@
 }
 
 // Guards against lost updates, against a request that is applied twice after a
-// lost answer, and against versions that go back, with operators racing
-// through different daemons over a store that loses answers and fails.
+// lost answer, against versions that go back, and against "accepted" while a
+// member still serves by an older version, with operators racing through
+// different daemons over a store that loses answers and fails.
 func TestOperatorsRacing(t *testing.T) {
+	var accepted, committed atomic.Int64
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFakeStore()
 		client := newClient(newOptions(f))
@@ -137,7 +147,9 @@
 				t.Fatal(err)
 			}
 		}
+		net := newCentres()
 		s := &schedule{waiting: make(chan turn), done: make(chan result), quit: make(chan struct{})}
+		s.step = func() { net.step(t, f.documents(t)) }
 		defer close(s.quit)
 		want := map[string]int{"bookings": 1, "stockroom": 1}
 		n := rapid.IntRange(2, 4).Draw(t, "operators")
@@ -146,10 +158,18 @@
 			for _, name := range services {
 				want[name]++
 			}
+			opt := newOptions(f)
+			opt.Store = f.store(func() fault { return s.await(i) })
+			net.connect(&opt, func() { s.await(i) })
 			go func() {
-				opt := newOptions(f)
-				opt.Store = f.store(func() fault { return s.await(i) })
-				err := increments(newClient(opt), i, services, s.quit)
+				err := increments(newClient(opt), i, services, s.quit, func(version int64) error {
+					accepted.Add(1)
+					if id := net.behind(version); id != "" {
+						return fmt.Errorf("version %d is accepted, %s serves by an older one", version, id)
+					}
+					return nil
+				})
+				committed.Add(int64(len(services)))
 				select {
 				case s.done <- result{operator: i, err: err}:
 				case <-s.quit:
@@ -161,19 +181,18 @@
 		}
 		check(t, f, want)
 	})
+	t.Logf("%d changes, of which %d accepted", committed.Load(), accepted.Load())
+	if accepted.Load() == 0 {
+		t.Fatal("no change was ever accepted, the property was not exercised")
+	}
 }
 
 func check(t *rapid.T, f *fakeStore, want map[string]int) {
-	var docs []config.Document
-	for i, b := range f.written {
-		doc, err := config.Decode(b)
-		if err != nil {
-			t.Fatal(err)
-		}
+	docs := f.documents(t)
+	for i, doc := range docs {
 		if doc.Version() != int64(i+1) {
 			t.Fatalf("write %d has version %d", i+1, doc.Version())
 		}
-		docs = append(docs, doc)
 	}
 	last := docs[len(docs)-1]
 	seen := map[string]bool{}
