core/config: compare the end of a path pattern first

Cause: Classify with 64 rules that start alike took 567 to 857 ns on the noisy machine, close to its bound of 1 us.

Ruled out: a table compiled for each service, which the figures do not require.

Change: a prefix pattern is rejected by its last byte before the full comparison, and the method is compared last.

--- a/core/config/rule.go
+++ b/core/config/rule.go
@@ -61,13 +61,18 @@
 // matches reports whether the rule applies to a method and a path without
 // query.
 func (r *Rule) matches(method, path string) bool {
-	if r.spec.Method != "*" && r.spec.Method != method {
+	pattern := r.spec.Path
+	if n := len(pattern) - 1; n >= 0 && pattern[n] == '*' {
+		// The patterns of a service tend to start alike and to differ at the
+		// end, so the last byte rejects most of them without a full
+		// comparison.
+		if len(path) < n || (n > 0 && path[n-1] != pattern[n-1]) || path[:n] != pattern[:n] {
+			return false
+		}
+	} else if path != pattern {
 		return false
 	}
-	if n := len(r.spec.Path) - 1; n >= 0 && r.spec.Path[n] == '*' {
-		return strings.HasPrefix(path, r.spec.Path[:n])
-	}
-	return path == r.spec.Path
+	return r.spec.Method == "*" || r.spec.Method == method
 }
 
 // covers reports whether r matches every request that o matches.
