io/store: prove by the request body that nothing was sent

The HTTP/2 transport can go on with a canceled request after it returned an error, and the RPC library keeps the unread body readable for it. The trace hook for encoded headers could therefore fire after a write had been reported as not sent. The transport's flow control refuses the data frames then, but that is an internal of the standard library.

Ruled out: counting from the moment a connection was obtained, which reports writes on closed idle connections as unknown; relying on the transport.

The body records its first read and refuses reads once the call has failed, so the proof needs no internals. Reads still may be repeated by the transport.

Conclusion: ErrUnavailable of a write is a proof.

--- a/io/store/doc.go
+++ b/io/store/doc.go
@@ -6,11 +6,11 @@
 // the published etcd v3 API over gRPC.
 //
 // A write whose answer was lost is reported as ErrUnknown, never guessed. The
-// adapter watches when the transport begins to encode a request: an error
-// before that point proves that nothing was sent, and another endpoint is
-// tried; after it only a status that the API defines as a refusal proves that
-// the write did not take effect. Resolve reads back what a write of unknown
-// outcome left.
+// adapter records when the transport begins to read the body of a request: an
+// error before that point proves that nothing of it was sent, and another
+// endpoint is tried; after it only a status that the API defines as a refusal
+// proves that the write did not take effect. Resolve reads back what a write of
+// unknown outcome left.
 //
 // Every operation counts against the platform's rates, a pending watch as one,
 // so Budgeted limits what a daemon may send, also after an outage. Concurrent
--- a/io/store/endpoint.go
+++ b/io/store/endpoint.go
@@ -24,11 +24,11 @@
 		connect.WithAcceptCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(maxMessage),
 	}
-	plain := &http.Client{Transport: transport}
-	once := &http.Client{Transport: sendOnce{transport}}
+	repeated := &http.Client{Transport: tracker{next: transport, repeat: true}}
+	once := &http.Client{Transport: tracker{next: transport}}
 	return &endpoint{
 		url:    url,
-		reads:  etcdpb.NewKVClient(plain, url, opts...),
+		reads:  etcdpb.NewKVClient(repeated, url, opts...),
 		writes: etcdpb.NewKVClient(once, url, opts...),
 		watch:  etcdpb.NewWatchClient(once, url, opts...),
 		lease:  etcdpb.NewLeaseClient(once, url, opts...),
--- a/io/store/etcd.go
+++ b/io/store/etcd.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
 
@@ -72,24 +71,18 @@
 func (e *Etcd) call(ctx context.Context, fn func(context.Context, *endpoint) error) (sent bool, err error) {
 	for range e.endpoints {
 		i := e.current.Load()
-		var began atomic.Bool
-		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-			// Called while the headers are encoded, so before any of their bytes
-			// can reach the connection. GotConn would be too early: a cached
-			// connection can turn out to be closed, with nothing sent.
-			WroteHeaderField: func(string, []string) { began.Store(true) },
-		})
-		err = fn(traced, e.endpoints[i])
+		var a attempt
+		err = fn(withAttempt(ctx, &a), e.endpoints[i])
 		if err == nil || answered(err) {
 			return true, err
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			// The caller gave up: no sign of a fault of the endpoint.
-			return began.Load(), err
+			return a.began.Load(), err
 		}
 		e.current.CompareAndSwap(i, (i+1)%uint32(len(e.endpoints)))
-		if began.Load() || ctx.Err() != nil {
-			return began.Load(), err
+		if a.began.Load() || ctx.Err() != nil {
+			return a.began.Load(), err
 		}
 	}
 	return false, err
--- a/io/store/transport_test.go
+++ b/io/store/transport_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/tls"
 	"encoding/binary"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -85,6 +87,46 @@
 	is.Equal(events, 1)
 }
 
+// Guards against a write that is reported as not sent and arrives later: its
+// caller gives up at any moment, also between the dial and the first byte.
+func TestCanceledWrites(t *testing.T) {
+	is := is.New(t)
+	srv := startStore(t, stand.StoreOptions{ResponseTime: -1})
+	const writes = 400
+	outcomes := make([]error, writes)
+	rng := rand.New(rand.NewPCG(3, 4))
+	var wg sync.WaitGroup
+	var st store.Store
+	for i := range writes {
+		if i%20 == 0 {
+			st = client(t, store.EtcdOptions{}, srv) // must dial
+		}
+		one := st
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.Int64N(int64(40*time.Millisecond))))
+		wg.Go(func() {
+			defer cancel()
+			_, outcomes[i] = one.CompareAndSwap(ctx, fmt.Sprint("k/", i), 0, nil, 0)
+		})
+	}
+	wg.Wait()
+	kinds := map[string]int{}
+	for i, err := range outcomes {
+		_, getErr := st.Get(t.Context(), fmt.Sprint("k/", i))
+		switch {
+		case err == nil:
+			kinds["written"]++
+			is.NoErr(getErr)
+		case errors.Is(err, store.ErrUnavailable):
+			kinds["not sent"]++
+			is.True(errors.Is(getErr, store.ErrNotFound))
+		default:
+			kinds["unknown"]++
+			is.True(errors.Is(err, store.ErrUnknown))
+		}
+	}
+	t.Log(kinds)
+}
+
 // Guards against the HTTP/2 transport sending a write again by itself: it does
 // so after a PROTOCOL_ERROR for a stream, although the write may have taken
 // effect. The server here answers every request like that.
