core/member: send members the change instead of the whole summary

Cause: the summary of 520 targets is 31,091 B. A leader that pushes it to each of 520 members sends 16 MB for one change of state, which its bound of 5 KB/s does not allow.

Ruled out: pushing less often (a change has to be known within 3 s); a delta between two neighbouring versions only (a member that missed one would need the whole summary).

Change: Table.Delta gives the present records of all targets changed since the version that a member has, also since the summary that a new leader started from; Directory.Apply takes it if it continues what is known, and refuses it otherwise.

--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -38,6 +38,26 @@
 	}
 }
 
+// BenchmarkDelta is one change of state in a data centre of 520 targets: what
+// the leader encodes and a member decodes and applies after the whole summary.
+func BenchmarkDelta(b *testing.B) {
+	tb := newTable(b, member.TableSpec{Epoch: 1}, 520)
+	known := tb.Summary()
+	tb.Heartbeat(start, member.NewHeartbeat(target(7, uint64(start.UnixNano())).WithState(types.Draining)))
+	var value []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		dl, _ := tb.Delta(known.Epoch(), known.Sequence())
+		value, _ = dl.Encode()
+		d := member.NewDirectory()
+		d.Merge(known)
+		if dl, err := member.DecodeDelta(value); err != nil || !d.Apply(dl) {
+			b.Fatal("delta not applied", err)
+		}
+	}
+	b.ReportMetric(float64(len(value)), "value-B")
+}
+
 // BenchmarkDirectory decodes and merges the summaries of data centres with 520
 // targets each.
 func BenchmarkDirectory(b *testing.B) {
--- /dev/null
+++ b/core/member/delta.go
@@ -0,0 +1,141 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"trefoilthread/core/types"
+)
+
+// maxLog is the number of changes for which a delta can be made. At full size a
+// data centre has about a hundred restarts a day with a few changes each.
+const maxLog = 1024
+
+// Delta is the change from one summary of a data centre to a later one. It has
+// the present record of each target that changed, so it may be applied to any
+// summary between the two.
+type Delta struct {
+	to        Summary // without records
+	from      uint64  // sequence in the same epoch
+	baseEpoch uint64  // summary that sequence 1 repeats
+	baseSeq   uint64
+	records   []record
+	gone      []types.TargetID
+}
+
+type deltaWire struct {
+	_          struct{} `cbor:",toarray"`
+	Format     int
+	DataCentre string
+	Epoch      uint64
+	Sequence   uint64
+	From       uint64
+	BaseEpoch  uint64
+	BaseSeq    uint64
+	Services   []string
+	Records    []recordWire
+	Gone       []string
+}
+
+// changed notes a change of a target.
+func (t *Table) changed(id types.TargetID) {
+	t.sequence++
+	if len(t.log) == maxLog {
+		t.log = slices.Clone(t.log[maxLog/2:])
+	}
+	t.log = append(t.log, id)
+}
+
+// Delta returns the changes since the summary with the given epoch and
+// sequence. It reports false if they are not known, so that the whole summary
+// has to be sent.
+func (t *Table) Delta(epoch, sequence uint64) (Delta, bool) {
+	if epoch == t.start.epoch && sequence == t.start.sequence {
+		sequence = 1
+	} else if epoch != t.spec.Epoch {
+		return Delta{}, false
+	}
+	if sequence > t.sequence || t.sequence-sequence > uint64(len(t.log)) {
+		return Delta{}, false
+	}
+	d := Delta{
+		to:   Summary{dc: t.spec.DataCentre, epoch: t.spec.Epoch, sequence: t.sequence},
+		from: sequence, baseEpoch: t.start.epoch, baseSeq: t.start.sequence,
+	}
+	ids := slices.Clone(t.log[len(t.log)-int(t.sequence-sequence):])
+	slices.Sort(ids)
+	for _, id := range slices.Compact(ids) {
+		if e := t.members[id]; e != nil {
+			d.records = append(d.records, e.record)
+		} else {
+			d.gone = append(d.gone, id)
+		}
+	}
+	return d, true
+}
+
+// Apply takes a delta and reports whether it continues what is known of its
+// data centre; otherwise it is ignored, and if it is newer the whole summary
+// has to be fetched.
+func (d *Directory) Apply(dl Delta) bool {
+	known := d.Summary(dl.to.dc)
+	inRange := known.epoch == dl.to.epoch && known.sequence >= dl.from
+	atBase := known.epoch == dl.baseEpoch && known.sequence == dl.baseSeq && dl.from <= 1
+	if !dl.to.Newer(known) || !inRange && !atBase {
+		return false
+	}
+	next := dl.to
+	next.records = make([]record, 0, len(known.records)+len(dl.records))
+	for _, r := range known.records {
+		if _, changed := slices.BinarySearchFunc(dl.records, r, compareRecords); changed {
+			continue
+		}
+		if _, gone := slices.BinarySearch(dl.gone, r.target.ID()); !gone {
+			next.records = append(next.records, r)
+		}
+	}
+	next.records = append(next.records, dl.records...)
+	slices.SortFunc(next.records, compareRecords)
+	d.replace(next)
+	return true
+}
+
+// Len returns the number of targets changed.
+func (dl Delta) Len() int { return len(dl.records) + len(dl.gone) }
+
+// Encode returns the delta in CBOR.
+func (dl Delta) Encode() ([]byte, error) {
+	w := deltaWire{
+		Format: summaryFormat, DataCentre: string(dl.to.dc), Epoch: dl.to.epoch, Sequence: dl.to.sequence,
+		From: dl.from, BaseEpoch: dl.baseEpoch, BaseSeq: dl.baseSeq,
+	}
+	w.Services, w.Records = packRecords(dl.records)
+	for _, id := range dl.gone {
+		w.Gone = append(w.Gone, string(id))
+	}
+	return cbor.Marshal(w)
+}
+
+// DecodeDelta reads a delta. It fails with ErrSummary.
+func DecodeDelta(b []byte) (Delta, error) {
+	var w deltaWire
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return Delta{}, errors.Mark(errors.Wrap(err, "member delta"), ErrSummary)
+	}
+	if w.Format != summaryFormat {
+		return Delta{}, errors.Wrapf(ErrSummary, "format %d, want %d", w.Format, summaryFormat)
+	}
+	dl := Delta{
+		to:   Summary{dc: types.DataCentre(w.DataCentre), epoch: w.Epoch, sequence: w.Sequence},
+		from: w.From, baseEpoch: w.BaseEpoch, baseSeq: w.BaseSeq,
+	}
+	for _, id := range w.Gone {
+		dl.gone = append(dl.gone, types.TargetID(id))
+	}
+	slices.Sort(dl.gone)
+	var err error
+	dl.records, err = unpackRecords(dl.to.dc, w.Services, w.Records)
+	return dl, err
+}
--- a/core/member/directory.go
+++ b/core/member/directory.go
@@ -33,7 +33,13 @@
 	if c != nil && !s.Newer(c.summary) {
 		return false
 	}
-	if c == nil {
+	d.replace(s)
+	return true
+}
+
+// replace makes s the known summary of its data centre.
+func (d *Directory) replace(s Summary) {
+	if d.centres[s.dc] == nil {
 		d.names = append(d.names, s.dc)
 		slices.Sort(d.names)
 	}
@@ -47,7 +53,6 @@
 			delete(d.seen, id)
 		}
 	}
-	return true
 }
 
 // Summary returns the last summary of a data centre; the zero value if none.
--- a/core/member/directory_test.go
+++ b/core/member/directory_test.go
@@ -15,8 +15,10 @@
 // Guards against daemons that keep different views after the same messages in
 // another order or number, across changes of leader.
 func TestDirectoriesConverge(t *testing.T) {
+	total := 0
 	rapid.Check(t, func(t *rapid.T) {
 		var all []member.Summary
+		var deltas []member.Delta
 		var last member.Summary
 		now := start
 		for epoch := range uint64(3) {
@@ -24,6 +26,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			all = append(all, tb.Summary())
 			for range rapid.IntRange(0, 8).Draw(t, "ops") {
 				i, inc := rapid.IntRange(0, 4).Draw(t, "i"), rapid.Uint64Range(1, 3).Draw(t, "inc")
 				tg := target(i, inc)
@@ -36,14 +39,13 @@
 					tb.Leave(now, tg.ID(), inc)
 				}
 				all = append(all, tb.Summary())
+				since := rapid.SampledFrom(all).Draw(t, "since")
+				if dl, ok := tb.Delta(since.Epoch(), since.Sequence()); ok {
+					deltas = append(deltas, recode(t, dl))
+				}
 			}
 			// The next leader may start from an older summary of this one.
-			if len(all) > 0 {
-				last = rapid.SampledFrom(all).Draw(t, "stored")
-			}
-		}
-		if len(all) == 0 {
-			t.Skip("no summary")
+			last = rapid.SampledFrom(all).Draw(t, "stored")
 		}
 		view := func(order []member.Summary) []types.Target {
 			d := member.NewDirectory()
@@ -61,7 +63,41 @@
 		if got := view(order); !reflect.DeepEqual(got, want) {
 			t.Fatalf("got %v, want %v", got, want)
 		}
+		// Deltas and summaries mixed lead to the same content for each version.
+		d, applied := member.NewDirectory(), 0
+		for range 20 {
+			if len(deltas) > 0 && rapid.Bool().Draw(t, "delta") {
+				if d.Apply(rapid.SampledFrom(deltas).Draw(t, "dl")) {
+					applied++
+				}
+			} else {
+				d.Merge(rapid.SampledFrom(all[:len(all)/2+1]).Draw(t, "sum"))
+			}
+			got := d.Summary("muscat-a")
+			for _, s := range all {
+				if s.Epoch() == got.Epoch() && s.Sequence() == got.Sequence() && !reflect.DeepEqual(got, s) {
+					t.Fatalf("after %d deltas got %v, want %v", applied, got, s)
+				}
+			}
+		}
+		total += applied
 	})
+	if total == 0 {
+		t.Fatal("no delta was applied, so deltas were not checked")
+	}
+	t.Logf("%d deltas applied", total)
+}
+
+// recode passes a delta through the codec.
+func recode(t *rapid.T, dl member.Delta) member.Delta {
+	b, err := dl.Encode()
+	if err == nil {
+		dl, err = member.DecodeDelta(b)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dl
 }
 
 // Guards against late responses that undo a drain or revive an old incarnation,
--- a/core/member/doc.go
+++ b/core/member/doc.go
@@ -34,6 +34,11 @@
 // answer is resolved by reading back: a summary of a lower epoch is replaced, a
 // higher one means that the table is deposed.
 //
+// A summary of 520 targets takes 31 KB, so a leader that sent it to each member
+// at each change would exceed its traffic bound. It sends a Delta instead: the
+// targets changed since what the member has, also across a change of leader if
+// the member has what the new leader started from.
+//
 // Directory refuses a summary that is not newer, so that all directories agree
 // whatever the order and repetition of messages. It never drops targets because
 // time passes: during a store outage the last known ones stay, corrected by
@@ -56,7 +61,12 @@
 //	for _, a := range t.Tick(now) { // at t.NextWake(now)
 //		// execute, then t.WriteDone or t.ReadDone
 //	}
+//	if dl, ok := t.Delta(reported.Epoch, reported.Sequence); ok {
+//		push(dl) // otherwise t.Summary()
+//	}
 //	dir := member.NewDirectory()
-//	dir.Merge(t.Summary())
+//	if !dir.Apply(dl) {
+//		dir.Merge(summary)
+//	}
 //	targets := dir.Targets(now, "rota")
 package member
--- a/core/member/summary.go
+++ b/core/member/summary.go
@@ -1,8 +1,6 @@
 package member
 
 import (
-	"slices"
-
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -59,25 +57,11 @@
 
 // Encode returns the summary in CBOR.
 func (s Summary) Encode() ([]byte, error) {
-	w := summaryWire{
+	services, records := packRecords(s.records)
+	return cbor.Marshal(summaryWire{
 		Format: summaryFormat, DataCentre: string(s.dc), Epoch: s.epoch, Sequence: s.sequence,
-		Records: make([]recordWire, len(s.records)),
-	}
-	index := map[types.ServiceName]int{}
-	for i, r := range s.records {
-		t := r.target
-		n, ok := index[t.Service()]
-		if !ok {
-			n = len(w.Services)
-			index[t.Service()] = n
-			w.Services = append(w.Services, string(t.Service()))
-		}
-		w.Records[i] = recordWire{
-			ID: string(t.ID()), Service: n, Address: t.Address(), Slots: t.Slots(),
-			Incarnation: t.Incarnation(), Sequence: t.Sequence(), State: uint8(t.State()), Process: r.process,
-		}
-	}
-	return cbor.Marshal(w)
+		Services: services, Records: records,
+	})
 }
 
 // DecodeSummary reads a summary. It fails with ErrSummary.
@@ -89,30 +73,8 @@
 	if w.Format != summaryFormat {
 		return Summary{}, errors.Wrapf(ErrSummary, "format %d, want %d", w.Format, summaryFormat)
 	}
-	s := Summary{
-		dc: types.DataCentre(w.DataCentre), epoch: w.Epoch, sequence: w.Sequence,
-		records: make([]record, len(w.Records)),
-	}
-	for i, r := range w.Records {
-		if r.Service < 0 || r.Service >= len(w.Services) || r.State > uint8(types.Down) {
-			return Summary{}, errors.Wrapf(ErrSummary, "target %d: service %d, state %d", i, r.Service, r.State)
-		}
-		s.records[i] = record{process: r.Process, target: types.NewTarget(types.TargetSpec{
-			ID: types.TargetID(r.ID), Service: types.ServiceName(w.Services[r.Service]), DataCentre: s.dc,
-			Address: r.Address, Slots: r.Slots, Incarnation: r.Incarnation, Sequence: r.Sequence,
-			State: types.TargetState(r.State),
-		})}
-	}
-	slices.SortFunc(s.records, compareRecords)
-	return s, nil
-}
-
-func compareRecords(a, b record) int {
-	switch {
-	case a.target.ID() < b.target.ID():
-		return -1
-	case a.target.ID() > b.target.ID():
-		return 1
-	}
-	return 0
+	s := Summary{dc: types.DataCentre(w.DataCentre), epoch: w.Epoch, sequence: w.Sequence}
+	var err error
+	s.records, err = unpackRecords(s.dc, w.Services, w.Records)
+	return s, err
 }
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -40,6 +40,8 @@
 	gone     map[types.TargetID]former
 	order    []types.TargetID // gone, the oldest first
 	sequence uint64
+	log      []types.TargetID // of the last changes, the latest one last
+	start    Summary          // what the table started from, without records
 	lastRun  time.Time
 	nextDue  time.Time // no member is due earlier
 	pub      publisher
@@ -77,7 +79,8 @@
 	t := &Table{
 		spec: s, members: make(map[types.TargetID]*entry, len(start.records)),
 		gone: map[types.TargetID]former{}, sequence: 1, lastRun: now,
-		pub: publisher{revision: s.Revision},
+		start: Summary{dc: s.DataCentre, epoch: start.epoch, sequence: start.sequence},
+		pub:   publisher{revision: s.Revision},
 	}
 	for _, r := range start.records {
 		t.members[r.target.ID()] = &entry{record: r}
@@ -120,10 +123,10 @@
 		t.members[id] = e
 		delete(t.gone, id)
 		e.record = record(j)
-		t.sequence++
+		t.changed(id)
 	} else if j.target.Newer(e.target) {
 		e.record = record(j)
-		t.sequence++
+		t.changed(id)
 	}
 	t.heard(now, e)
 	reply.known, reply.interval = e.target.Incarnation(), e.interval
@@ -143,7 +146,7 @@
 		return reply
 	}
 	if h.sequence > e.target.Sequence() {
-		t.sequence++
+		t.changed(h.id)
 		e.target = withState(e.target, h.state, h.incarnation, h.sequence)
 	}
 	t.heard(now, e)
@@ -229,7 +232,7 @@
 func (t *Table) drop(e *entry) {
 	id := e.target.ID()
 	delete(t.members, id)
-	t.sequence++
+	t.changed(id)
 	for len(t.order) >= maxGone {
 		delete(t.gone, t.order[0])
 		t.order = t.order[1:]
