--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -86,6 +86,26 @@
 	is.Equal(c.store.value, nil) // the key goes with the lease
 }
 
+// Guards against a lease counted from an answer that came late: the store began
+// to count when the renewal reached it.
+func TestLeaseCountsFromRequest(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	n := c.run(3 * time.Second)
+	for len(n.requests) == 0 {
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.step(n, lease.Tick())
+	}
+	sent := c.now
+	c.serve(n, 0, false)
+	c.now = sent.Add(leaseTime / 2)
+	c.deliver(n)
+	_, ok := n.h.MayAct(sent.Add(leaseTime * 8 / 10))
+	is.True(ok)
+	_, ok = n.h.MayAct(sent.Add(leaseTime * 9 / 10)) // a tenth is left for clock rates
+	is.True(!ok)
+}
+
 // Guards against a store that is called by all candidates at once when it
 // comes back: 520 candidates, calls counted in the busiest 100 ms.
 func TestCandidatesSpreadAfterOutage(t *testing.T) {
--- a/core/member/summary.go
+++ b/core/member/summary.go
@@ -55,7 +55,8 @@
 	return s.sequence > o.sequence
 }
 
-// Encode returns the summary in CBOR.
+// Encode returns the summary in CBOR: about 60 bytes for each target with a name
+// of 18 bytes and an IPv4 address, 31 KB for 520 targets.
 func (s Summary) Encode() ([]byte, error) {
 	services, records := packRecords(s.records)
 	return cbor.Marshal(summaryWire{
