--- a/core/claims/doc.go
+++ b/core/claims/doc.go
@@ -50,8 +50,9 @@
 //
 // # Usage
 //
-// Partition makes no calls itself and is not safe for concurrent use. A Fresh
-// claim gets exactly one Run or Refuse action with its ticket from Step.
+// Partition makes no calls itself and is not safe for concurrent use. The
+// numbers of its calls are its own: an answer belongs to the Partition that asked.
+// A Fresh claim gets exactly one Run or Refuse action with its ticket from Step.
 //
 //	p := claims.NewPartition(now, claims.Spec{Partition: 3, Holder: "rota-3", Seed: seed})
 //	do(p.Step(now, claims.Acquire())) // when claims.Owner names this daemon
--- a/core/lease/doc.go
+++ b/core/lease/doc.go
@@ -38,7 +38,8 @@
 //
 // A Holder makes no calls itself. Its caller locks, executes the actions, and
 // reports each result once; an answer that does not come in time may be
-// reported as Unknown or not at all.
+// reported as Unknown or not at all. The numbers of calls are the Holder's own:
+// an answer belongs to the Holder that asked.
 //
 //	h := lease.NewHolder(lease.Spec{
 //		DataCentre: "muscat-a", ID: "rota-3", Address: "10.0.0.3:7000",
