--- a/core/claims/world_test.go
+++ b/core/claims/world_test.go
@@ -18,18 +18,24 @@
 // fataler is a *testing.T or *rapid.T.
 type fataler interface{ Fatalf(string, ...any) }
 
-// ticket is one attempt to run a key, at one process.
+// ticket is one attempt to run a key: holder and number.
 type ticket struct {
 	holder types.TargetID
 	number uint64
 }
 
+// request is a store call of one process; its answer goes to that process only.
+type request struct {
+	claims.Action
+	from *claims.Partition
+}
+
 // owner is one daemon's process for the partition.
 type owner struct {
 	id       types.TargetID
 	p        *claims.Partition
-	requests []claims.Action // decided, on the way to the store
-	answers  []claims.Event  // on the way back
+	requests []request      // decided, on the way to the store
+	answers  []claims.Event // on the way back
 	running  map[claims.Hash]uint64
 	paused   bool
 }
@@ -84,7 +90,7 @@
 			w.end(tk, a.Hash())
 			w.refusals++
 		default:
-			o.requests = append(o.requests, a)
+			o.requests = append(o.requests, request{a, o.p})
 		}
 	}
 }
@@ -134,13 +140,24 @@
 func (w *world) serve(o *owner, i int, lost bool) {
 	a := o.requests[i]
 	o.requests = append(o.requests[:i], o.requests[i+1:]...)
-	ev := failed(a)
+	ev := failed(a.Action)
 	if !w.outage {
-		if ok := w.store.do(w.now, a); !lost {
+		if ok := w.store.do(w.now, a.Action); !lost {
 			ev = ok
 		}
 	}
-	o.answers = append(o.answers, ev)
+	if a.from == o.p {
+		o.answers = append(o.answers, ev)
+	}
+}
+
+// answer passes answer i to the owner, and keeps it to be repeated if keep is set.
+func (w *world) answer(o *owner, i int, keep bool) {
+	ev := o.answers[i]
+	if !keep {
+		o.answers = append(o.answers[:i], o.answers[i+1:]...)
+	}
+	w.step(o, ev)
 }
 
 // finish ends one run.
@@ -177,9 +194,7 @@
 				w.serve(o, 0, false)
 			}
 			for len(o.answers) > 0 && !o.paused {
-				ev := o.answers[0]
-				o.answers = o.answers[1:]
-				w.step(o, ev)
+				w.answer(o, 0, false)
 			}
 			if !o.paused {
 				w.step(o, claims.Tick())
@@ -232,12 +247,7 @@
 		return func(t *rapid.T) {
 			o := ready(t)
 			need(t, len(o.answers) > 0)
-			i := rapid.IntRange(0, len(o.answers)-1).Draw(t, "i")
-			ev := o.answers[i]
-			if !keep {
-				o.answers = append(o.answers[:i], o.answers[i+1:]...)
-			}
-			w.step(o, ev)
+			w.answer(o, rapid.IntRange(0, len(o.answers)-1).Draw(t, "i"), keep)
 		}
 	}
 	rarely := func(t *rapid.T) bool { return rapid.IntRange(0, 2).Draw(t, "rarely") == 2 }
--- a/core/lease/fuzz_test.go
+++ b/core/lease/fuzz_test.go
@@ -13,11 +13,17 @@
 
 const leaseTime = 10 * time.Second
 
+// request is a store call of one process; its answer goes to that process only.
+type request struct {
+	lease.Action
+	from *lease.Holder
+}
+
 type node struct {
 	id       types.TargetID
 	h        *lease.Holder
-	requests []lease.Action // decided, on the way to the store
-	answers  []lease.Event  // on the way back
+	requests []request     // decided, on the way to the store
+	answers  []lease.Event // on the way back
 	paused   bool
 }
 
@@ -52,22 +58,23 @@
 }
 
 func (c *cluster) step(n *node, ev lease.Event) {
-	n.requests = append(n.requests, n.h.Step(c.now, ev)...)
+	for _, a := range n.h.Step(c.now, ev) {
+		n.requests = append(n.requests, request{a, n.h})
+	}
 }
 
 // serve executes request i; the answer travels unless lost is set.
 func (c *cluster) serve(n *node, i int, lost bool) {
 	a := n.requests[i]
 	n.requests = append(n.requests[:i], n.requests[i+1:]...)
-	if c.outage {
-		n.answers = append(n.answers, failed(a, lease.Unavailable))
-		return
+	ev, ok := failed(a.Action, lease.Unavailable), true
+	if !c.outage {
+		ev, ok = c.store.do(c.now, a.Action)
 	}
-	ev, ok := c.store.do(c.now, a)
-	switch {
-	case ok && lost:
-		n.answers = append(n.answers, failed(a, lease.Unknown))
-	case ok:
+	if lost && !c.outage {
+		ev = failed(a.Action, lease.Unknown)
+	}
+	if ok && a.from == n.h {
 		n.answers = append(n.answers, ev)
 	}
 }
@@ -116,28 +123,27 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(3)
 		pick := func(t *rapid.T) *node { return rapid.SampledFrom(c.nodes).Draw(t, "node") }
+		need := func(t *rapid.T, ok bool) {
+			if !ok {
+				t.Skip("not possible now")
+			}
+		}
 		ready := func(t *rapid.T) *node {
 			n := pick(t)
-			if n.paused {
-				t.Skip("paused")
-			}
+			need(t, !n.paused)
 			return n
 		}
 		serve := func(lost bool) func(*rapid.T) {
 			return func(t *rapid.T) {
 				n := pick(t)
-				if len(n.requests) == 0 {
-					t.Skip("no request")
-				}
+				need(t, len(n.requests) > 0)
 				c.serve(n, rapid.IntRange(0, len(n.requests)-1).Draw(t, "i"), lost)
 			}
 		}
 		answer := func(keep bool) func(*rapid.T) {
 			return func(t *rapid.T) {
 				n := ready(t)
-				if len(n.answers) == 0 {
-					t.Skip("no answer")
-				}
+				need(t, len(n.answers) > 0)
 				i := rapid.IntRange(0, len(n.answers)-1).Draw(t, "i")
 				ev := n.answers[i]
 				if !keep {
