io/daemon: tell a restarted member everything again

Cause: the leader remembered by name what it had told a member. Ruled out: a lost join (the own data centre was known) and the store watch (the leader had the summaries).

Change: what a member was told belongs to one incarnation.

--- a/io/daemon/leadership.go
+++ b/io/daemon/leadership.go
@@ -41,9 +41,15 @@
 	busy     bool
 }
 
-// sentTo is what a member has been told.
+// sentTo is what one start of a member has been told. A restarted daemon has
+// the name of its predecessor but knows nothing.
 type sentTo struct {
-	summaries map[types.DataCentre]member.Summary
+	incarnation uint64
+	summaries   map[types.DataCentre]member.Summary
+}
+
+func newSentTo(incarnation uint64) sentTo {
+	return sentTo{incarnation: incarnation, summaries: map[types.DataCentre]member.Summary{}}
 }
 
 // becomeLeader starts the leader's tasks.
@@ -250,8 +256,8 @@
 		}
 	}
 	for id, inc := range live {
-		if _, ok := l.sent[id]; !ok {
-			l.sent[id] = sentTo{summaries: map[types.DataCentre]member.Summary{}}
+		if told, ok := l.sent[id]; !ok || told.incarnation != inc {
+			l.sent[id] = newSentTo(inc)
 		}
 		l.stage.Join(id, inc)
 	}
--- a/io/daemon/push.go
+++ b/io/daemon/push.go
@@ -105,7 +105,7 @@
 	for dc, rec := range l.others {
 		key := types.TargetID("leader of " + string(dc))
 		if _, ok := l.sent[key]; !ok {
-			l.sent[key] = sentTo{summaries: map[types.DataCentre]member.Summary{}}
+			l.sent[key] = newSentTo(0)
 		}
 		if own.Newer(l.sent[key].summaries[own.DataCentre()]) {
 			out = append(out, message{to: key, address: rec.Address(), sums: []member.Summary{own}})
--- a/io/setup/keys.go
+++ b/io/setup/keys.go
@@ -30,5 +30,5 @@
 
 	{"atMostOnce", "partitions", "16", "partitions", "partitions of idempotency keys; must be the same in all daemons", "1 to 4096", integer(1, 4096, func(s *Settings) *int { return &s.partitions })},
 	{"atMostOnce", "keyRetention", "24h", "duration", "how long an idempotency key is remembered", "1m to 720h", duration(60, 2592000, func(s *Settings) *timeDuration { return &s.keyRetention })},
-	{"atMostOnce", "keysMax", "50000", "keys", "keys one partition remembers; a full one refuses new keys as not run", "100 to 1000000", integer(100, 1000000, func(s *Settings) *int { return &s.keysMax })},
+	{"atMostOnce", "keysMax", "200000", "keys", "keys one partition remembers; a full one refuses new keys as not run", "100 to 1000000", integer(100, 1000000, func(s *Settings) *int { return &s.keysMax })},
 }
