io/daemon: quarantine requests that crash targets

Cause: a request that crashed its target was retried, and sent again by its caller, on one target after the other. Requests in flight at a death become suspects; their callers get no answer until the other daemons know that, for at most 1 s. A suspect runs alone on one target chosen by its fingerprint; the second death quarantines it everywhere.

Stop now also waits for calls of other daemons, and connections are closed before the socket.

Three copies sent at the same moment can still kill three targets.

--- a/io/daemon/attend.go
+++ b/io/daemon/attend.go
@@ -67,6 +67,11 @@
 		return rep, false
 	}
 	d.heardConfig(rec.Address(), rep.ConfigAt)
+	if rep.Refused == "" && d.askedEpoch != rep.Epoch {
+		// Once for each leader: later suspects are sent to all members.
+		d.askedEpoch = rep.Epoch
+		d.askSuspects(ctx, rec.Address())
+	}
 	return rep, true
 }
 
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -13,6 +13,7 @@
 
 // serveControl handles a control message of another daemon.
 func (d *Daemon) serveControl(_ context.Context, head *wire.ControlHead) *wire.ControlReply {
+	<-d.ready
 	switch head.Kind {
 	case wire.KindJoin:
 		var m wire.Join
@@ -29,6 +30,9 @@
 			d.heardConfig(m.Sender, m.Version)
 			return nil, ""
 		})
+	case wire.KindSuspects:
+		var m wire.Suspects
+		return decoded(head, &m, func() (any, string) { return d.takeSuspects(&m), "" })
 	case wire.KindDrain:
 		var m wire.Drain
 		return decoded(head, &m, func() (any, string) { return d.takeDrain(&m) })
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"trefoilthread/core/config"
 	"trefoilthread/core/lease"
 	"trefoilthread/core/member"
+	"trefoilthread/core/poison"
 	"trefoilthread/core/types"
 	"trefoilthread/io/entry"
 	"trefoilthread/io/meter"
@@ -59,12 +60,16 @@
 	process uint64
 	beat    chan struct{}
 	lead    *lead
+	ready   chan struct{} // closed when messages of other daemons can be handled
 	board   *statusBoard
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	// askedEpoch is the leader whose suspects are known; attend owns it.
+	askedEpoch uint64
+
 	// mu guards the membership state below.
 	mu     sync.Mutex
 	holder *lease.Holder
@@ -74,6 +79,9 @@
 	led    *leadership
 	owners map[int]types.Target // by partition, nil when to be computed
 
+	poisonMu sync.Mutex
+	poison   *poison.Table
+
 	keepMu  sync.Mutex
 	keepers map[int]*keeper
 }
@@ -97,6 +105,7 @@
 		config:  config.NewCurrent(),
 		fetches: ring.New[string](fetchRing),
 		beat:    make(chan struct{}, 1),
+		ready:   make(chan struct{}),
 		keepers: map[int]*keeper{},
 	}
 	if d.process, err = randomUint64(); err != nil {
@@ -132,12 +141,16 @@
 	d.self = types.NewTarget(types.TargetSpec{
 		ID: d.id, DataCentre: d.set.DataCentre(), Address: d.node.Addr(), Incarnation: incarnation, State: types.Down,
 	})
+	d.poison = poison.New(poison.Options{Target: d.id, Incarnation: d.process})
 	d.local = target.New(target.Options{
 		Gate:        admit.Options{Queue: d.set.Queue(), UrgentShare: d.set.UrgentShare()},
 		Incarnation: incarnation,
 		Clock:       d.clock,
 		Log:         d.log,
 		Changed:     d.targetChanged,
+		Enter:       d.enter,
+		Leave:       d.left,
+		Died:        d.targetDied,
 		ConfigAt:    d.config.Version,
 	})
 	d.holder = lease.NewHolder(lease.Spec{
@@ -145,10 +158,12 @@
 		Rank: lease.Rank(d.set.DataCentre(), nil, d.id), Seed: [2]uint64{d.seed, d.process},
 	})
 	d.dir = member.NewDirectory()
+	close(d.ready)
 	d.task(d.lead.run)
 	d.task(d.attend)
 	d.task(d.fetchDocuments)
 	d.task(d.watchdog)
+	d.task(d.checkAlive)
 	d.task(d.followStatus)
 	d.serve()
 	d.log.WithFields(log.Fields{
@@ -175,22 +190,47 @@
 // PeerAddr returns the address for other daemons.
 func (d *Daemon) PeerAddr() string { return d.node.Addr() }
 
+// stopGrace is the time for the others to hear of the drain. Until then calls
+// for keys that this daemon keeps still arrive and are served.
+const stopGrace = 300 * time.Millisecond
+
 // Stop drains the target, waits for its calls and the callers' calls until ctx
 // ends, and closes the daemon. It returns ctx's error if calls were cut off.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.log.Info("stopping")
 	d.local.Drain(true)
 	d.leave(ctx)
-	err := d.local.WaitIdle(ctx)
+	err := d.waitIdle(ctx)
 	for _, s := range d.servers {
 		if serr := s.Shutdown(ctx); err == nil {
 			err = serr
 		}
 	}
+	if werr := d.waitIdle(ctx); err == nil {
+		err = werr
+	}
 	d.Kill()
 	return err
 }
 
+// waitIdle waits until nobody has sent anything for stopGrace and all calls
+// have ended.
+func (d *Daemon) waitIdle(ctx context.Context) error {
+	for quiet := time.Duration(0); quiet < stopGrace; quiet += idlePoll {
+		if !d.local.Idle() || d.node.Serving() > 0 {
+			quiet = 0
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.clock.After(idlePoll):
+		}
+	}
+	return nil
+}
+
+const idlePoll = 10 * time.Millisecond
+
 // Kill closes the daemon at once, as a crash would. Calls are cut off.
 func (d *Daemon) Kill() {
 	d.cancel()
--- a/io/daemon/flow.go
+++ b/io/daemon/flow.go
@@ -21,6 +21,7 @@
 		Targets: d.targets,
 		Send:    d.send,
 		Retries: d.retries,
+		Check:   d.checkPrint,
 		Observe: d.observeReport,
 		Clock:   d.clock,
 	}
--- a/io/daemon/ops.go
+++ b/io/daemon/ops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -19,9 +20,8 @@
 		Store: d.store, Clock: d.clock, Log: d.log,
 		Document: d.config.Document, Status: d.status, StatusChanged: d.statusChanged,
 		Targets: d.listTargets, Drain: d.drainTarget,
-		Quarantine: func() []*opspb.QuarantineEntry { return nil },
-		Lift:       func(context.Context, types.Fingerprint) (bool, error) { return false, nil },
-		TokenHash:  func() map[string][sha256.Size]byte { return d.set.Operators() },
+		Quarantine: d.listQuarantine, Lift: d.liftQuarantine,
+		TokenHash: func() map[string][sha256.Size]byte { return d.set.Operators() },
 	})
 }
 
@@ -49,6 +49,9 @@
 	return out
 }
 
+// hexPrint writes a fingerprint as operators name it.
+func hexPrint(fp types.Fingerprint) string { return fmt.Sprintf("%016x", uint64(fp)) }
+
 // drainTarget takes a target out of service or back, through the daemon beside
 // it.
 func (d *Daemon) drainTarget(ctx context.Context, id types.TargetID, drain bool) (types.TargetState, error) {
--- a/io/daemon/send.go
+++ b/io/daemon/send.go
@@ -44,6 +44,7 @@
 
 // serveCall handles a call that another daemon sent for the own target.
 func (d *Daemon) serveCall(ctx context.Context, head *wire.CallHead, body *wire.BodyReader) (*wire.Answer, error) {
+	<-d.ready
 	if head.Route {
 		return d.serveOnce(ctx, head, body)
 	}
--- a/io/daemon/watchdog.go
+++ b/io/daemon/watchdog.go
@@ -3,14 +3,35 @@
 import (
 	"context"
 	"time"
+
+	"trefoilthread/core/types"
 )
 
 const (
 	// watchdogEvery bounds how long a waiting call outlives its chance to make
 	// its deadline.
 	watchdogEvery = 5 * time.Millisecond
+	// silentAfter is the silence after which an idle target is tested for life:
+	// targets announce themselves each second.
+	silentAfter = 2500 * time.Millisecond
+	aliveEvery  = time.Second
 )
 
+// checkAlive notices a target that died while no call was running on it, until
+// ctx ends.
+func (d *Daemon) checkAlive(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.clock.After(aliveEvery):
+		}
+		if d.local.State() != types.Down && d.local.Silent() > silentAfter {
+			d.local.CheckDead()
+		}
+	}
+}
+
 // watchdog refuses waiting calls that have become late, until ctx ends.
 func (d *Daemon) watchdog(ctx context.Context) {
 	t := d.clock.NewTicker(watchdogEvery)
--- a/io/entry/flow.go
+++ b/io/entry/flow.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"trefoilthread/core/poison"
 	"trefoilthread/core/retry"
 	"trefoilthread/core/route"
 	"trefoilthread/core/types"
@@ -25,6 +26,8 @@
 	Send func(ctx context.Context, t types.Target, head *wire.CallHead, body io.Reader) (*wire.Answer, error)
 	// Retries returns the retry and hedge budgets of a service.
 	Retries func(types.ServiceName) (retry.BudgetOptions, retry.HedgerOptions)
+	// Check tells whether a request is suspected of crashing targets.
+	Check func(types.Fingerprint) poison.Status
 	// Observe is told the load that a target's daemon reported. It may be nil.
 	Observe func(t types.Target, r types.Report)
 	Clock   clockwork.Clock
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"trefoilthread/core/poison"
+	"trefoilthread/core/route"
 	"trefoilthread/core/types"
 	"trefoilthread/io/wire"
 )
@@ -23,12 +25,15 @@
 	done  chan *attempt
 	// mayHaveRun is set by the first failure that does not prove the contrary.
 	mayHaveRun bool
+	// quarantined is set when the attempts showed that the request crashes
+	// targets.
+	quarantined *types.Failure
 }
 
 func (r *race) run() (*wire.Answer, error) {
 	r.pool.called(r.flow.now())
-	if !r.launch() {
-		return nil, types.NewFailure(types.NotRun, "no target of the service is up")
+	if f := r.launch(); f != nil {
+		return nil, f
 	}
 	var hedge <-chan time.Time
 	if d, ok := r.pool.hedgeAfter(r.flow.now(), r.call, r.tries, r.body.whole); ok {
@@ -58,21 +63,23 @@
 		case <-hedge:
 			hedge = nil
 			if len(r.live) == 1 && r.pool.takeHedge() {
-				r.launch()
+				// Without a second target the first attempt goes on alone.
+				_ = r.launch()
 			}
 		}
 	}
 }
 
-// launch starts an attempt on a target that was not tried yet.
-func (r *race) launch() bool {
+// launch starts an attempt on a target that was not tried yet, or returns why
+// there is none.
+func (r *race) launch() *types.Failure {
 	if r.tries <= 0 || !r.body.Replayable() {
-		return false
+		return types.NewFailure(types.NotRun, "no attempt is left")
 	}
 	now := r.flow.now()
-	t, tok, ok := r.pool.start(now, r.tried)
-	if !ok {
-		return false
+	t, tok, f := r.pick(now)
+	if f != nil {
+		return f
 	}
 	r.tries--
 	r.tried = append(r.tried, t.ID())
@@ -85,7 +92,27 @@
 		a.send(head, body)
 		r.done <- a
 	}()
-	return true
+	return nil
+}
+
+// pick chooses the target of the next attempt. A suspect runs only on the one
+// target where its trials are serialized.
+func (r *race) pick(now time.Time) (types.Target, route.Token, *types.Failure) {
+	var t types.Target
+	var tok route.Token
+	var ok bool
+	switch fp := r.call.Fingerprint(); r.flow.opts.Check(fp) {
+	case poison.Quarantined:
+		return t, tok, types.NewFailure(types.Quarantined, "the same request has crashed two targets")
+	case poison.Suspect:
+		t, tok, ok = r.pool.startFor(now, fp)
+	default:
+		t, tok, ok = r.pool.start(now, r.tried)
+	}
+	if !ok {
+		return t, tok, types.NewFailure(types.NotRun, "no target of the service is up")
+	}
+	return t, tok, nil
 }
 
 func (r *race) remove(a *attempt) {
@@ -107,7 +134,13 @@
 	if f := a.outcome(); f != nil {
 		o, draining = f.Outcome(), a.drained()
 	}
-	if !r.pool.mayRetry(r.flow.now(), r.call, o, r.tries, r.body.Replayable(), draining) || !r.launch() {
+	if !r.pool.mayRetry(r.flow.now(), r.call, o, r.tries, r.body.Replayable(), draining) {
+		return false
+	}
+	if f := r.launch(); f != nil {
+		if f.Outcome() == types.Quarantined {
+			r.quarantined = f
+		}
 		return false
 	}
 	r.discard(a)
@@ -138,6 +171,9 @@
 	if a.err == nil {
 		return r.won(a), nil
 	}
+	if r.quarantined != nil {
+		return nil, r.quarantined
+	}
 	f := a.outcome()
 	if f.Outcome() == types.NotRun && r.mayHaveRun {
 		// This attempt did not run, but an earlier one may have.
--- a/io/fleet/fleet_test.go
+++ b/io/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -156,3 +157,59 @@
 	is.Equal(f.Runs("during"), 1)
 	is.Equal(f.Runs("before"), 1)
 }
+
+// Guards against a request that crashes each target it runs on being run on a
+// third one, through whichever daemon its caller sends it, and against the
+// requests in flight with it being condemned.
+func TestPoisonRequestKillsTwoTargetsAtMost(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Options{Deployment: deploy.Small(4, 30*time.Millisecond), RestartAfter: 300 * time.Millisecond})
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			resp, err := http.Get("http://" + f.Nodes()[i%4].Daemon().CallerAddr() + "/s/echo/read")
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	last := reply{}
+	for i := range 12 {
+		last = post(t, f.Nodes()[i%4].Daemon().CallerAddr(), "/s/echo/poison", fmt.Sprintf("attempt-%d", i))
+	}
+	wg.Wait()
+	crashes := 0
+	for _, n := range f.Nodes() {
+		crashes += n.Target().Stats().Crashes
+	}
+	is.True(crashes <= 2) // targets lost to one request
+	is.Equal(last.outcome, types.Quarantined.String())
+	for i := range 4 {
+		var r reply
+		for range 100 {
+			r = get(t, f.Nodes()[i].Daemon().CallerAddr(), "/s/echo/read")
+			if r.status == http.StatusOK {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(r.status, http.StatusOK) // the innocent request runs again
+	}
+}
+
+// get sends a request without key to an entry and returns the reply.
+func get(t *testing.T, entryAddr, path string) reply {
+	t.Helper()
+	resp, err := http.Get("http://" + entryAddr + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		_ = resp.Body.Close()
+	}()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply{resp.StatusCode, resp.Header.Get(entry.HeaderOutcome), string(b)}
+}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -75,6 +76,8 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
+	serving atomic.Int64 // calls of other daemons in progress
+
 	mu    sync.Mutex
 	links map[string]*link
 }
@@ -128,14 +131,19 @@
 	}
 	n.mu.Unlock()
 	err := n.listener.Close()
+	// Each connection tells its peer of the close before the socket goes; a
+	// peer that is not told takes the silence for a stalled connection.
+	n.wg.Wait()
 	if cerr := n.tr.Close(); err == nil {
 		err = cerr
 	}
 	_ = n.udp.Close()
-	n.wg.Wait()
 	return err
 }
 
+// Serving returns the number of calls of other daemons that are in progress.
+func (n *Node) Serving() int { return int(n.serving.Load()) }
+
 func (n *Node) accept() {
 	defer n.wg.Done()
 	for {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -64,6 +64,8 @@
 }
 
 func (n *Node) serveCall(s *quic.Stream, head *wire.CallHead, body *wire.BodyReader) {
+	n.serving.Add(1)
+	defer n.serving.Add(-1)
 	// The stream's context ends when the peer resets the stream or is gone.
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -27,11 +26,14 @@
 	// Changed is called, without locks held, when the target comes up, drains
 	// or dies. It must not block.
 	Changed func(types.TargetState)
-	// Begin, End and Died tell core/poison which requests run here. They may be
-	// nil.
-	Begin func(fp types.Fingerprint)
-	End   func(fp types.Fingerprint, ok bool)
-	Died  func()
+	// Enter is asked before a request is handed to the target; an outcome other
+	// than types.Done refuses it, with the reason.
+	Enter func(fp types.Fingerprint) (types.Outcome, string)
+	// Leave is told how a request that entered ended.
+	Leave func(fp types.Fingerprint, how Ending)
+	// Died is told that the target's process is gone, before the callers of its
+	// requests are. It may take up to a second.
+	Died func()
 	// ConfigAt returns the configuration version in force here. It may be nil.
 	ConfigAt func() int64
 }
@@ -50,6 +52,8 @@
 	draining bool // by an operator or a stop of the daemon
 	lastSeen time.Time
 	inst     string
+	running  int           // calls handed to the target
+	dead     chan struct{} // closed when the present death has been reported
 }
 
 // New returns a Local that refuses all calls until a target is announced.
@@ -84,6 +88,12 @@
 // address is live at the same time.
 func (l *Local) Announce(a Announcement) error {
 	l.mu.Lock()
+	if !l.up && l.running > 0 {
+		// The calls of the dead process end first, so that their deaths are not
+		// counted against the new one. The announcement will be repeated.
+		l.mu.Unlock()
+		return nil
+	}
 	was := l.state()
 	restarted := l.up && a.Instance != "" && a.Instance != l.inst
 	if !l.up || a.Address != l.ann.Address || a.Slots != l.ann.Slots || a.Connections != l.ann.Connections {
@@ -95,7 +105,7 @@
 	l.applyDrain()
 	is := l.state()
 	l.mu.Unlock()
-	if restarted && l.opts.Died != nil {
+	if restarted {
 		l.opts.Died()
 	}
 	if was != is || restarted {
@@ -178,18 +188,6 @@
 	return l.gate.Idle()
 }
 
-// WaitIdle waits until no call runs or waits, or ctx ends.
-func (l *Local) WaitIdle(ctx context.Context) error {
-	for !l.Idle() {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-l.opts.Clock.After(10 * time.Millisecond):
-		}
-	}
-	return nil
-}
-
 // Report returns the load of the target as of now.
 func (l *Local) Report() types.Report {
 	l.mu.Lock()
--- a/io/target/proxy.go
+++ b/io/target/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -54,10 +53,13 @@
 		cancel()
 		return nil, err
 	}
-	run := &run{local: l, cancel: cancel, ticket: ticket, start: l.now(), call: c}
-	if l.opts.Begin != nil {
-		l.opts.Begin(c.Fingerprint())
+	if o, reason := l.opts.Enter(c.Fingerprint()); o != types.Done {
+		cancel()
+		l.release(ticket, 0, true)
+		return nil, l.refuse(o, reason)
 	}
+	run := &run{local: l, ctx: ctx, cancel: cancel, ticket: ticket, start: l.now(), call: c}
+	l.count(1)
 	ans, err := run.send(ctx, head, body)
 	if err != nil {
 		run.finish(false)
@@ -78,6 +80,7 @@
 // run is one call that occupies a slot.
 type run struct {
 	local  *Local
+	ctx    context.Context
 	cancel context.CancelFunc
 	ticket admit.Ticket
 	start  time.Time
@@ -113,7 +116,7 @@
 	resp, err := l.http.Do(req)
 	if err != nil {
 		if ctx.Err() == nil {
-			l.checkDead()
+			l.CheckDead()
 		}
 		return nil, l.failure(ctx, err)
 	}
@@ -141,35 +144,23 @@
 func (r *run) finish(ok bool) {
 	r.once.Do(func() {
 		l := r.local
+		how := Broken
+		if ok {
+			how = Whole
+		} else if r.ctx.Err() != nil {
+			how = GivenUp
+		}
 		r.cancel()
+		l.opts.Leave(r.call.Fingerprint(), how)
+		l.count(-1)
 		l.release(r.ticket, l.now().Sub(r.start), !ok)
-		if l.opts.End != nil {
-			l.opts.End(r.call.Fingerprint(), ok)
-		}
 	})
 }
 
-// checkDead connects to the target anew. A refused connection means that the
-// process is gone: all its calls are lost at once.
-func (l *Local) checkDead() {
-	conn, err := net.DialTimeout("tcp", l.Announcement().Address, dialTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
+func (l *Local) count(n int) {
 	l.mu.Lock()
-	was := l.up
-	l.up = false
-	l.waiting.deliver(l.gate.Drain(l.now()))
-	l.mu.Unlock()
-	if !was {
-		return
-	}
-	l.opts.Log.WithError(err).Warn("target died")
-	if l.opts.Died != nil {
-		l.opts.Died()
-	}
-	l.changed(types.Down)
+	defer l.mu.Unlock()
+	l.running += n
 }
 
 // runBody is the answer's body; closing it frees the slot.
@@ -192,7 +183,7 @@
 		return n, io.EOF
 	}
 	if b.ctx.Err() == nil {
-		b.run.local.checkDead()
+		b.run.local.CheckDead()
 	}
 	return n, b.run.local.failure(b.ctx, err)
 }
--- a/io/wire/member.go
+++ b/io/wire/member.go
@@ -1,6 +1,11 @@
 package wire
 
-import "trefoilthread/core/types"
+import (
+	"time"
+
+	"trefoilthread/core/poison"
+	"trefoilthread/core/types"
+)
 
 // Kinds of control messages.
 const (
@@ -15,7 +20,7 @@
 	// KindConfigAt tells that a newer document exists; ConfigAt, no reply.
 	KindConfigAt = "configAt"
 	// KindSuspects tells of requests that were running when a target died;
-	// Suspects, no reply.
+	// Suspects, answered by all the receiver knows.
 	KindSuspects = "suspects"
 	// KindDrain takes the receiver's target out of service or back; Drain, Drained.
 	KindDrain = "drain"
@@ -99,17 +104,57 @@
 	Version int64  `cbor:"v"`
 }
 
-// Suspects carries suspect and quarantine entries as core/poison encodes them.
+// Suspects carries what its sender knows of requests that crashed targets.
 type Suspects struct {
-	Entries []Suspect `cbor:"s"`
+	Entries []Suspect `cbor:"s,omitempty"`
 }
 
 // Suspect is one request that was running when a target died.
 type Suspect struct {
-	Print   uint64   `cbor:"fp"`
-	Service string   `cbor:"svc"`
-	Deaths  []string `cbor:"d"`           // one name for each death, equal names are one death
-	Lifted  bool     `cbor:"l,omitempty"` // an operator lifted it
+	Print  uint64  `cbor:"fp"`
+	Deaths []Death `cbor:"d"`
+}
+
+// Death is one death of a target during which a request was running.
+type Death struct {
+	Target      string `cbor:"t"`
+	Incarnation uint64 `cbor:"inc"`
+	Number      uint64 `cbor:"n"`
+	Age         int64  `cbor:"age"` // milliseconds; no clock is shared
+	Cleared     bool   `cbor:"ok,omitempty"`
+}
+
+// SuspectsOf returns the wire form of entries.
+func SuspectsOf(entries []poison.Entry) *Suspects {
+	s := &Suspects{}
+	for _, e := range entries {
+		w := Suspect{Print: uint64(e.Fingerprint)}
+		for _, d := range e.Deaths {
+			w.Deaths = append(w.Deaths, Death{
+				Target: string(d.ID.Target), Incarnation: d.ID.Incarnation, Number: d.ID.Number,
+				Age: d.Age.Milliseconds(), Cleared: d.Cleared,
+			})
+		}
+		s.Entries = append(s.Entries, w)
+	}
+	return s
+}
+
+// Core returns the entries that s describes.
+func (s *Suspects) Core() []poison.Entry {
+	var out []poison.Entry
+	for _, w := range s.Entries {
+		e := poison.Entry{Fingerprint: types.Fingerprint(w.Print)}
+		for _, d := range w.Deaths {
+			e.Deaths = append(e.Deaths, poison.Death{
+				ID:      poison.DeathID{Target: types.TargetID(d.Target), Incarnation: d.Incarnation, Number: d.Number},
+				Age:     time.Duration(d.Age) * time.Millisecond,
+				Cleared: d.Cleared,
+			})
+		}
+		out = append(out, e)
+	}
+	return out
 }
 
 // StatusReply lists the version in force in each data centre.
