io/peer: let core/stall find silent connections

Cause: io/peer decided itself, with one goroutine a connection, when a connection is silent. The tracker in core/stall now decides for all connections of a node in one goroutine; pings go out only while answers are owed.

The new test swallows all datagrams of a connection in a relay: a call fails with ErrStalled instead of waiting for its deadline of a minute, a slow call on a live connection does not, and the next call gets a new connection.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -30,8 +30,8 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "open stream to %s", addr), ErrNotSent)
 	}
-	l.begin(conn)
-	ex := &exchange{link: l, conn: conn, s: s}
+	n.watcher.begin(conn)
+	ex := &exchange{watcher: n.watcher, conn: conn, s: s}
 	ex.stop = context.AfterFunc(ctx, ex.reset)
 	fw := wire.NewWriter(s)
 	if err := fw.Message(wire.Head, head); err != nil {
@@ -74,11 +74,11 @@
 
 // exchange is one call in progress on a stream.
 type exchange struct {
-	link *link
-	conn *quic.Conn
-	s    *quic.Stream
-	stop func() bool
-	once sync.Once
+	watcher *watcher
+	conn    *liveConn
+	s       *quic.Stream
+	stop    func() bool
+	once    sync.Once
 }
 
 func (e *exchange) answer() (*wire.Answer, error) {
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.link.received()
+	e.watcher.received(e.conn)
 	switch t {
 	case wire.Head:
 		ans := &wire.Answer{}
@@ -115,7 +115,7 @@
 	e.once.Do(func() {
 		e.stop()
 		e.reset()
-		e.link.end()
+		e.watcher.end(e.conn)
 	})
 }
 
@@ -145,7 +145,7 @@
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
 	if n > 0 || errors.Is(err, io.EOF) {
-		b.ex.link.received()
+		b.ex.watcher.received(b.ex.conn)
 	}
 	return n, err
 }
@@ -164,13 +164,9 @@
 	if err != nil {
 		return err
 	}
-	l.begin(conn)
-	defer l.end()
-	if err := n.exchange(ctx, conn, kind, msg, reply); err != nil {
-		return errors.Wrapf(err, "%s to daemon %s", kind, addr)
-	}
-	l.received()
-	return nil
+	n.watcher.begin(conn)
+	defer n.watcher.end(conn)
+	return errors.Wrapf(n.exchange(ctx, conn.Conn, kind, msg, reply), "%s to daemon %s", kind, addr)
 }
 
 func (n *Node) exchange(ctx context.Context, conn *quic.Conn, kind string, msg, reply any) error {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
+
+	"trefoilthread/core/stall"
 )
 
 // link is the outgoing connection to one peer. It is dialled by the first call
@@ -18,13 +18,15 @@
 	addr string
 
 	mu   sync.Mutex
-	conn *quic.Conn
+	conn *liveConn
 	dial chan struct{} // closed when the dial in progress has ended
 	err  error         // of the last dial
+}
 
-	open     atomic.Int64 // exchanges in progress
-	progress atomic.Int64 // time of the last byte received, Unix nanoseconds
-	watching atomic.Bool
+// liveConn is a connection with its name in the stall tracker.
+type liveConn struct {
+	*quic.Conn
+	id stall.ConnID
 }
 
 func (n *Node) link(addr string) *link {
@@ -50,7 +52,7 @@
 }
 
 // get returns a live connection, dialling once for all who wait.
-func (l *link) get(ctx context.Context) (*quic.Conn, error) {
+func (l *link) get(ctx context.Context) (*liveConn, error) {
 	for {
 		l.mu.Lock()
 		if l.conn != nil && l.conn.Context().Err() == nil {
@@ -93,13 +95,15 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn, l.err, l.dial = conn, errors.Wrapf(err, "connect to daemon %s", l.addr), nil
-	l.progress.Store(n.opts.Clock.Now().UnixNano())
+	l.conn, l.err, l.dial = nil, errors.Wrapf(err, "connect to daemon %s", l.addr), nil
+	if err == nil {
+		l.conn = n.watcher.add(l, conn)
+	}
 	close(done)
 }
 
 // drop closes conn if it is still the current one; other calls dial anew.
-func (l *link) drop(conn *quic.Conn, code quic.ApplicationErrorCode, why string) {
+func (l *link) drop(conn *liveConn, code quic.ApplicationErrorCode, why string) {
 	l.mu.Lock()
 	if l.conn == conn {
 		l.conn = nil
@@ -117,62 +121,3 @@
 		_ = conn.CloseWithError(code, why)
 	}
 }
-
-// begin counts an exchange on conn and starts the watch for progress.
-func (l *link) begin(conn *quic.Conn) {
-	if l.open.Add(1) == 1 {
-		l.progress.Store(l.node.opts.Clock.Now().UnixNano())
-	}
-	if l.watching.CompareAndSwap(false, true) {
-		go l.watch(conn)
-	}
-}
-
-func (l *link) end() { l.open.Add(-1) }
-
-func (l *link) received() { l.progress.Store(l.node.opts.Clock.Now().UnixNano()) }
-
-// watch runs while conn owes answers. A connection that is silent for
-// StallAfter gets a ping, which the peer answers whatever its target does; if
-// the ping stays unanswered as long, the connection is closed and each call on
-// it fails without waiting for its deadline.
-func (l *link) watch(conn *quic.Conn) {
-	defer l.watching.Store(false)
-	clk, after := l.node.opts.Clock, l.node.opts.StallAfter
-	idle := 0
-	for {
-		select {
-		case <-conn.Context().Done():
-			return
-		case <-clk.After(after / 2):
-		}
-		if l.open.Load() == 0 {
-			// Stay for a few rounds: starting a watch for each call would
-			// cost more than the watch itself.
-			if idle++; idle > 8 {
-				return
-			}
-			continue
-		}
-		idle = 0
-		if l.quiet() < after {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(l.node.ctx, after)
-		err := l.node.exchange(ctx, conn, kindPing, nil, nil)
-		cancel()
-		if err == nil {
-			l.received()
-			continue
-		}
-		if conn.Context().Err() == nil && l.quiet() >= after {
-			l.node.opts.Log.WithField("peer", l.addr).Warn("connection stalled, closing it")
-			l.drop(conn, codeStalled, "no progress")
-			return
-		}
-	}
-}
-
-func (l *link) quiet() time.Duration {
-	return l.node.opts.Clock.Now().Sub(time.Unix(0, l.progress.Load()))
-}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -75,6 +75,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
+	watcher  *watcher
 
 	serving atomic.Int64 // calls of other daemons in progress
 
@@ -106,8 +107,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{opts: o, udp: udp, tr: tr, listener: ln, ctx: ctx, cancel: cancel, links: map[string]*link{}}
-	n.wg.Add(1)
+	n.watcher = newWatcher(n)
+	n.wg.Add(2)
 	go n.accept()
+	go func() {
+		defer n.wg.Done()
+		n.watcher.run(ctx)
+	}()
 	return n, nil
 }
 
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,212 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"trefoilthread/core/types"
+	"trefoilthread/io/certs"
+	"trefoilthread/io/logs"
+	"trefoilthread/io/peer"
+	"trefoilthread/io/wire"
+)
+
+// listen starts a node of the given authority.
+func listen(t *testing.T, a *certs.Authority, o peer.Options) *peer.Node {
+	t.Helper()
+	id, err := a.Identity("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Address, o.Identity, o.Log = "127.0.0.1:0", id, logs.Discard()
+	n, err := peer.Listen(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+func authority(t *testing.T) *certs.Authority {
+	t.Helper()
+	a, err := certs.NewAuthority(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// echo answers with the body of the call.
+func echo(_ context.Context, _ *wire.CallHead, body *wire.BodyReader) (*wire.Answer, error) {
+	b, err := io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Answer{Head: wire.AnswerHead{Status: 200, Length: int64(len(b))}, Body: io.NopCloser(bytes.NewReader(b))}, nil
+}
+
+// Guards against answers that are mixed up between calls in progress on one
+// connection, or cut.
+func TestAnswersAreWholeAndTheirOwn(t *testing.T) {
+	is := is.New(t)
+	a := authority(t)
+	server := listen(t, a, peer.Options{Call: echo})
+	client := listen(t, a, peer.Options{})
+	var wg sync.WaitGroup
+	var wrong atomic.Int64
+	for i := range 64 {
+		wg.Go(func() {
+			want := strings.Repeat(string(rune('a'+i%26)), 1+i*4000)
+			ans, err := client.Call(t.Context(), server.Addr(), &wire.CallHead{ID: "x"}, strings.NewReader(want))
+			if err != nil {
+				wrong.Add(1)
+				return
+			}
+			got, err := io.ReadAll(ans.Body)
+			_ = ans.Body.Close()
+			if err != nil || string(got) != want {
+				wrong.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(wrong.Load(), int64(0))
+}
+
+// Guards against an answer that breaks off at the far end being taken for a
+// whole one.
+func TestBrokenAnswerIsAnError(t *testing.T) {
+	is := is.New(t)
+	a := authority(t)
+	server := listen(t, a, peer.Options{Call: func(context.Context, *wire.CallHead, *wire.BodyReader) (*wire.Answer, error) {
+		r := io.MultiReader(strings.NewReader("half"), errReader{})
+		return &wire.Answer{Head: wire.AnswerHead{Status: 200, Length: 8}, Body: io.NopCloser(r)}, nil
+	}})
+	client := listen(t, a, peer.Options{})
+	ans, err := client.Call(t.Context(), server.Addr(), &wire.CallHead{ID: "x"}, nil)
+	is.NoErr(err)
+	_, err = io.ReadAll(ans.Body)
+	var f *wire.Failure
+	is.True(errors.As(err, &f))
+	is.Equal(types.Outcome(f.Outcome), types.Unknown)
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, errors.New("broken") }
+
+// Guards against a daemon of another authority being accepted, and against its
+// refusal being reported as a call that may have run.
+func TestOtherAuthorityIsRefused(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, authority(t), peer.Options{Call: echo})
+	client := listen(t, authority(t), peer.Options{})
+	_, err := client.Call(t.Context(), server.Addr(), &wire.CallHead{ID: "x"}, nil)
+	is.True(errors.Is(err, peer.ErrNotSent))
+}
+
+// relay passes datagrams between one client and a server until it is told to
+// swallow those of the client's present path.
+type relay struct {
+	front *net.UDPConn
+	muted atomic.Bool
+}
+
+func newRelay(t *testing.T, server string) *relay {
+	t.Helper()
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, err := net.ResolveUDPAddr("udp", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := net.DialUDP("udp", nil, to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{front: front}
+	var client atomic.Pointer[net.UDPAddr]
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, from, err := front.ReadFromUDP(buf)
+			if err != nil {
+				return
+			}
+			client.Store(from)
+			if !r.muted.Load() {
+				_, _ = back.Write(buf[:n])
+			}
+		}
+	}()
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, err := back.Read(buf)
+			if err != nil {
+				return
+			}
+			if !r.muted.Load() {
+				_, _ = front.WriteToUDP(buf[:n], client.Load())
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		_ = front.Close()
+		_ = back.Close()
+	})
+	return r
+}
+
+// Guards against calls on a connection that has gone silent waiting for their
+// deadlines, and against a slow target being taken for a silent connection.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	a := authority(t)
+	started := make(chan struct{}, 1)
+	server := listen(t, a, peer.Options{Call: func(ctx context.Context, h *wire.CallHead, b *wire.BodyReader) (*wire.Answer, error) {
+		switch h.ID {
+		case "slow":
+			select {
+			case <-time.After(time.Second):
+			case <-ctx.Done():
+			}
+		case "never":
+			started <- struct{}{}
+			<-ctx.Done()
+		}
+		return echo(ctx, h, b)
+	}})
+	r := newRelay(t, server.Addr())
+	client := listen(t, a, peer.Options{StallAfter: 100 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	ans, err := client.Call(ctx, r.front.LocalAddr().String(), &wire.CallHead{ID: "slow"}, nil)
+	is.NoErr(err) // slow, but the connection answers pings
+	is.NoErr(ans.Body.Close())
+
+	go func() {
+		<-started
+		r.muted.Store(true)
+	}()
+	_, err = client.Call(ctx, r.front.LocalAddr().String(), &wire.CallHead{ID: "never"}, nil)
+	is.True(errors.Is(err, peer.ErrStalled)) // not the deadline of a minute
+	is.True(!errors.Is(err, peer.ErrNotSent))
+
+	r.muted.Store(false)
+	ans, err = client.Call(ctx, r.front.LocalAddr().String(), &wire.CallHead{ID: "again"}, nil)
+	is.NoErr(err) // a new connection works
+	is.NoErr(ans.Body.Close())
+}
--- /dev/null
+++ b/io/peer/watcher.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"trefoilthread/core/stall"
+)
+
+// watchShare is the part of StallAfter between two checks; core/stall takes
+// more than a half for a pause of this process.
+const watchShare = 4
+
+// watcher follows the progress of all outgoing connections of a node, pings
+// the silent ones and closes those that stay silent. Calls on a closed
+// connection fail at once instead of waiting for their deadlines.
+type watcher struct {
+	node *Node
+
+	mu      sync.Mutex
+	tracker *stall.Tracker
+	conns   map[stall.ConnID]watched
+	last    stall.ConnID
+	open    int // exchanges in progress
+}
+
+// watched is a connection and the link it belongs to.
+type watched struct {
+	link *link
+	conn *liveConn
+}
+
+func newWatcher(n *Node) *watcher {
+	return &watcher{
+		node: n, conns: map[stall.ConnID]watched{},
+		tracker: stall.New(n.opts.Clock.Now(), stall.Options{Kind: stall.Peer, StallAfter: n.opts.StallAfter}),
+	}
+}
+
+func (w *watcher) now() time.Time { return w.node.opts.Clock.Now() }
+
+// add follows a new connection until it ends.
+func (w *watcher) add(l *link, conn *quic.Conn) *liveConn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last++
+	c := &liveConn{Conn: conn, id: w.last}
+	w.conns[c.id] = watched{link: l, conn: c}
+	context.AfterFunc(conn.Context(), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.conns, c.id)
+		w.tracker.Closed(c.id)
+	})
+	return c
+}
+
+// begin notes that an exchange waits for an answer on c.
+func (w *watcher) begin(c *liveConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open++
+	w.tracker.Sent(w.now(), c.id, 1)
+}
+
+// end notes that an exchange on c has ended.
+func (w *watcher) end(c *liveConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open--
+	w.tracker.Progress(w.now(), c.id, 1)
+}
+
+// received notes that something arrived on c.
+func (w *watcher) received(c *liveConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tracker.Progress(w.now(), c.id, 0)
+}
+
+// run checks the connections until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	t := w.node.opts.Clock.NewTicker(w.node.opts.StallAfter / watchShare)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+			w.check()
+		}
+	}
+}
+
+// check pings the connections that are silent and closes the stalled ones.
+func (w *watcher) check() {
+	w.mu.Lock()
+	if w.open == 0 {
+		w.mu.Unlock()
+		return
+	}
+	now := w.now()
+	var ping, abandon []watched
+	for _, id := range w.tracker.Check(now) {
+		abandon = append(abandon, w.conns[id])
+	}
+	for _, id := range w.tracker.PingsDue(now) {
+		w.tracker.PingSent(now, id)
+		ping = append(ping, w.conns[id])
+	}
+	w.mu.Unlock()
+	for _, c := range abandon {
+		w.node.opts.Log.WithField("peer", c.link.addr).Warn("connection stalled, closing it")
+		c.link.drop(c.conn, codeStalled, "no progress")
+	}
+	for _, c := range ping {
+		go w.ping(c.conn)
+	}
+}
+
+// ping asks the peer for a sign of life. It ends with the connection at the
+// latest.
+func (w *watcher) ping(c *liveConn) {
+	if err := w.node.exchange(c.Context(), c.Conn, kindPing, nil, nil); err != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tracker.PingAnswered(w.now(), c.id)
+}
