io/target: give up silent connections to the target

Cause: a call on a TCP connection that had gone silent waited for its deadline, and with all slots held by such calls no new connection could show that the target works. Calls of silent connections are sent again outside the retry budget if they are idempotent, also to the same target, and idle connections are closed with the silent ones.

Found on the way: the HTTP client kept only two idle connections and opened the others anew for each call, because its limit was read before the target had announced it.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"trefoilthread/core/lease"
 	"trefoilthread/core/member"
 	"trefoilthread/core/poison"
+	"trefoilthread/core/probe"
 	"trefoilthread/core/types"
 	"trefoilthread/io/entry"
 	"trefoilthread/io/meter"
@@ -82,6 +83,9 @@
 	poisonMu sync.Mutex
 	poison   *poison.Table
 
+	probeMu sync.Mutex
+	probes  *probe.Budget
+
 	keepMu  sync.Mutex
 	keepers map[int]*keeper
 }
@@ -141,16 +145,19 @@
 	d.self = types.NewTarget(types.TargetSpec{
 		ID: d.id, DataCentre: d.set.DataCentre(), Address: d.node.Addr(), Incarnation: incarnation, State: types.Down,
 	})
+	d.probes = probe.New(d.now(), probe.Options{})
 	d.poison = poison.New(poison.Options{Target: d.id, Incarnation: d.process})
 	d.local = target.New(target.Options{
 		Gate:        admit.Options{Queue: d.set.Queue(), UrgentShare: d.set.UrgentShare()},
 		Incarnation: incarnation,
+		StallAfter:  d.set.StallAfter(),
 		Clock:       d.clock,
 		Log:         d.log,
 		Changed:     d.targetChanged,
 		Enter:       d.enter,
 		Leave:       d.left,
 		Died:        d.targetDied,
+		Grant:       d.grantProbe,
 		ConfigAt:    d.config.Version,
 	})
 	d.holder = lease.NewHolder(lease.Spec{
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -55,10 +55,20 @@
 	return explain(a.ctx, a.err)
 }
 
-// drained reports whether the attempt was refused because its target drains.
-func (a *attempt) drained() bool {
+// isFree reports whether another attempt costs nothing of the retry budget: a
+// drain refuses each call once, and a silent connection holds few calls that
+// most likely never reached the target. Neither can grow with the load.
+func (a *attempt) isFree() bool {
 	var f *wire.Failure
-	return errors.As(a.err, &f) && f.Report.Draining
+	drained := errors.As(a.err, &f) && f.Report.Draining && types.Outcome(f.Outcome) == types.NotRun
+	return drained || a.isStalled()
+}
+
+// isStalled reports whether the attempt ended because a connection on its way
+// was silent.
+func (a *attempt) isStalled() bool {
+	var f *wire.Failure
+	return errors.As(a.err, &f) && f.Stalled || errors.Is(a.err, peer.ErrStalled)
 }
 
 // explain turns the error of an attempt into a typed failure. Only errors that
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -32,12 +32,11 @@
 	p.hedger.Call()
 }
 
-// mayRetry decides on another attempt and takes it from the budget. A refusal
-// by a draining target costs nothing: a planned stop refuses each call once.
-func (p *pool) mayRetry(now time.Time, c types.Call, o types.Outcome, tries int, replayable, draining bool) bool {
+// mayRetry decides on another attempt and takes it from the budget unless it is
+// free.
+func (p *pool) mayRetry(now time.Time, c types.Call, o types.Outcome, tries int, replayable, free bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	free := draining && o == types.NotRun
 	proven := o == types.NotRun
 	if retry.Decide(c, c.Depth(), o, proven, tries, replayable, free || p.budget.Available(now)) != retry.Retry {
 		return false
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"trefoilthread/core/poison"
@@ -130,13 +131,17 @@
 		return false
 	}
 	// The target's own error answer does not tell whether it changed anything.
-	o, draining := types.Unknown, false
+	o := types.Unknown
 	if f := a.outcome(); f != nil {
-		o, draining = f.Outcome(), a.drained()
+		o = f.Outcome()
 	}
-	if !r.pool.mayRetry(r.flow.now(), r.call, o, r.tries, r.body.Replayable(), draining) {
+	if !r.pool.mayRetry(r.flow.now(), r.call, o, r.tries, r.body.Replayable(), a.isFree()) {
 		return false
 	}
+	if a.isStalled() {
+		// A new connection to the same target works.
+		r.tried = slices.DeleteFunc(r.tried, func(id types.TargetID) bool { return id == a.target.ID() })
+	}
 	if f := r.launch(); f != nil {
 		if f.Outcome() == types.Quarantined {
 			r.quarantined = f
--- a/io/target/gate.go
+++ b/io/target/gate.go
@@ -78,12 +78,26 @@
 	return &wire.Failure{Outcome: uint8(o), Reason: reason, Report: l.WireReport()}
 }
 
-// Tick refuses waiting calls that can no longer make their deadline. The
-// daemon calls it every few milliseconds while calls wait.
+// Tick refuses waiting calls that can no longer make their deadline, and closes
+// connections that have stalled. The daemon calls it every few milliseconds.
 func (l *Local) Tick() {
+	if l.stalls.needsEvidence() && l.probing.CompareAndSwap(false, true) {
+		go l.probe()
+	}
+	l.closeStalled()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.waiting) > 0 {
 		l.waiting.deliver(l.gate.Tick(l.now()))
 	}
 }
+
+// closeStalled closes the connections that have gone silent, and the idle ones,
+// which most likely share their fate.
+func (l *Local) closeStalled() {
+	if n := l.stalls.check(); n > 0 {
+		client, _ := l.connection()
+		client.CloseIdleConnections()
+		l.opts.Log.WithField("connections", n).Warn("connections to the target stalled, closed them")
+	}
+}
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -1,9 +1,11 @@
 package target
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -21,8 +23,11 @@
 type Options struct {
 	Gate        admit.Options
 	Incarnation uint64
-	Clock       clockwork.Clock
-	Log         log.Interface
+	// StallAfter is how long a connection to the target may be silent while
+	// others make progress.
+	StallAfter time.Duration
+	Clock      clockwork.Clock
+	Log        log.Interface
 	// Changed is called, without locks held, when the target comes up, drains
 	// or dies. It must not block.
 	Changed func(types.TargetState)
@@ -31,6 +36,8 @@
 	Enter func(fp types.Fingerprint) (types.Outcome, string)
 	// Leave is told how a request that entered ended.
 	Leave func(fp types.Fingerprint, how Ending)
+	// Grant asks the measurement budget for one probe.
+	Grant func() bool
 	// Died is told that the target's process is gone, before the callers of its
 	// requests are. It may take up to a second.
 	Died func()
@@ -41,10 +48,12 @@
 // Local is the target beside this daemon. Its methods may be called from any
 // goroutine.
 type Local struct {
-	opts Options
-	http *http.Client
+	opts    Options
+	stalls  *stalls
+	probing atomic.Bool
 
 	mu       sync.Mutex
+	http     *http.Client // nil until a target is announced
 	gate     *admit.Gate
 	waiting  waiters
 	ann      Announcement
@@ -62,17 +71,22 @@
 		o.Clock = clockwork.NewRealClock()
 	}
 	l := &Local{opts: o, gate: admit.New(o.Gate), waiting: waiters{}}
-	l.http = &http.Client{
-		Transport:     l.transport(o.Gate.Connections),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	l.stalls = newStalls(l.now, o.StallAfter)
 	return l
 }
 
-func (l *Local) transport(conns int) *http.Transport {
+// client returns an HTTP client that opens at most conns connections and keeps
+// all of them; net/http would keep two and open the others anew for each call.
+func (l *Local) client(conns int) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         d.DialContext,
+	t := &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: c, closed: l.stalls.closed}, nil
+		},
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     90 * time.Second,
@@ -80,6 +94,10 @@
 		WriteBufferSize:     4 << 10,
 		ReadBufferSize:      4 << 10,
 	}
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 func (l *Local) now() time.Time { return l.opts.Clock.Now() }
@@ -100,6 +118,10 @@
 		o := l.opts.Gate
 		o.Slots, o.Connections = a.Slots, a.Connections
 		l.gate.SetOptions(o)
+		if old := l.http; old != nil {
+			old.CloseIdleConnections()
+		}
+		l.http = l.client(a.Connections)
 	}
 	l.ann, l.up, l.lastSeen, l.inst = a, true, l.now(), a.Instance
 	l.applyDrain()
--- a/io/target/proxy.go
+++ b/io/target/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -86,6 +87,8 @@
 	start  time.Time
 	call   types.Call
 	once   sync.Once
+
+	exchange *exchange // nil until the request is handed to the HTTP client
 }
 
 func (r *run) send(ctx context.Context, head *wire.CallHead, body io.Reader) (*wire.Answer, error) {
@@ -97,7 +100,10 @@
 	// Idempotency-Key again on a new connection if it can read the body anew;
 	// that must not happen for calls that run at most once.
 	rc := &onceBody{r: body}
-	req, err := http.NewRequestWithContext(ctx, head.Method, "http://"+l.Announcement().Address+head.Path, rc)
+	trace, ex := l.stalls.trace()
+	r.exchange = ex
+	client, addr := l.connection()
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), head.Method, "http://"+addr+head.Path, rc)
 	if err != nil {
 		return nil, l.refuse(types.BadRequest, err.Error())
 	}
@@ -113,12 +119,14 @@
 	req.Header.Set("Trefoil-Timeout", strconv.FormatInt(r.call.Remaining(l.now()).Milliseconds(), 10)+"ms")
 	req.Header.Set("Trefoil-Depth", strconv.Itoa(head.Depth))
 
-	resp, err := l.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		if ctx.Err() == nil {
 			l.CheckDead()
 		}
-		return nil, l.failure(ctx, err)
+		f := l.failure(ctx, err)
+		f.Stalled = ex.isStalled()
+		return nil, f
 	}
 	StripHopHeaders(resp.Header)
 	ans := &wire.Answer{Head: wire.AnswerHead{
@@ -128,6 +136,13 @@
 	return ans, nil
 }
 
+// connection returns the client for the target and the target's address.
+func (l *Local) connection() (*http.Client, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.http, l.ann.Address
+}
+
 // failure explains a call that was handed to the HTTP client and got no whole
 // answer. It may have run.
 func (l *Local) failure(ctx context.Context, err error) *wire.Failure {
@@ -151,6 +166,9 @@
 			how = GivenUp
 		}
 		r.cancel()
+		if r.exchange != nil {
+			r.exchange.end(how == Whole, l.now().Sub(r.start))
+		}
 		l.opts.Leave(r.call.Fingerprint(), how)
 		l.count(-1)
 		l.release(r.ticket, l.now().Sub(r.start), !ok)
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -49,6 +49,7 @@
 	Reason  string `cbor:"why"`
 	Report  Report `cbor:"r"`
 	Moved   bool   `cbor:"mv,omitempty"` // the key is kept by another daemon
+	Stalled bool   `cbor:"st,omitempty"` // the connection to the target was silent
 }
 
 // Error implements error.
