io/daemon: bound store calls and refuse truthfully without configuration

Cause: daemons called the store without a budget, and a rush of claims could have cost a leader its lease renewal; leadership has a small budget of its own now. A daemon that had no configuration yet answered noSuchService, which was not true; it refuses as not run. Certificates are read again when their files change.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -31,6 +31,10 @@
 	"trefoilthread/io/target"
 )
 
+// leaseCalls is the rate of store calls for leadership, reads and writes each.
+// A leader makes one in 3 s; a candidate up to four one after the other.
+const leaseCalls = 2
+
 // fetchRing bounds the requests for newer documents that wait.
 const fetchRing = 16
 
@@ -42,7 +46,10 @@
 	log   log.Interface
 	clock clockwork.Clock
 	store store.Store
-	seed  uint64
+	// leases has a call budget of its own, so that a rush of claims cannot cost
+	// the leader its lease.
+	leases store.Store
+	seed   uint64
 
 	node  *peer.Node
 	local *target.Local
@@ -103,7 +110,14 @@
 	}
 	s := o.Settings
 	d := &Daemon{
-		opts: o, set: s, id: s.ID(), clock: o.Clock, store: o.Store, seed: o.Seed,
+		opts: o, set: s, id: s.ID(), clock: o.Clock, seed: o.Seed,
+		store: store.Budgeted(o.Store, store.NewBudget(store.BudgetOptions{
+			WritesPerSecond: s.StoreWrites(), ReadsPerSecond: s.StoreReads(),
+			WriteBurst: int(s.StoreWrites()) + 1, ReadBurst: int(s.StoreReads()) + 2, Clock: o.Clock,
+		})),
+		leases: store.Budgeted(o.Store, store.NewBudget(store.BudgetOptions{
+			WritesPerSecond: leaseCalls, ReadsPerSecond: leaseCalls, Clock: o.Clock,
+		})),
 		log:     o.Log.WithFields(log.Fields{"dataCentre": s.DataCentre(), "daemon": s.ID()}),
 		meter:   meter.New(),
 		config:  config.NewCurrent(),
@@ -171,6 +185,7 @@
 	d.task(d.fetchDocuments)
 	d.task(d.watchdog)
 	d.task(d.checkAlive)
+	d.task(d.renewIdentity)
 	d.task(d.followStatus)
 	d.serve()
 	d.log.WithFields(log.Fields{
--- a/io/daemon/lead.go
+++ b/io/daemon/lead.go
@@ -77,7 +77,7 @@
 func (l *lead) perform(ctx context.Context, a lease.Action) {
 	ctx, cancel := context.WithTimeout(ctx, storeCall)
 	defer cancel()
-	st := l.d.store
+	st := l.d.leases
 	var ev lease.Event
 	switch a.Kind() {
 	case lease.Read:
--- a/io/daemon/listen.go
+++ b/io/daemon/listen.go
@@ -31,7 +31,7 @@
 // serve answers callers, the target and operators.
 func (d *Daemon) serve() {
 	srv := entry.NewServer(entry.ServerOptions{
-		Classify: d.classify, Do: d.do, Scope: d.meter.Scope(), Log: d.log,
+		Classify: d.classify, Ready: func() bool { return d.config.Version() > 0 }, Do: d.do, Scope: d.meter.Scope(), Log: d.log,
 	})
 	d.handle(d.callers, srv.HTTPServer())
 	r := mux.NewRouter()
--- a/io/daemon/once.go
+++ b/io/daemon/once.go
@@ -141,7 +141,7 @@
 }
 
 // keep reads the response up to maxRetained and records it.
-func (d *Daemon) keep(k *keeper, hash claims.Hash, ticket uint64, print uint64, ans *wire.Answer, cancel context.CancelFunc) (*wire.Answer, error) {
+func (d *Daemon) keep(k *keeper, hash claims.Hash, ticket uint64, fp uint64, ans *wire.Answer, cancel context.CancelFunc) (*wire.Answer, error) {
 	head, err := io.ReadAll(io.LimitReader(ans.Body, maxRetained+1))
 	if err != nil {
 		_ = ans.Body.Close()
@@ -159,7 +159,7 @@
 		d.log.WithError(cerr).Debug("response closed")
 	}
 	cancel()
-	data, err := cbor.Marshal(retained{Print: print, Status: ans.Head.Status, Header: ans.Head.Header, Body: head})
+	data, err := cbor.Marshal(retained{Print: fp, Status: ans.Head.Status, Header: ans.Head.Header, Body: head})
 	if err != nil {
 		return nil, d.endedWithout(k, hash, ticket, err)
 	}
@@ -169,12 +169,12 @@
 }
 
 // answerOf returns a retained response to another request with the same key.
-func answerOf(data []byte, print uint64) (*wire.Answer, error) {
+func answerOf(data []byte, fp uint64) (*wire.Answer, error) {
 	var r retained
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return nil, types.NewFailure(types.Unknown, "retained response: "+err.Error())
 	}
-	if r.Print != print {
+	if r.Print != fp {
 		return nil, types.NewFailure(types.BadRequest, "the idempotency key was used for another request")
 	}
 	return &wire.Answer{
--- a/io/daemon/watchdog.go
+++ b/io/daemon/watchdog.go
@@ -45,3 +45,24 @@
 		}
 	}
 }
+
+// reloadEvery is how soon a renewed certificate is taken over.
+const reloadEvery = 10 * time.Second
+
+// renewIdentity reads the certificate files again when they change, until ctx
+// ends. Connections that are open go on; new ones use the new certificate.
+func (d *Daemon) renewIdentity(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.clock.After(reloadEvery):
+		}
+		switch changed, err := d.opts.Identity.Reload(); {
+		case err != nil:
+			d.log.WithError(err).Error("changed certificate not usable, keeping the former one")
+		case changed:
+			d.log.Info("certificate renewed")
+		}
+	}
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -28,6 +28,9 @@
 	// Classify returns what the configuration says of a call, or false if there
 	// is no such service.
 	Classify func(service types.ServiceName, method, path string) (Rule, bool)
+	// Ready reports whether this daemon has a configuration. Until then it must
+	// not say that a service does not exist.
+	Ready func() bool
 	// Do runs a call and returns its answer, or a *types.Failure.
 	Do    func(ctx context.Context, head *wire.CallHead, body *Body) (*wire.Answer, error)
 	Scope tally.Scope
@@ -99,6 +102,10 @@
 		writeFailure(w, types.NewFailure(o, reason), service, key, id)
 	}
 
+	if !s.opts.Ready() {
+		fail(types.NotRun, "no configuration received yet", "")
+		return
+	}
 	rule, ok := s.opts.Classify(types.ServiceName(service), r.Method, pathOnly(path))
 	if !ok {
 		service = ""
--- a/io/setup/keys.go
+++ b/io/setup/keys.go
@@ -19,8 +19,8 @@
 	{"tls", "caFile", "", "file", "PEM certificates of the authority of all daemons", "a readable file", text(func(s *Settings, v string) { s.caFile = v })},
 
 	{"store", "endpoints", "", "URLs", "endpoints of the platform's key-value service (etcd v3 API), separated by commas", "http:// or https:// URLs", endpoints},
-	{"store", "writesPerSecond", "10", "1/s", "store writes this daemon may make", "0.1 to 1000", number(0.1, 1000, func(s *Settings) *float64 { return &s.writesPerSec })},
-	{"store", "readsPerSecond", "10", "1/s", "store reads this daemon may make", "0.1 to 1000", number(0.1, 1000, func(s *Settings) *float64 { return &s.readsPerSec })},
+	{"store", "writesPerSecond", "20", "1/s", "store writes this daemon may make", "0.1 to 1000", number(0.1, 1000, func(s *Settings) *float64 { return &s.writesPerSec })},
+	{"store", "readsPerSecond", "20", "1/s", "store reads this daemon may make", "0.1 to 1000", number(0.1, 1000, func(s *Settings) *float64 { return &s.readsPerSec })},
 	{"store", "leaseTime", "10s", "duration", "time to live of a leadership lease: how long a data centre is without a leader after a crash", "2s to 5m", duration(2, 300, func(s *Settings) *timeDuration { return &s.leaseTime })},
 
 	{"calls", "queue", "64", "calls", "calls that may wait for the target's slots", "0 to 100000", integer(0, 100000, func(s *Settings) *int { return &s.queue })},
