--- a/io/fleet/node.go
+++ b/io/fleet/node.go
@@ -45,6 +45,13 @@
 
 // startDaemon starts a new daemon on the node, as after its VM was replaced.
 func (n *Node) startDaemon(f *Fleet) error {
+	storeAddr := f.store.Addr()
+	if f.opts.StoreVia != nil {
+		var err error
+		if storeAddr, err = f.opts.StoreVia(n.id, storeAddr); err != nil {
+			return err
+		}
+	}
 	text := fmt.Sprintf(`[daemon]
 id = %s
 dataCentre = %s
@@ -61,7 +68,7 @@
 endpoints = http://%s
 leaseTime = %s
 %s
-`, n.id, n.dc, f.store.Addr(), f.opts.LeaseTime, f.opts.Settings)
+`, n.id, n.dc, storeAddr, f.opts.LeaseTime, f.opts.Settings)
 	set, err := setup.Parse(string(n.id), []byte(text))
 	if err != nil {
 		return err
--- a/io/fleet/options.go
+++ b/io/fleet/options.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"trefoilthread/core/route"
+	"trefoilthread/core/types"
 	"trefoilthread/io/deploy"
 	"trefoilthread/io/stand"
 )
@@ -28,4 +29,7 @@
 	// Settings are more lines of the daemons' settings file, for example
 	// "[calls]\nqueue = 10".
 	Settings string
+	// StoreVia, if set, gives the address at which a daemon reaches the store
+	// that listens on addr, so that a benchmark can count the daemon's traffic.
+	StoreVia func(daemon types.TargetID, addr string) (string, error)
 }
