cmd/trefoilthread: add operators' commands, keys and the settings reference

Cause: the design names config, target, quarantine and keys; the binary had only daemon, check and demo.

--- a/cmd/trefoilthread/check.go
+++ b/cmd/trefoilthread/check.go
@@ -10,18 +10,23 @@
 )
 
 type checkCmd struct {
-	PrintDefaults bool   `help:"Print a settings file with each key and its default."`
-	File          string `arg:"" optional:"" help:"Settings file to check." type:"path"`
+	PrintDefaults  bool   `help:"Print a settings file with each key and its default." xor:"print"`
+	PrintReference bool   `help:"Print the reference of all keys in Markdown." xor:"print"`
+	File           string `arg:"" optional:"" help:"Settings file to check." type:"path"`
 }
 
-// Run checks a file or prints the defaults.
+// Run checks a file, or prints the defaults or the reference.
 func (c *checkCmd) Run() error {
 	if c.PrintDefaults {
 		_, err := fmt.Print(setup.Defaults())
 		return err
 	}
+	if c.PrintReference {
+		_, err := fmt.Print(referenceHead + setup.Reference() + referenceTail)
+		return err
+	}
 	if c.File == "" {
-		return errors.New("name a settings file, or use --print-defaults")
+		return errors.New("name a settings file, or use --print-defaults or --print-reference")
 	}
 	s, err := setup.Load(c.File)
 	var faults setup.Errors
--- a/cmd/trefoilthread/main.go
+++ b/cmd/trefoilthread/main.go
@@ -6,6 +6,8 @@
 //	trefoilthread demo                          one deployment in one process
 //	trefoilthread check daemon.ini              check a settings file
 //	trefoilthread check --print-defaults        print every key and its default
+//	trefoilthread check --print-reference       print docs/settings.md
+//	trefoilthread keys authority|issue|token    make certificates and tokens
 //	trefoilthread daemon daemon.ini             run the daemon
 //	trefoilthread config apply services.ini     change services
 //	trefoilthread target list                   list the known targets
@@ -21,9 +23,13 @@
 
 // cli lists the subcommands; each stands in a file of its own.
 type cli struct {
-	Daemon daemonCmd `cmd:"" help:"Run the daemon beside a target."`
-	Check  checkCmd  `cmd:"" help:"Check a settings file."`
-	Demo   demoCmd   `cmd:"" help:"Run one deployment in one process and report."`
+	Daemon     daemonCmd     `cmd:"" help:"Run the daemon beside a target."`
+	Check      checkCmd      `cmd:"" help:"Check a settings file."`
+	Keys       keysCmd       `cmd:"" help:"Make certificates of daemons and tokens of operators."`
+	Config     configCmd     `cmd:"" help:"Read and change the services."`
+	Target     targetCmd     `cmd:"" help:"List targets, take them out of service and back."`
+	Quarantine quarantineCmd `cmd:"" help:"List and lift requests that crash targets."`
+	Demo       demoCmd       `cmd:"" help:"Run one deployment in one process and report."`
 }
 
 func main() {
--- a/io/certs/authority.go
+++ b/io/certs/authority.go
@@ -14,26 +14,36 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Authority signs daemon certificates for demonstrations and tests. Its key
-// never leaves the process.
+// Authority signs daemon certificates. Its key leaves the process only through
+// Save.
 type Authority struct {
 	cert *x509.Certificate
 	key  *ecdsa.PrivateKey
 	pool *x509.CertPool
 }
 
-// NewAuthority makes an authority that is valid from an hour before now for
-// one day.
+// NewAuthority makes an authority for a demonstration or a test, valid for one
+// day.
 func NewAuthority(now time.Time) (*Authority, error) {
+	return NewAuthorityUntil(now, now.Add(24*time.Hour))
+}
+
+// NewAuthorityUntil makes an authority that is valid from an hour before now,
+// for clocks that are behind, until notAfter.
+func NewAuthorityUntil(now, notAfter time.Time) (*Authority, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, errors.Wrap(err, "authority key")
 	}
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		return nil, errors.Wrap(err, "serial number")
+	}
 	tmpl := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
+		SerialNumber:          serial,
 		Subject:               pkix.Name{CommonName: "trefoilthread authority"},
 		NotBefore:             now.Add(-time.Hour),
-		NotAfter:              now.Add(24 * time.Hour),
+		NotAfter:              notAfter,
 		IsCA:                  true,
 		BasicConstraintsValid: true,
 		KeyUsage:              x509.KeyUsageCertSign,
@@ -83,6 +93,9 @@
 	return certPEM, keyPEM, nil
 }
 
+// NotAfter returns the end of the authority's validity.
+func (a *Authority) NotAfter() time.Time { return a.cert.NotAfter }
+
 // CertPEM returns the authority's certificate in PEM.
 func (a *Authority) CertPEM() []byte {
 	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
--- a/io/certs/doc.go
+++ b/io/certs/doc.go
@@ -1,6 +1,6 @@
 // Package certs provides the TLS identities of daemons: certificates read from
-// files and read again when the files change, and throw-away authorities for
-// the demonstration and for tests.
+// files and read again when the files change, and the authority that signs
+// them, kept in files or thrown away after a demonstration or test.
 //
 // Daemons authenticate each other with mutual TLS 1.3. A peer is accepted if
 // its certificate is signed by the configured authority and carries the
@@ -14,4 +14,14 @@
 //		return err
 //	}
 //	tlsConf := id.Config()
+//
+//	ca, err := certs.LoadAuthority("ca.crt", "ca.key")
+//	if err != nil {
+//		return err
+//	}
+//	cert, key, err := ca.Issue("kl-sentral/bookings-1", now, now.Add(30*24*time.Hour))
+//	if err != nil {
+//		return err
+//	}
+//	err = certs.WriteFiles("daemon.crt", cert, "daemon.key", key)
 package certs
