io/load: compare policies in alternating slices

Ruled out: one run per policy after the other, because a disturbance of the shared machine would hit one policy only; one fleet whose policy is switched, because queues and averages of one policy would leak into the next.

Late calls count in the urgent quantiles.

--- a/cmd/trefoilthread/main.go
+++ b/cmd/trefoilthread/main.go
@@ -24,6 +24,7 @@
 	Daemon daemonCmd `cmd:"" help:"Run the daemon beside a target."`
 	Check  checkCmd  `cmd:"" help:"Check a settings file."`
 	Demo   demoCmd   `cmd:"" help:"Run one deployment in one process and report."`
+	Load   loadCmd   `cmd:"" help:"Compare policies under load and faults."`
 }
 
 func main() {
--- a/io/fleet/node.go
+++ b/io/fleet/node.go
@@ -87,6 +87,9 @@
 	return nil
 }
 
+// Targets returns the target and the earlier ones of the same name.
+func (n *Node) Targets() []*stand.Target { return append([]*stand.Target{n.target}, n.former...) }
+
 // runs returns how often this node's targets ran a key.
 func (n *Node) runs(key string) int {
 	sum := n.target.Runs(key)
--- a/io/load/caller.go
+++ b/io/load/caller.go
@@ -44,6 +44,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		res.latency = time.Since(due)
 		res.aborted, res.reason = errors.Is(ctx.Err(), context.Canceled), err.Error()
 		return res
 	}
@@ -60,6 +61,7 @@
 	res.outcome = outcomeNamed(resp.Header.Get(entry.HeaderOutcome))
 	if res.outcome != types.Done || resp.StatusCode >= 500 {
 		res.reason = string(body[:min(len(body), 200)])
+		res.request = requestOf(body, resp.Header.Get(entry.HeaderRequest))
 		return res
 	}
 	var a stand.Answer
@@ -67,11 +69,25 @@
 		res.cut = true
 		return res
 	}
+	res.request = a.Request
 	res.crossed = a.Key != key || a.Path != k.call.Path() || a.Service != k.service ||
 		a.Request != resp.Header.Get(entry.HeaderRequest)
 	return res
 }
 
+// requestOf returns the id a request had at the targets: from the body of a
+// daemon's own answer, or from the header of a target's.
+func requestOf(body []byte, header string) string {
+	var f struct {
+		Request string `json:"request"`
+	}
+	// A target's error answer is no JSON and has no id in its body.
+	if err := json.Unmarshal(body, &f); err == nil && f.Request != "" {
+		return f.Request
+	}
+	return header
+}
+
 // emptyBody hides from net/http that a request has no body to rewind.
 type emptyBody struct{}
 
--- a/io/load/generator.go
+++ b/io/load/generator.go
@@ -19,7 +19,9 @@
 	Mix     []Kind
 	// Rate is the mean number of calls a second.
 	Rate float64
-	Seed uint64
+	// RateAt returns the mean rate at a time of load; nil for always Rate.
+	RateAt func(time.Duration) float64
+	Seed   uint64
 }
 
 // Generator sends calls at random times of a given mean rate.
@@ -29,6 +31,7 @@
 	caller *caller
 	keys   int
 	run    string
+	spent  time.Duration // time of load of the slices so far
 }
 
 // NewGenerator returns a generator whose sequence of calls follows from the
@@ -44,12 +47,23 @@
 // Run sends calls for the given time and waits for their answers.
 func (g *Generator) Run(ctx context.Context, d time.Duration) *Result {
 	res := newResult(g.opts.Mix)
+	g.Slice(ctx, d, res)
+	g.Close()
+	return res
+}
+
+// Close closes the idle connections to the daemons.
+func (g *Generator) Close() { g.caller.http.CloseIdleConnections() }
+
+// Slice sends calls for the given time, waits for their answers and adds them
+// to res. Connections stay open for the next slice.
+func (g *Generator) Slice(ctx context.Context, d time.Duration, res *Result) {
 	var wg sync.WaitGroup
 	sem := make(chan struct{}, maxOutstanding)
 	start := time.Now()
 	due := start
 	for {
-		due = due.Add(time.Duration(g.rng.ExpFloat64() / g.opts.Rate * float64(time.Second)))
+		due = due.Add(time.Duration(g.rng.ExpFloat64() / g.rate(due.Sub(start)) * float64(time.Second)))
 		if due.Sub(start) >= d || ctx.Err() != nil {
 			break
 		}
@@ -71,8 +85,15 @@
 		}(due)
 	}
 	wg.Wait()
-	g.caller.http.CloseIdleConnections()
-	return res
+	g.spent += d
+}
+
+// rate returns the mean rate at a time of the running slice.
+func (g *Generator) rate(t time.Duration) float64 {
+	if g.opts.RateAt == nil {
+		return g.opts.Rate
+	}
+	return g.opts.RateAt(g.spent + t)
 }
 
 // next draws the kind, entry and key of the next call.
--- a/io/load/series.go
+++ b/io/load/series.go
@@ -24,6 +24,7 @@
 
 	mu       sync.Mutex
 	hist     *hdrhistogram.Histogram // microseconds, answered calls only
+	ended    *hdrhistogram.Histogram // microseconds, all calls but those refused as not run
 	outcomes map[types.Outcome]int
 	errors   int // answers with a status of 500 or more from the target itself
 	crossed  int
@@ -32,6 +33,8 @@
 	offered  float64
 	keys     []string
 	refused  []string // keys of calls refused as not run
+	ids      []string // request ids, those that are known
+	refIDs   []string // request ids of calls refused as not run
 	aborted  int
 	reasons  map[string]int
 }
@@ -40,6 +43,7 @@
 	return &Series{
 		kind:     k,
 		hist:     hdrhistogram.New(1, histogramMax, histogramDigits),
+		ended:    hdrhistogram.New(1, histogramMax, histogramDigits),
 		outcomes: map[types.Outcome]int{},
 		reasons:  map[string]int{},
 	}
@@ -51,6 +55,7 @@
 	status  int
 	latency time.Duration
 	key     string
+	request string // id of the request at the targets, if the answer has it
 	reason  string // why there was no answer
 	crossed bool
 	cut     bool
@@ -68,6 +73,12 @@
 			s.refused = append(s.refused, r.key)
 		}
 	}
+	if r.request != "" {
+		s.ids = append(s.ids, r.request)
+		if r.outcome.ProvesNotRun() {
+			s.refIDs = append(s.refIDs, r.request)
+		}
+	}
 	if r.aborted {
 		s.aborted++
 	}
@@ -80,6 +91,11 @@
 	if r.cut {
 		s.cut++
 	}
+	us := min(max(r.latency.Microseconds(), 1), histogramMax)
+	// The value is within the histograms' range, so recording cannot fail.
+	if !r.outcome.ProvesNotRun() && !r.aborted {
+		_ = s.ended.RecordValue(us)
+	}
 	if r.outcome != types.Done {
 		return
 	}
@@ -87,8 +103,6 @@
 		s.errors++
 		return
 	}
-	us := min(max(r.latency.Microseconds(), 1), histogramMax)
-	// The value is within the histogram's range, so recording cannot fail.
 	_ = s.hist.RecordValue(us)
 	if !s.kind.urgent || r.latency <= s.kind.timeout {
 		s.worth += s.kind.worth
@@ -173,3 +187,21 @@
 	defer s.mu.Unlock()
 	return append([]string(nil), s.keys...), append([]string(nil), s.refused...)
 }
+
+// Requests returns the request ids that answers told, and those of calls that
+// were refused as not run.
+func (s *Series) Requests() (sent, refused []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.ids...), append([]string(nil), s.refIDs...)
+}
+
+// mergeInto adds the latencies of all calls but those refused as not run to h,
+// which has the range of a series. A call that fails at its deadline counts
+// with the time it took; without it a policy that loses its slowest calls
+// would show a short tail.
+func (s *Series) mergeInto(h *hdrhistogram.Histogram) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Merge(s.ended)
+}
