--- a/io/load/parse.go
+++ b/io/load/parse.go
@@ -172,11 +172,21 @@
 		durationField("at", "", 0, turn, &r.at),
 		durationField("for", "", time.Millisecond, turn, &r.lasts),
 		numberField("load", "", 0.001, 3, &r.load),
-	}) {
+	}) && p.ends(sec, r.at, r.lasts) {
 		p.s.rush = r
 	}
 }
 
+// ends reports whether a time range lies within the load of a policy.
+func (p *parser) ends(sec *ini.Section, at, lasts time.Duration) bool {
+	turn := p.s.Turn()
+	if at+lasts <= turn {
+		return true
+	}
+	p.bad(sec.Name(), "for", lasts.String(), "allowed: at most "+(turn-at).String()+", the rest of a policy's load")
+	return false
+}
+
 func (p *parser) call(sec *ini.Section) {
 	name := strings.TrimPrefix(sec.Name(), callPrefix)
 	var names []string
--- a/io/load/parsefault.go
+++ b/io/load/parsefault.go
@@ -44,7 +44,7 @@
 		durationField("period", "500ms", 10*time.Millisecond, time.Minute, &f.period),
 	}
 	fields := slices.DeleteFunc(all, func(k field) bool { return !kind.takes(k.name) })
-	if p.fields(sec, fields) {
+	if p.fields(sec, fields) && p.ends(sec, f.at, f.lasts) {
 		f.kind = kind
 		p.s.faults = append(p.s.faults, f)
 	}
