io/load: bound the replacement of a node

Cause: a node that does not come back would leave a rolling restart waiting without end.

Change: 20 s for each node, then the experiment ends with an error.

--- a/io/load/doc.go
+++ b/io/load/doc.go
@@ -10,6 +10,9 @@
 // that was sent. What the outcome header promises is compared with what the
 // targets ran.
 //
+// Scenario and Experiment compare policies under faults: see Experiment for
+// how, and the directory scenarios for examples.
+//
 // # Usage
 //
 //	g := load.NewGenerator(load.GeneratorOptions{Entries: addrs, Mix: mix, Rate: 200, Seed: 1})
@@ -17,4 +20,8 @@
 //	for _, s := range res.Series() {
 //		fmt.Println(s.Name(), s.Count(), s.Quantile(0.99))
 //	}
+//
+//	s, err := load.Load("scenarios/tiram-straggler.ini")
+//	rep, err := load.NewExperiment(s, os.Stderr).Run(ctx)
+//	rep.WriteText(os.Stdout)
 package load
--- a/io/load/inject.go
+++ b/io/load/inject.go
@@ -15,6 +15,10 @@
 // targets. It is above the time for which a daemon holds such an answer.
 const poisonTimeout = 3 * time.Second
 
+// replaceTimeout bounds the replacement of one node, so that a node that does
+// not come back ends the experiment with an error.
+const replaceTimeout = 20 * time.Second
+
 // injector makes the steps of faults for one fleet.
 type injector struct {
 	fleet *fleet.Fleet
@@ -126,7 +130,11 @@
 func (in *injector) rolling(f Fault) steps {
 	var out steps
 	for _, i := range in.chosen(f) {
-		out = append(out, step{f.at, func(ctx context.Context) error { return in.fleet.Replace(ctx, i) }})
+		out = append(out, step{f.at, func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
+			defer cancel()
+			return in.fleet.Replace(ctx, i)
+		}})
 	}
 	return out
 }
