--- a/cmd/trefoilthread/main.go
+++ b/cmd/trefoilthread/main.go
@@ -30,6 +30,7 @@
 	Target     targetCmd     `cmd:"" help:"List targets, take them out of service and back."`
 	Quarantine quarantineCmd `cmd:"" help:"List and lift requests that crash targets."`
 	Demo       demoCmd       `cmd:"" help:"Run one deployment in one process and report."`
+	Load       loadCmd       `cmd:"" help:"Compare policies under load and faults."`
 }
 
 func main() {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -115,14 +115,14 @@
 	is.True(errors.Is(err, peer.ErrNotSent))
 }
 
-// relay passes datagrams between one client and a server until it is told to
+// mutableRelay passes datagrams between one client and a server until it is told to
 // swallow those of the client's present path.
-type relay struct {
+type mutableRelay struct {
 	front *net.UDPConn
 	muted atomic.Bool
 }
 
-func newRelay(t *testing.T, server string) *relay {
+func newMutableRelay(t *testing.T, server string) *mutableRelay {
 	t.Helper()
 	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -136,7 +136,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &relay{front: front}
+	r := &mutableRelay{front: front}
 	var client atomic.Pointer[net.UDPAddr]
 	go func() {
 		buf := make([]byte, 2048)
@@ -189,7 +189,7 @@
 		}
 		return echo(ctx, h, b)
 	}})
-	r := newRelay(t, server.Addr())
+	r := newMutableRelay(t, server.Addr())
 	client := listen(t, a, peer.Options{StallAfter: 100 * time.Millisecond})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
