core/whole: cut data centres off and cancel attempts

Ruled out: canceling the run at the target: whether a target stops is unknown, and core/admit keeps the slot for that reason. Change: the end of a call cancels its other attempts; a move cuts a data centre off from the other one and from the store.

--- a/core/whole/call_test.go
+++ b/core/whole/call_test.go
@@ -122,6 +122,7 @@
 	r.over = true
 	for _, a := range r.live {
 		r.p.picker.Finish(r.p.w.now, a.token, route.Result{Outcome: types.Canceled})
+		r.p.w.cancel(r.p.w.node(a.t.ID()), r.c.ID())
 	}
 	r.done(res)
 }
@@ -264,6 +265,7 @@
 	case admit.Refuse:
 		done(p.refusal())
 	case admit.Wait:
+		p.tickets[c.ID()] = t
 		p.waiting[t] = func(ev admit.Event) {
 			if ev.Verdict == admit.Run {
 				p.run(c, t, done)
@@ -276,8 +278,7 @@
 		}
 		p.w.after(p, c.Remaining(now), func() {
 			if p.waiting[t] != nil {
-				delete(p.waiting, t)
-				p.deliver(p.gate.Cancel(p.w.now, t))
+				p.cancel(c.ID())
 				done(p.refusal())
 			}
 		})
@@ -285,6 +286,23 @@
 	}
 }
 
+// cancel tells a daemon that nobody waits for a call any more.
+func (w *world) cancel(n *node, id string) {
+	w.after(nil, otherCentre, func() {
+		if q := n.proc; q != nil {
+			w.after(q, 0, func() { q.cancel(id) })
+		}
+	})
+}
+
+// cancel withdraws a waiting call. A running one keeps its slot to its end.
+func (p *proc) cancel(id string) {
+	if t, ok := p.tickets[id]; ok {
+		delete(p.waiting, t)
+		p.deliver(p.gate.Cancel(p.w.now, t))
+	}
+}
+
 // tick refuses late calls for as long as calls wait.
 func (p *proc) tick() {
 	p.w.after(p, 10*time.Millisecond, func() {
@@ -332,8 +350,10 @@
 		return
 	}
 	w.oracle.started(w.byID[c.ID()], in, p.drained)
+	p.tickets[c.ID()] = t
 	r := &run{p: p, in: in}
 	r.ended = func(res result) {
+		delete(p.tickets, c.ID())
 		p.deliver(p.gate.Done(w.now, t, w.now.Sub(start), res.out != types.Done))
 		res.report = p.load()
 		done(res)
--- a/core/whole/doc.go
+++ b/core/whole/doc.go
@@ -8,9 +8,9 @@
 // on a virtual clock; the store is a small fake with compare-and-swap and
 // leases. A script drawn by rapid has the calls and the faults: crashes and
 // replacement, pauses, targets that crash or are slow, messages that are lost,
-// repeated or late, store outages, lost store answers, partitions taken over
-// while their owner still works, drains, repeated keys, changes of
-// configuration and of leaders.
+// repeated or late, store outages, lost store answers, a data centre cut
+// off from the other one and the store, partitions taken over while their owner
+// still works, drains, repeated keys, changes of configuration and of leaders.
 //
 // # Oracle
 //
--- a/core/whole/leader_test.go
+++ b/core/whole/leader_test.go
@@ -94,6 +94,9 @@
 	if s := l.table.Summary(); l.turns%10 == 0 || s.Newer(l.sent) {
 		l.sent = s
 		for _, n := range w.nodes {
+			if w.cut && n.dc != l.dc {
+				continue
+			}
 			w.leaderMessage(func() {
 				if n.proc != nil {
 					p := n.proc
--- a/core/whole/net_test.go
+++ b/core/whole/net_test.go
@@ -64,6 +64,9 @@
 		way = sameCentre
 	}
 	f := w.netFaults.next()
+	if w.cut && from.n.dc != to.dc {
+		f = lostRequest
+	}
 	end := func(d time.Duration, v any, err error) { w.after(from, d, func() { done(v, err) }) }
 	s := &stream{broken: func(d time.Duration) { end(d, nil, errBroken) }}
 	request := way
--- a/core/whole/node_test.go
+++ b/core/whole/node_test.go
@@ -57,6 +57,7 @@
 	drained  bool // the drain was acknowledged
 	gate     *admit.Gate
 	waiting  map[admit.Ticket]func(admit.Event)
+	tickets  map[string]admit.Ticket // by call id
 	breaks   []*run
 
 	picker  *route.Picker
@@ -74,7 +75,8 @@
 	p := &proc{
 		w: w, n: n, number: w.starts, dir: member.NewDirectory(), cfg: config.NewCurrent(),
 		gate: admit.New(admit.Options{Slots: slots, Connections: 8, Queue: 4}), waiting: map[admit.Ticket]func(admit.Event){},
-		budget: retry.NewBudget(retry.BudgetOptions{}), hedger: retry.NewHedger(retry.HedgerOptions{MinSamples: 3, Share: 0.5}),
+		tickets: map[string]admit.Ticket{},
+		budget:  retry.NewBudget(retry.BudgetOptions{}), hedger: retry.NewHedger(retry.HedgerOptions{MinSamples: 3, Share: 0.5}),
 		target: &instance{name: n.id, slots: slots}, forced: map[int]bool{},
 		self: types.NewTarget(types.TargetSpec{
 			ID: n.id, Service: service, DataCentre: n.dc, Address: string(n.id), Slots: slots, Incarnation: n.incarnation,
--- a/core/whole/script_test.go
+++ b/core/whole/script_test.go
@@ -26,6 +26,7 @@
 	netFaults    faults
 	storeFaults  faults
 	memberFaults faults
+	cut          bool // no messages between the data centres
 	nodes        []*node
 	leaders      []*leader
 	document     config.Document
@@ -49,7 +50,7 @@
 var kinds = []string{
 	"call", "call", "call", "key", "key", "key", "again", "again", "again", "burst", "step", "step", "step", "wait", "wait",
 	"crash", "pause", "resume", "resume", "targetCrash", "slow", "net", "net", "net", "member", "store", "store",
-	"outage", "takeover", "drain", "undrain", "config", "leader", "keyedBurst", "split", "split", "split",
+	"outage", "cut", "takeover", "drain", "undrain", "config", "leader", "keyedBurst", "split", "split", "split",
 }
 
 // scripts draws whole sequences of calls and faults.
@@ -168,7 +169,7 @@
 
 // heal ends all faults and lets every call come to its end.
 func (w *world) heal() {
-	w.store.outage = false
+	w.store.outage, w.cut = false, false
 	w.netFaults.queue, w.storeFaults.queue, w.memberFaults.queue = nil, nil, nil
 	for _, n := range w.nodes {
 		if n.proc != nil {
@@ -271,6 +272,8 @@
 		plan(&w.storeFaults)
 	case "outage":
 		w.store.outage = !w.store.outage
+	case "cut":
+		w.cut = !w.cut
 	case "config":
 		w.change(m.N)
 	case "leader":
--- a/core/whole/store_test.go
+++ b/core/whole/store_test.go
@@ -93,6 +93,9 @@
 // process that asked. Lost answers never come: core has to time them out.
 func (w *world) storeCall(p *proc, do func() func()) {
 	f := w.storeFaults.next()
+	if w.cut && p.n.dc != w.nodes[0].dc {
+		f = lostRequest // the store is on the other side
+	}
 	delay := storeDelay
 	switch f {
 	case lostRequest, notSent:
