io/setup: fuzz a token without delimiter

Cause: FuzzOperatorToken only had the token after the equals sign. Change: the token also comes after a space. Conclusion: the same fault, more likely to be met.

--- a/io/setup/fuzz_test.go
+++ b/io/setup/fuzz_test.go
@@ -50,9 +50,11 @@
 		if len(token) < 8 || strings.ContainsAny(token, "\r\n") {
 			return
 		}
-		_, err := setup.Parse("f.ini", []byte("[operators]\nana = "+token+"\n"))
-		if err != nil && strings.Contains(strings.ReplaceAll(err.Error(), "64 hexadecimal digits", ""), token) {
-			t.Fatalf("error shows the token %q: %v", token, err)
+		for _, line := range []string{"ana = " + token, "ana " + token} {
+			_, err := setup.Parse("f.ini", []byte("[operators]\n"+line+"\n"))
+			if err != nil && strings.Contains(strings.ReplaceAll(err.Error(), "64 hexadecimal digits", ""), token) {
+				t.Errorf("error shows the token %q: %v", token, err)
+			}
 		}
 	})
 }
