io/entry: tell the truth after several attempts

Cause, found by the stateful fuzzing of core/whole and by reading: - a retry carried the newest configuration version but the old class of the call, so a call classified as idempotent could run again after its service had made it at most once; - a call that had run and then met its own quarantine was answered 'quarantined', which promises that it did not run; - a canceled call freed its slot before the target could notice. Found by the new test: the failure of a lost connection was explained after the attempt's context had been ended, so it looked like a caller that gave up and an idempotent call was not sent again.

Change: the version by which a call was classified travels with it; a gate with a newer configuration of the service refuses it as stale, and the entry classifies it again, three times at most. A refusal after an attempt that may have run is 'outcomeUnknown'. A canceled call keeps its slot for 20 ms.

--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -18,13 +18,14 @@
 
 // classify returns what the configuration in force says of a call.
 func (d *Daemon) classify(service types.ServiceName, method, path string) (entry.Rule, bool) {
-	s, ok := d.config.Document().Service(service)
+	doc := d.config.Document()
+	s, ok := doc.Service(service)
 	if !ok {
 		return entry.Rule{}, false
 	}
 	r := s.Classify(method, path)
 	return entry.Rule{
-		Class: r.Class(), Deadline: r.Deadline(), Worth: r.Worth(), MaxBody: s.MaxBodyBytes(),
+		Class: r.Class(), Deadline: r.Deadline(), Worth: r.Worth(), Version: doc.Version(), MaxBody: s.MaxBodyBytes(),
 	}, true
 }
 
--- a/io/daemon/flow.go
+++ b/io/daemon/flow.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoilthread/core/retry"
 	"trefoilthread/core/route"
 	"trefoilthread/core/types"
@@ -40,8 +43,29 @@
 	return retry.BudgetOptions{Share: s.RetryShare()}, retry.HedgerOptions{Share: s.HedgeShare()}
 }
 
-// do runs a call of a caller or of the own target.
+// classifyTries bounds how often a call is classified again while its service
+// changes.
+const classifyTries = 3
+
+// do runs a call of a caller or of the own target. A call whose service has
+// changed since it was classified is classified again; it has not run.
 func (d *Daemon) do(ctx context.Context, head *wire.CallHead, body *entry.Body) (*wire.Answer, error) {
+	for try := 1; ; try++ {
+		ans, err := d.doClassified(ctx, head, body)
+		var stale *entry.StaleError
+		if !errors.As(err, &stale) || try == classifyTries || !body.Replayable() {
+			return ans, err
+		}
+		path, _, _ := strings.Cut(head.Path, "?")
+		rule, ok := d.classify(types.ServiceName(head.Service), head.Method, path)
+		if !ok {
+			return nil, types.NewFailure(types.NoSuchService, "the service was deleted")
+		}
+		rule.Apply(head)
+	}
+}
+
+func (d *Daemon) doClassified(ctx context.Context, head *wire.CallHead, body *entry.Body) (*wire.Answer, error) {
 	if isClaimed(head) {
 		return d.once(ctx, head, body)
 	}
--- a/io/daemon/once.go
+++ b/io/daemon/once.go
@@ -74,7 +74,7 @@
 		return d.runOnce(ctx, head, body, hash, index)
 	}
 	h := *head
-	h.Route, h.Sender, h.ConfigAt = true, d.node.Addr(), d.config.Version()
+	h.Route, h.Sender = true, d.node.Addr()
 	if dl, ok := ctx.Deadline(); ok {
 		h.Timeout = dl.Sub(d.now()).Microseconds()
 	}
@@ -85,6 +85,8 @@
 		return ans, nil
 	case errors.As(err, &f) && f.Moved:
 		return nil, moved(f.Reason)
+	case errors.As(err, &f) && f.Stale:
+		return nil, entry.NewStaleError(f.Reason)
 	case errors.As(err, &f):
 		return nil, types.NewFailure(types.Outcome(f.Outcome), f.Reason)
 	case errors.Is(err, peer.ErrNotSent):
--- a/io/daemon/send.go
+++ b/io/daemon/send.go
@@ -18,7 +18,6 @@
 // else through the daemon beside it.
 func (d *Daemon) send(ctx context.Context, t types.Target, head *wire.CallHead, body io.Reader) (*wire.Answer, error) {
 	head.Sender = d.node.Addr()
-	head.ConfigAt = d.config.Version()
 	if t.ID() == d.id {
 		return d.local.Do(ctx, head, body)
 	}
@@ -50,10 +49,12 @@
 	}
 	s, ok := d.config.Document().Service(types.ServiceName(head.Service))
 	if ok && head.ConfigAt < s.Version() {
-		// The sender routed by an older configuration of this service. It gets
-		// the version with this refusal and fetches the document before it sends
-		// again.
-		return nil, d.refuse(types.NotRun, "routed by an older configuration of the service")
+		// The call was classified by an older configuration of this service. The
+		// sender gets the version with this refusal, fetches the document and
+		// classifies the call again.
+		f := d.refuse(types.NotRun, "classified by an older configuration of the service")
+		f.Stale = true
+		return nil, f
 	}
 	d.heardConfig(head.Sender, head.ConfigAt)
 	return d.local.Do(ctx, head, body)
@@ -92,7 +93,10 @@
 	}
 	var f *types.Failure
 	if errors.As(err, &f) {
-		return nil, d.refuse(f.Outcome(), f.Reason())
+		w := d.refuse(f.Outcome(), f.Reason())
+		var stale *entry.StaleError
+		w.Stale = errors.As(err, &stale)
+		return nil, w
 	}
 	return nil, err
 }
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -26,8 +26,9 @@
 	cancel context.CancelFunc
 	once   sync.Once
 
-	answer *wire.Answer
-	err    error
+	answer  *wire.Answer
+	err     error
+	failure *types.Failure // what err means, set with it
 }
 
 // send runs the attempt until the head of the answer is there.
@@ -38,6 +39,9 @@
 	}
 	a.answer, a.err = a.flow.opts.Send(a.ctx, a.target, &head, body)
 	if a.err != nil {
+		// Before finish ends the context, which would look like a caller that
+		// gave up.
+		a.failure = explain(a.ctx, a.err)
 		a.finish(a.err)
 	}
 }
@@ -47,13 +51,9 @@
 	return a.err != nil || a.answer.Head.Status >= http.StatusInternalServerError
 }
 
-// outcome returns what the caller may rely on after this attempt.
-func (a *attempt) outcome() *types.Failure {
-	if a.err == nil {
-		return nil
-	}
-	return explain(a.ctx, a.err)
-}
+// outcome returns what the caller may rely on after this attempt, nil for an
+// answer.
+func (a *attempt) outcome() *types.Failure { return a.failure }
 
 // isFree reports whether another attempt costs nothing of the retry budget: a
 // drain refuses each call once, and a silent connection holds few calls that
@@ -64,6 +64,12 @@
 	return drained || a.isStalled()
 }
 
+// isStale reports whether the call has to be classified again.
+func (a *attempt) isStale() bool {
+	var f *wire.Failure
+	return errors.As(a.err, &f) && f.Stale
+}
+
 // isStalled reports whether the attempt ended because a connection on its way
 // was silent.
 func (a *attempt) isStalled() bool {
@@ -94,7 +100,7 @@
 // finish tells the picker how the attempt ended, once.
 func (a *attempt) finish(err error) {
 	a.once.Do(func() {
-		a.cancel()
+		defer a.cancel()
 		now := a.flow.now()
 		res := route.Result{Latency: now.Sub(a.start)}
 		var f *wire.Failure
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -54,12 +54,13 @@
 	if body.whole {
 		length = int64(len(body.head))
 	}
-	return &wire.CallHead{
+	head := &wire.CallHead{
 		ID: uuid.NewString(), Service: service, Method: r.Method, Path: path, Host: r.Host, Header: h,
-		Length: length, Urgent: rule.Class.Urgent(), Runs: uint8(rule.Class.Runs()),
-		Timeout: timeout.Microseconds(), Worth: rule.Worth, Depth: depth, Key: key,
+		Length: length, Timeout: timeout.Microseconds(), Depth: depth, Key: key,
 		Print: uint64(body.Fingerprint(service, r.Method, path)), Tries: firstTries,
-	}, nil
+	}
+	rule.Apply(head)
+	return head, nil
 }
 
 func timeoutOf(h http.Header, deflt time.Duration) (time.Duration, error) {
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -127,7 +127,7 @@
 
 // again starts another attempt after a failed one if that is allowed.
 func (r *race) again(a *attempt) bool {
-	if r.ctx.Err() != nil {
+	if r.ctx.Err() != nil || a.isStale() {
 		return false
 	}
 	// The target's own error answer does not tell whether it changed anything.
@@ -176,14 +176,17 @@
 	if a.err == nil {
 		return r.won(a), nil
 	}
+	f := a.outcome()
 	if r.quarantined != nil {
-		return nil, r.quarantined
+		f = r.quarantined
 	}
-	f := a.outcome()
-	if f.Outcome() == types.NotRun && r.mayHaveRun {
+	if f.Outcome().ProvesNotRun() && r.mayHaveRun {
 		// This attempt did not run, but an earlier one may have.
 		return nil, types.NewFailure(types.Unknown, "an earlier attempt may have run; last attempt: "+f.Reason())
 	}
+	if a.isStale() {
+		return nil, &StaleError{f}
+	}
 	return nil, f
 }
 
--- a/io/target/proxy.go
+++ b/io/target/proxy.go
@@ -170,11 +170,25 @@
 			r.exchange.end(how == Whole, l.now().Sub(r.start))
 		}
 		l.opts.Leave(r.call.Fingerprint(), how)
-		l.count(-1)
-		l.release(r.ticket, l.now().Sub(r.start), !ok)
+		took := l.now().Sub(r.start)
+		if how == GivenUp {
+			// The target needs a moment to see that its request was canceled; the
+			// slot is not free before.
+			l.opts.Clock.AfterFunc(cancelGrace, func() { r.leave(took, ok) })
+			return
+		}
+		r.leave(took, ok)
 	})
 }
 
+// cancelGrace is how long a canceled request keeps its slot.
+const cancelGrace = 20 * time.Millisecond
+
+func (r *run) leave(took time.Duration, ok bool) {
+	r.local.count(-1)
+	r.local.release(r.ticket, took, !ok)
+}
+
 func (l *Local) count(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -21,7 +21,7 @@
 	Claimed  bool                `cbor:"clm,omitempty"`   // the key was claimed by the sender
 	Route    bool                `cbor:"rt,omitempty"`    // the receiver claims the key and routes the call
 	Sender   string              `cbor:"from"`
-	ConfigAt int64               `cbor:"cfg,omitempty"` // configuration version of the sender
+	ConfigAt int64               `cbor:"cfg,omitempty"` // configuration version by which the call was classified
 }
 
 // Report is the load of a target, sent with each answer and refusal.
@@ -48,8 +48,9 @@
 	Outcome uint8  `cbor:"o"`
 	Reason  string `cbor:"why"`
 	Report  Report `cbor:"r"`
-	Moved   bool   `cbor:"mv,omitempty"` // the key is kept by another daemon
-	Stalled bool   `cbor:"st,omitempty"` // the connection to the target was silent
+	Moved   bool   `cbor:"mv,omitempty"`  // the key is kept by another daemon
+	Stalled bool   `cbor:"st,omitempty"`  // the connection to the target was silent
+	Stale   bool   `cbor:"old,omitempty"` // the call was classified by an older configuration
 }
 
 // Error implements error.
