core/claims: measure finding the owners of partitions

Cause: each daemon finds them anew at the first keyed call after a change of membership; the capacity page needs the slope against the targets known. Change: BenchmarkCapacityOwner.

--- a/core/claims/bench_test.go
+++ b/core/claims/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilthread/core/claims"
+	"trefoilthread/core/types"
 )
 
 // takeAll serves the calls that follow ev at once and returns the claims to run.
@@ -96,3 +97,24 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc)
 }
+
+// BenchmarkCapacityOwner finds the owners of 16 partitions, as each daemon does
+// at the first keyed call after a change of membership.
+func BenchmarkCapacityOwner(b *testing.B) {
+	for _, n := range []int{520, 2600, 5200} {
+		ids := make([]types.TargetID, n)
+		for i := range ids {
+			ids[i] = types.TargetID(fmt.Sprintf("dc-%d/service-%03d-%d", i%10, i%810, i))
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				for p := range 16 {
+					if _, ok := claims.Owner(p, ids); !ok {
+						b.Fatal("no owner")
+					}
+				}
+			}
+		})
+	}
+}
