--- a/cmd/trefoilthread/check.go
+++ b/cmd/trefoilthread/check.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	if c.PrintReference {
-		_, err := fmt.Print(referenceHead + setup.Reference() + referenceTail)
+		_, err := fmt.Print(reference())
 		return err
 	}
 	if c.File == "" {
--- a/cmd/trefoilthread/reference.go
+++ b/cmd/trefoilthread/reference.go
@@ -1,5 +1,7 @@
 package main
 
+import "trefoilthread/io/setup"
+
 // The text around the generated tables of docs/settings.md.
 const (
 	referenceHead = `# Settings of a daemon
@@ -18,3 +20,6 @@
 operator can use this daemon.
 `
 )
+
+// reference returns the page docs/settings.md.
+func reference() string { return referenceHead + setup.Reference() + referenceTail }
