--- a/io/fleet/calls_bench_test.go
+++ b/io/fleet/calls_bench_test.go
@@ -59,7 +59,7 @@
 	return u
 }
 
-func get(b *testing.B, url string) *http.Request {
+func newGet(b *testing.B, url string) *http.Request {
 	req, err := http.NewRequest(http.MethodGet, url, nil)
 	if err != nil {
 		b.Error(err)
@@ -77,10 +77,10 @@
 			f := startFleet(b, fleet.Options{Deployment: deploy.Small(8, time.Microsecond), LeaseTime: 10 * time.Second})
 			nodes := f.Nodes()
 			through := func(i int) *http.Request {
-				return get(b, "http://"+nodes[i%len(nodes)].Daemon().CallerAddr()+"/s/echo/read")
+				return newGet(b, "http://"+nodes[i%len(nodes)].Daemon().CallerAddr()+"/s/echo/read")
 			}
 			direct := func(i int) *http.Request {
-				return get(b, "http://"+nodes[i%len(nodes)].Target().Addr()+"/read")
+				return newGet(b, "http://"+nodes[i%len(nodes)].Target().Addr()+"/read")
 			}
 			calls(b, 2000, parallel, through)
 			calls(b, 2000, parallel, direct)
