io/load: leave room for the last label of the plot

Cause: the label of the 99.9 % tick was cut off at the right margin.

Ruled out: fewer ticks; 99.9 % is what the plot is for.

--- a/io/load/plot.go
+++ b/io/load/plot.go
@@ -31,6 +31,7 @@
 		{Value: math.Log10(2), Label: "50 %"}, {Value: 1, Label: "90 %"},
 		{Value: 2, Label: "99 %"}, {Value: 3, Label: "99.9 %"},
 	}
+	p.X.Max = plotNines + 0.2 // room for the label of the last tick
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	for i, o := range r.Policies {
