io/daemon: show the daemon's state in its metrics

Gauges for leadership, configuration version, members and targets known, load and limit of the own target, suspects, refused store calls and the expiry of the certificate. Connections to daemons that left are closed; nothing had called Forget before, so each replaced VM left one behind. A leader that is not reached is a warning once in 30 s, since a wrong certificate shows nowhere else.

--- a/io/certs/identity.go
+++ b/io/certs/identity.go
@@ -73,6 +73,16 @@
 	return true, nil
 }
 
+// NotAfter returns when the certificate in use expires.
+func (id *Identity) NotAfter() time.Time {
+	id.mu.RLock()
+	defer id.mu.RUnlock()
+	if id.cert.Leaf == nil {
+		return time.Time{}
+	}
+	return id.cert.Leaf.NotAfter
+}
+
 // Config returns a TLS configuration for both ends of a connection. It looks
 // up the certificate at each handshake, so a reload needs no restart.
 func (id *Identity) Config() *tls.Config {
--- a/io/daemon/attend.go
+++ b/io/daemon/attend.go
@@ -63,7 +63,7 @@
 		kind, msg = wire.KindHeartbeat, any(d.heartbeat(self))
 	}
 	if err := d.node.Control(ctx, rec.Address(), kind, msg, &rep); err != nil {
-		d.log.WithError(err).Debug("leader not reached")
+		d.logUnreached(err)
 		return rep, false
 	}
 	d.heardConfig(rec.Address(), rep.ConfigAt)
@@ -75,6 +75,21 @@
 	return rep, true
 }
 
+// unreachedEvery bounds the warnings of a daemon that does not reach its leader.
+const unreachedEvery = 30 * time.Second
+
+// logUnreached warns at the first failure and now and then later: a wrong
+// certificate shows nowhere else.
+func (d *Daemon) logUnreached(err error) {
+	l := d.log.WithError(err)
+	if now := d.now(); now.Sub(d.warned) >= unreachedEvery {
+		d.warned = now
+		l.Warn("leader not reached")
+		return
+	}
+	l.Debug("leader not reached")
+}
+
 func (d *Daemon) joinMessage(self types.Target) *wire.Join {
 	return &wire.Join{Target: wire.TargetOf(self), Process: d.process, ConfigAt: d.config.Version()}
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -40,12 +40,13 @@
 
 // Daemon is the process beside one target.
 type Daemon struct {
-	opts  Options
-	set   *setup.Settings
-	id    types.TargetID
-	log   log.Interface
-	clock clockwork.Clock
-	store store.Store
+	opts   Options
+	set    *setup.Settings
+	id     types.TargetID
+	log    log.Interface
+	clock  clockwork.Clock
+	store  store.Store
+	budget *store.Budget
 	// leases has a call budget of its own, so that a rush of claims cannot cost
 	// the leader its lease.
 	leases store.Store
@@ -76,8 +77,9 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	// askedEpoch is the leader whose suspects are known; attend owns it.
+	// askedEpoch is the leader whose suspects are known; attend owns it and warned.
 	askedEpoch uint64
+	warned     time.Time // last warning that the leader is not reached
 
 	// mu guards the membership state below.
 	mu     sync.Mutex
@@ -87,6 +89,7 @@
 	self   types.Target
 	led    *leadership
 	owners map[int]types.Target // by partition, nil when to be computed
+	peers  map[string]bool      // addresses of the daemons known
 
 	poisonMu sync.Mutex
 	poison   *poison.Table
@@ -112,10 +115,10 @@
 	s := o.Settings
 	d := &Daemon{
 		opts: o, set: s, id: s.ID(), clock: o.Clock, seed: o.Seed,
-		store: store.Budgeted(o.Store, store.NewBudget(store.BudgetOptions{
+		budget: store.NewBudget(store.BudgetOptions{
 			WritesPerSecond: s.StoreWrites(), ReadsPerSecond: s.StoreReads(),
 			WriteBurst: int(s.StoreWrites()) + 1, ReadBurst: int(s.StoreReads()) + 2, Clock: o.Clock,
-		})),
+		}),
 		leases: store.Budgeted(o.Store, store.NewBudget(store.BudgetOptions{
 			WritesPerSecond: leaseCalls, ReadsPerSecond: leaseCalls, Clock: o.Clock,
 		})),
@@ -128,6 +131,7 @@
 		ready:   make(chan struct{}),
 		keepers: map[int]*keeper{},
 	}
+	d.store = store.Budgeted(o.Store, d.budget)
 	if d.process, err = randomUint64(); err != nil {
 		return nil, err
 	}
@@ -189,6 +193,7 @@
 	d.task(d.watchdog)
 	d.task(d.checkAlive)
 	d.task(d.renewIdentity)
+	d.task(d.reportGauges)
 	d.task(d.followStatus)
 	d.serve()
 	d.log.WithFields(log.Fields{
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -71,11 +71,29 @@
 		d.holder.SetRank(lease.Rank(dc, memberIDs(d.dir.Summary(dc)), d.id))
 		d.mu.Unlock()
 	}
+	d.forgetPeers()
 	d.flow.RefreshAll()
 	d.membersMoved()
 	d.pushNow()
 }
 
+// forgetPeers closes the connections to daemons that have left.
+func (d *Daemon) forgetPeers() {
+	now := map[string]bool{}
+	for _, addr := range d.daemons() {
+		now[addr] = true
+	}
+	d.mu.Lock()
+	before := d.peers
+	d.peers = now
+	d.mu.Unlock()
+	for addr := range before {
+		if !now[addr] {
+			d.node.Forget(addr)
+		}
+	}
+}
+
 func memberIDs(s member.Summary) []types.TargetID {
 	ids := make([]types.TargetID, s.Len())
 	for i := range ids {
