io/daemon: keep store reads from growing with the fleet

Cause, from the capacity measurements: above 180 members the heartbeat interval exceeds the lease time, and each member reads the leader key in the store, 170 reads/s at full size. Only the three candidates of lowest rank read it now; the others trust a leader that answered their last heartbeat until the next one. A daemon whose last report failed trusts nobody. Not measured again yet.

--- a/io/daemon/attend.go
+++ b/io/daemon/attend.go
@@ -27,13 +27,46 @@
 		} else {
 			joined = false
 		}
+		if !d.rest(ctx, wait, joined) {
+			// A change of state is told at once.
+			joined = false
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// watchers is how many candidates of lowest rank look for the leader in the
+// store when they have not heard of it for a lease time.
+const watchers = 3
+
+// rest waits until the next report is due; it returns false if there is a
+// change to be told before. Where members are many, heartbeats are further
+// apart than the lease time. Then only the first candidates look at the store:
+// the reads of all would grow with the fleet. A daemon whose last report failed
+// trusts nobody, so that a leader lost together with the first candidates is
+// replaced as well.
+func (d *Daemon) rest(ctx context.Context, wait time.Duration, joined bool) bool {
+	end := d.now().Add(wait)
+	for {
+		left := end.Sub(d.now())
+		if left <= 0 {
+			return true
+		}
 		select {
 		case <-ctx.Done():
-			return
+			return true
 		case <-d.beat:
-			// A change of state is told at once.
-			joined = false
-		case <-d.clock.After(wait):
+			return false
+		case <-d.clock.After(min(left, d.set.LeaseTime()/3)):
+		}
+		d.mu.Lock()
+		_, epoch := d.holder.Leader()
+		trusting := joined && d.rank >= watchers
+		d.mu.Unlock()
+		if trusting && epoch > 0 {
+			d.lead.events.Put(lease.Heard(epoch))
 		}
 	}
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -86,6 +86,7 @@
 	holder *lease.Holder
 	fence  lease.Fence
 	dir    *member.Directory
+	rank   int // among the candidates for leadership
 	self   types.Target
 	led    *leadership
 	owners map[int]types.Target // by partition, nil when to be computed
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -68,7 +68,8 @@
 func (d *Daemon) membersChanged(dc types.DataCentre) {
 	if dc == d.set.DataCentre() {
 		d.mu.Lock()
-		d.holder.SetRank(lease.Rank(dc, memberIDs(d.dir.Summary(dc)), d.id))
+		d.rank = lease.Rank(dc, memberIDs(d.dir.Summary(dc)), d.id)
+		d.holder.SetRank(d.rank)
 		d.mu.Unlock()
 	}
 	d.forgetPeers()
