io/entry: let suspects wait for the trial that clears them

Cause: requests that many callers send alike, such as GET /menu, become suspects together when they are in flight at a death. A suspect now waits 25 ms for the trial and is sent again outside the budget.

--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -45,7 +45,7 @@
 		} else {
 			keptA = append(keptA, r.Method()+" "+r.Path())
 			if r != b[i] {
-				out = append(out, fmt.Sprintf("rule %s %s: %s -> %s", r.Method(), r.Path(), describe(r), describe(b[i])))
+				out = append(out, fmt.Sprintf("rule %s %s: %s", r.Method(), r.Path(), diffRule(r, b[i])))
 			}
 		}
 	}
@@ -64,6 +64,23 @@
 	return out
 }
 
+// diffRule returns the properties that differ, so that the changed value is not
+// lost where an audit entry shortens the line.
+func diffRule(a, b Rule) string {
+	var out []string
+	change := func(key, x, y string) {
+		if x != y {
+			out = append(out, key+" "+x+" -> "+y)
+		}
+	}
+	p, q := a.spec, b.spec
+	change("urgent", strconv.FormatBool(p.Urgent), strconv.FormatBool(q.Urgent))
+	change("runs", p.Runs.String(), q.Runs.String())
+	change("deadline", p.Deadline.String(), q.Deadline.String())
+	change("worth", formatFloat(p.Worth), formatFloat(q.Worth))
+	return strings.Join(out, ", ")
+}
+
 func describe(r Rule) string {
 	s := r.spec.Runs.String()
 	if r.spec.Urgent {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -61,7 +61,15 @@
 func (a *attempt) isFree() bool {
 	var f *wire.Failure
 	drained := errors.As(a.err, &f) && f.Report.Draining && types.Outcome(f.Outcome) == types.NotRun
-	return drained || a.isStalled()
+	return drained || a.isStalled() || a.isTrialRefusal()
+}
+
+// isTrialRefusal reports whether the call was refused because a suspect is on
+// trial. Requests that many callers send alike become suspects together; the
+// first successful trial clears them all.
+func (a *attempt) isTrialRefusal() bool {
+	var f *wire.Failure
+	return errors.As(a.err, &f) && f.Trial
 }
 
 // isStale reports whether the call has to be classified again.
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -142,6 +142,9 @@
 		// A new connection to the same target works.
 		r.tried = slices.DeleteFunc(r.tried, func(id types.TargetID) bool { return id == a.target.ID() })
 	}
+	if a.isTrialRefusal() && !r.pause(trialWait) {
+		return false
+	}
 	if f := r.launch(); f != nil {
 		if f.Outcome() == types.Quarantined {
 			r.quarantined = f
@@ -152,6 +155,20 @@
 	return true
 }
 
+// trialWait is how long a suspect waits for a trial that is under way; it is of
+// the order of a call's time.
+const trialWait = 25 * time.Millisecond
+
+// pause waits and reports whether the call still has time.
+func (r *race) pause(d time.Duration) bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-r.flow.opts.Clock.After(d):
+		return true
+	}
+}
+
 // discard gives up an answer that will not be used.
 func (r *race) discard(a *attempt) {
 	if a.answer != nil {
--- a/io/target/proxy.go
+++ b/io/target/proxy.go
@@ -57,7 +57,9 @@
 	if o, reason := l.opts.Enter(c.Fingerprint()); o != types.Done {
 		cancel()
 		l.release(ticket, 0, true)
-		return nil, l.refuse(o, reason)
+		f := l.refuse(o, reason)
+		f.Trial = o == types.NotRun
+		return nil, f
 	}
 	run := &run{local: l, ctx: ctx, cancel: cancel, ticket: ticket, start: l.now(), call: c}
 	l.count(1)
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -50,6 +50,7 @@
 	Report  Report `cbor:"r"`
 	Moved   bool   `cbor:"mv,omitempty"`  // the key is kept by another daemon
 	Stalled bool   `cbor:"st,omitempty"`  // the connection to the target was silent
+	Trial   bool   `cbor:"tl,omitempty"`  // refused because another suspect is on trial
 	Stale   bool   `cbor:"old,omitempty"` // the call was classified by an older configuration
 }
 
