io: make one piece of code serve where two stood

Errors of INI files with their positions stood in io/setup and io/load, the report line of a kind of call in io/demo and io/load, and the conversion of services in io/admin and the command line; io/inierr, load.NewLine and admin.ToProto with admin.FromProto serve both now. A class that a release does not know is taken for at most once everywhere.

--- a/cmd/trefoilthread/apply.go
+++ b/cmd/trefoilthread/apply.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"trefoilthread/core/config"
+	"trefoilthread/io/admin"
 	"trefoilthread/io/opspb"
 )
 
@@ -72,7 +73,7 @@
 // already is left alone whatever its version, so that a file can be applied
 // twice.
 func applyService(ops opspb.OpsClient, s config.Service) (applied, error) {
-	req := &opspb.ChangeRequest{Service: toProto(s), BaseVersion: s.Version(), RequestId: uuid.NewString()}
+	req := &opspb.ChangeRequest{Service: admin.ToProto(s), BaseVersion: s.Version(), RequestId: uuid.NewString()}
 	same, err := send(ops.DiffService, req)
 	if err != nil {
 		return applied{}, err
--- a/cmd/trefoilthread/diff.go
+++ b/cmd/trefoilthread/diff.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"trefoilthread/io/admin"
 	"trefoilthread/io/opspb"
 )
 
@@ -30,7 +31,7 @@
 	}
 	list := []difference{}
 	for _, s := range services {
-		res, err := send(ops.DiffService, &opspb.ChangeRequest{Service: toProto(s)})
+		res, err := send(ops.DiffService, &opspb.ChangeRequest{Service: admin.ToProto(s)})
 		if err != nil {
 			return err
 		}
--- a/cmd/trefoilthread/get.go
+++ b/cmd/trefoilthread/get.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilthread/core/config"
+	"trefoilthread/io/admin"
 	"trefoilthread/io/change"
 	"trefoilthread/io/opspb"
 )
@@ -41,7 +42,11 @@
 	}
 	var list []config.Service
 	for _, s := range res.GetServices() {
-		list = append(list, fromProto(s))
+		svc, problems := admin.FromProto(s)
+		if len(problems) > 0 {
+			return errors.Newf("service %s is not understood by this release: %s", s.GetName(), problems[0])
+		}
+		list = append(list, svc.WithVersion(s.GetVersion()))
 	}
 	text, err := change.Format(list)
 	if err != nil {
--- a/io/admin/changes.go
+++ b/io/admin/changes.go
@@ -26,7 +26,7 @@
 
 func (h *handler) change(ctx context.Context, action config.Action, msg *opspb.ChangeRequest) (*connect.Response[opspb.ChangeResponse], error) {
 	op := operatorOf(ctx)
-	svc, problems := fromProto(msg.GetService())
+	svc, problems := FromProto(msg.GetService())
 	if action == config.Delete {
 		problems = nil // a delete uses only the name
 	}
--- a/io/admin/convert.go
+++ b/io/admin/convert.go
@@ -10,9 +10,9 @@
 	"trefoilthread/io/opspb"
 )
 
-// fromProto returns the service of a request, and the values that config has
+// FromProto returns the service of a request, and the values that config has
 // no representation for. Those have a valid value in their place.
-func fromProto(p *opspb.Service) (config.Service, []config.Problem) {
+func FromProto(p *opspb.Service) (config.Service, []config.Problem) {
 	var problems []config.Problem
 	s := config.ServiceSpec{
 		Name: types.ServiceName(p.GetName()), Slots: int(p.GetSlots()), Connections: int(p.GetConnections()),
@@ -34,6 +34,8 @@
 		}
 		var ok bool
 		if spec.Runs, ok = types.ParseRuns(r.GetRuns()); !ok {
+			// The safer one of the two.
+			spec.Runs = types.AtMostOnce
 			problems = append(problems, config.NewProblem(i, "runs", r.GetRuns(), "idempotent or atMostOnce"))
 		}
 		// A larger number of milliseconds could overflow a time.Duration.
@@ -48,7 +50,8 @@
 	return config.NewService(s), problems
 }
 
-func toProto(s config.Service) *opspb.Service {
+// ToProto returns a service as operators send and receive it.
+func ToProto(s config.Service) *opspb.Service {
 	p := &opspb.Service{
 		Name: string(s.Name()), Slots: int32(s.Slots()), Connections: int32(s.Connections()),
 		ProbeBudgetMs: millis(s.ProbeBudget()), RetryShare: s.RetryShare(), HedgeShare: s.HedgeShare(),
--- a/io/admin/reads.go
+++ b/io/admin/reads.go
@@ -21,7 +21,7 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, errors.Newf("service %q does not exist", clip(req.Msg.GetName())))
 	}
-	return connect.NewResponse(&opspb.GetServiceResponse{Service: toProto(svc)}), nil
+	return connect.NewResponse(&opspb.GetServiceResponse{Service: ToProto(svc)}), nil
 }
 
 // ListServices implements opspb.OpsHandler.
@@ -32,7 +32,7 @@
 	}
 	out := &opspb.ListServicesResponse{Version: doc.Version()}
 	for _, s := range doc.Services() {
-		out.Services = append(out.Services, toProto(s))
+		out.Services = append(out.Services, ToProto(s))
 	}
 	return connect.NewResponse(out), nil
 }
@@ -40,7 +40,7 @@
 // DiffService implements opspb.OpsHandler. It compares with the current
 // service, whatever version the request builds on.
 func (h *handler) DiffService(ctx context.Context, req *connect.Request[opspb.ChangeRequest]) (*connect.Response[opspb.DiffResponse], error) {
-	svc, problems := fromProto(req.Msg.GetService())
+	svc, problems := FromProto(req.Msg.GetService())
 	if err := config.NewInvalid(append(problems, config.Validate(svc)...)...); err != nil {
 		return nil, toConnect(err)
 	}
--- a/io/demo/report.go
+++ b/io/demo/report.go
@@ -7,29 +7,10 @@
 	"text/tabwriter"
 	"time"
 
-	"trefoilthread/core/types"
 	"trefoilthread/io/fleet"
 	"trefoilthread/io/load"
 )
 
-// Line is the report on one kind of call. Latencies are in milliseconds.
-type Line struct {
-	Service    string  `json:"service"`
-	Call       string  `json:"call"`
-	Count      int     `json:"count"`
-	P50        float64 `json:"p50Ms"`
-	P99        float64 `json:"p99Ms"`
-	P999       float64 `json:"p999Ms"`
-	NotRun     int     `json:"refusedNotRun"`
-	Unknown    int     `json:"outcomeUnknown"`
-	Late       int     `json:"deadlineExceeded"`
-	Errors     int     `json:"targetErrors"`
-	Duplicates int     `json:"duplicateRuns"`
-	FalseNot   int     `json:"refusedButRan"`
-	Crossed    int     `json:"crossedAnswers"`
-	Cut        int     `json:"cutAnswers"`
-}
-
 // Probing is the measuring cost of one service.
 type Probing struct {
 	Service string  `json:"service"`
@@ -42,7 +23,7 @@
 	Deployment string    `json:"deployment"`
 	Seconds    float64   `json:"seconds"`
 	Rate       float64   `json:"callsPerSecond"`
-	Lines      []Line    `json:"calls"`
+	Lines      []load.Line    `json:"calls"`
 	Probing    []Probing `json:"measuring"`
 	Missed     int       `json:"notSent"`
 	Broken     []string  `json:"brokenPromises"`
@@ -51,7 +32,7 @@
 func newReport(name string, rate float64, took time.Duration, res *load.Result, f *fleet.Fleet) *Report {
 	r := &Report{Deployment: name, Seconds: took.Seconds(), Rate: rate, Missed: res.Missed()}
 	for _, s := range res.Series() {
-		r.Lines = append(r.Lines, line(s, f))
+		r.Lines = append(r.Lines, load.NewLine(s, f.Runs))
 	}
 	r.probing(took, f)
 	for _, l := range r.Lines {
@@ -75,28 +56,6 @@
 	}
 }
 
-func line(s *load.Series, f *fleet.Fleet) Line {
-	ms := func(q float64) float64 { return float64(s.Quantile(q).Microseconds()) / 1000 }
-	l := Line{
-		Service: s.Kind().Service(), Call: s.Kind().Name()[len(s.Kind().Service())+2:], Count: s.Count(),
-		P50: ms(0.5), P99: ms(0.99), P999: ms(0.999),
-		NotRun: s.Outcome(types.NotRun), Unknown: s.Outcome(types.Unknown), Late: s.Outcome(types.DeadlineExceeded),
-		Errors: s.Errors(), Crossed: s.Crossed(), Cut: s.Cut(),
-	}
-	sent, refused := s.Keys()
-	for _, k := range sent {
-		if f.Runs(k) > 1 {
-			l.Duplicates++
-		}
-	}
-	for _, k := range refused {
-		if f.Runs(k) > 0 {
-			l.FalseNot++
-		}
-	}
-	return l
-}
-
 // probing adds up what load queries cost the targets. The budget of a service
 // is per target and second; a window that has begun counts in full.
 func (r *Report) probing(took time.Duration, f *fleet.Fleet) {
--- a/io/fleet/bench_test.go
+++ b/io/fleet/bench_test.go
@@ -28,6 +28,11 @@
 	return f
 }
 
+// quantileMs returns a quantile of sorted times in milliseconds.
+func quantileMs(s []time.Duration, q float64) float64 {
+	return float64(s[int(q*float64(len(s)-1))].Nanoseconds()) / 1e6
+}
+
 // BenchmarkAdded gives the time that two daemons add to a call: each iteration
 // makes one call through them and one to a target directly. Aim: under 1.9 ms
 // for 99 in 100.
@@ -59,16 +64,13 @@
 	}
 	slices.Sort(t)
 	slices.Sort(d)
-	at := func(s []time.Duration, q float64) float64 {
-		return float64(s[int(q*float64(len(s)-1))].Nanoseconds()) / 1e6
-	}
 	for _, q := range []struct {
 		name string
 		q    float64
 	}{{"p50", 0.5}, {"p99", 0.99}} {
-		b.ReportMetric(at(t, q.q), "through-"+q.name+"-ms")
-		b.ReportMetric(at(d, q.q), "direct-"+q.name+"-ms")
-		b.ReportMetric(at(t, q.q)-at(d, q.q), "added-"+q.name+"-ms")
+		b.ReportMetric(quantileMs(t, q.q), "through-"+q.name+"-ms")
+		b.ReportMetric(quantileMs(d, q.q), "direct-"+q.name+"-ms")
+		b.ReportMetric(quantileMs(t, q.q)-quantileMs(d, q.q), "added-"+q.name+"-ms")
 	}
 }
 
@@ -113,11 +115,8 @@
 	}
 	slices.Sort(k)
 	slices.Sort(p)
-	at := func(s []time.Duration, q float64) float64 {
-		return float64(s[int(q*float64(len(s)-1))].Nanoseconds()) / 1e6
-	}
-	b.ReportMetric(at(k, 0.5), "keyed-p50-ms")
-	b.ReportMetric(at(k, 0.99), "keyed-p99-ms")
-	b.ReportMetric(at(p, 0.5), "plain-p50-ms")
-	b.ReportMetric(at(p, 0.99), "plain-p99-ms")
+	b.ReportMetric(quantileMs(k, 0.5), "keyed-p50-ms")
+	b.ReportMetric(quantileMs(k, 0.99), "keyed-p99-ms")
+	b.ReportMetric(quantileMs(p, 0.5), "plain-p50-ms")
+	b.ReportMetric(quantileMs(p, 0.99), "plain-p99-ms")
 }
--- a/io/load/line.go
+++ b/io/load/line.go
@@ -32,8 +32,8 @@
 	RunsPerCall float64 `json:"runsPerCall"`
 }
 
-// newLine sums up a series. runs tells how often a key or request id ran.
-func newLine(s *Series, runs func(string) int) Line {
+// NewLine sums up a series. runs tells how often a key or request id ran.
+func NewLine(s *Series, runs func(string) int) Line {
 	k := s.Kind()
 	l := Line{
 		Service: k.service, Call: k.call.Name(), Count: s.Count(),
--- a/io/load/parse.go
+++ b/io/load/parse.go
@@ -11,6 +11,7 @@
 	"gopkg.in/ini.v1"
 
 	"trefoilthread/io/deploy"
+	"trefoilthread/io/inierr"
 )
 
 const (
@@ -33,9 +34,9 @@
 func Parse(file string, data []byte) (*Scenario, error) {
 	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, IgnoreInlineComment: true}, data)
 	if err != nil {
-		return nil, ParseErrors{{file: file, line: 1, problem: err.Error()}}
+		return nil, ParseErrors{inierr.New(file, 1, "", "", "", err.Error())}
 	}
-	p := &parser{file: file, ini: f, pos: positions(data), s: &Scenario{
+	p := &parser{file: file, ini: f, pos: inierr.Positions(data), s: &Scenario{
 		name: strings.TrimSuffix(filepath.Base(file), ".ini"), calls: map[string]deploy.CallChange{},
 	}}
 	p.scenario()
@@ -54,52 +55,24 @@
 		}
 	}
 	if len(p.errs) > 0 {
-		return nil, p.errs.sorted()
+		return nil, p.errs.Sorted()
 	}
 	p.s.dep = p.s.dep.With(p.s.typical, p.s.calls)
 	return p.s, nil
 }
 
-type place struct{ section, key string }
-
-// positions returns the first line of each section (key "") and key.
-func positions(data []byte) map[place]int {
-	pos := map[place]int{}
-	section := ""
-	for i, line := range strings.Split(string(data), "\n") {
-		line = strings.TrimSpace(line)
-		if line == "" || line[0] == ';' || line[0] == '#' {
-			continue
-		}
-		if line[0] == '[' {
-			section = strings.TrimSpace(strings.TrimSuffix(line[1:], "]"))
-			line = ""
-		}
-		key, _, _ := strings.Cut(line, "=")
-		at := place{section, strings.TrimSpace(key)}
-		if _, ok := pos[at]; !ok {
-			pos[at] = i + 1
-		}
-	}
-	return pos
-}
-
 // parser collects the faults of one file.
 type parser struct {
 	file string
 	ini  *ini.File
-	pos  map[place]int
+	pos  inierr.Position
 	s    *Scenario
 	errs ParseErrors
 }
 
 func (p *parser) bad(section, key, value, problem string) {
 	section = strings.TrimPrefix(section, ini.DefaultSection)
-	line := p.pos[place{section, key}]
-	if line == 0 {
-		line = max(1, p.pos[place{section, ""}])
-	}
-	p.errs = append(p.errs, ParseError{p.file, line, section, key, value, problem})
+	p.errs = append(p.errs, inierr.New(p.file, p.pos.Line(section, key), section, key, value, problem))
 }
 
 // fields stores the values of a section and reports whether all are allowed.
--- a/io/load/policyreport.go
+++ b/io/load/policyreport.go
@@ -43,7 +43,7 @@
 		urgent: hdrhistogram.New(1, histogramMax, histogramDigits),
 	}
 	for _, s := range res.Series() {
-		r.add(newLine(s, runs))
+		r.add(NewLine(s, runs))
 		if s.kind.urgent {
 			s.mergeInto(r.urgent)
 		}
--- a/io/setup/load.go
+++ b/io/setup/load.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gopkg.in/ini.v1"
+
+	"trefoilthread/io/inierr"
 )
 
 // operatorsSection lists operators: the key is the name, the value the SHA-256
@@ -26,15 +28,15 @@
 	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, IgnoreInlineComment: true}, data)
 	if err != nil {
 		// The library's message quotes the line, which may hold a token.
-		return nil, Errors{{file: file, line: malformed(data), problem: "not understood; allowed: [section], key = value, ; comment"}}
+		return nil, Errors{inierr.New(file, malformed(data), "", "", "", "not understood; allowed: [section], key = value, ; comment")}
 	}
-	c := &checker{file: file, f: f, pos: positions(data), s: &Settings{operators: map[string][32]byte{}}}
+	c := &checker{file: file, f: f, pos: inierr.Positions(data), s: &Settings{operators: map[string][32]byte{}}}
 	c.unknown()
 	c.known()
 	c.operators()
 	c.distinct()
 	if len(c.errs) > 0 {
-		return nil, c.errs.sorted()
+		return nil, c.errs.Sorted()
 	}
 	return c.s, nil
 }
@@ -56,45 +58,17 @@
 	return 1
 }
 
-type place struct{ section, key string }
-
-// positions returns the first line of each section (key "") and key.
-func positions(data []byte) map[place]int {
-	pos := map[place]int{}
-	section := ""
-	for i, line := range strings.Split(string(data), "\n") {
-		line = strings.TrimSpace(line)
-		switch {
-		case line == "" || line[0] == ';' || line[0] == '#':
-			continue
-		case line[0] == '[':
-			section = strings.TrimSpace(strings.TrimSuffix(line[1:], "]"))
-			line = ""
-		}
-		key, _, _ := strings.Cut(line, "=")
-		p := place{section, strings.TrimSpace(key)}
-		if _, ok := pos[p]; !ok {
-			pos[p] = i + 1
-		}
-	}
-	return pos
-}
-
 // checker collects the faults of one file.
 type checker struct {
 	file string
 	f    *ini.File
-	pos  map[place]int
+	pos  inierr.Position
 	s    *Settings
 	errs Errors
 }
 
 func (c *checker) fault(section, key, value, problem string) {
-	line := c.pos[place{section, key}]
-	if line == 0 {
-		line = max(1, c.pos[place{section, ""}])
-	}
-	c.errs = append(c.errs, &Error{file: c.file, line: line, section: section, key: key, value: value, problem: problem})
+	c.errs = append(c.errs, inierr.New(c.file, c.pos.Line(section, key), section, key, value, problem))
 }
 
 func (c *checker) unknown() {
