io/daemon: follow the configured shares, slots and connections

Cause: a retry or hedge share of 0 was taken for the default, a change of the shares reached no service that had been called before, and the configured slots and connections of a service were used nowhere: the gate took what the target announced.

Change: a share of 0 switches off, budgets are made anew when their shares change, and the gate takes the smaller of announced and configured limits, from the next announcement on. TestOffAllowsNothing fails without the first; the others have no test of their own yet.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -12,6 +12,8 @@
 
 // BudgetOptions configure a Budget. A field that is zero has its default.
 type BudgetOptions struct {
+	// Off allows no retry at all.
+	Off bool
 	// Share is the number of retries per call; default 0.1.
 	Share float64
 	// Floor is the number of retries per second that is always possible;
@@ -55,7 +57,7 @@
 // Available reports whether a retry is within the budget.
 func (b *Budget) Available(now time.Time) bool {
 	b.refill(now)
-	return b.share >= 1 || b.floor >= 1
+	return !b.opts.Off && (b.share >= 1 || b.floor >= 1)
 }
 
 // Take uses one retry; it reports false, and changes nothing, if none is
--- a/core/retry/hedger.go
+++ b/core/retry/hedger.go
@@ -24,6 +24,8 @@
 
 // HedgerOptions configure a Hedger. A field that is zero has its default.
 type HedgerOptions struct {
+	// Off allows no hedged request at all.
+	Off bool
 	// Quantile of the latency after which a hedged request starts; default
 	// 0.95.
 	Quantile float64
@@ -97,7 +99,7 @@
 }
 
 // Available reports whether a hedged request is within the budget.
-func (h *Hedger) Available() bool { return h.tokens >= 1 }
+func (h *Hedger) Available() bool { return !h.opts.Off && h.tokens >= 1 }
 
 // Take uses one hedged request; it reports false, and changes nothing, if none
 // is available.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -157,3 +157,19 @@
 	_, ok = h.Delay(now.Add(time.Minute))
 	is.True(!ok)
 }
+
+// Guards against an operator's share of 0 being taken for the default.
+func TestOffAllowsNothing(t *testing.T) {
+	is := is.New(t)
+	b, h := retry.NewBudget(retry.BudgetOptions{Off: true}), retry.NewHedger(retry.HedgerOptions{Off: true})
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(time.Second)
+		b.Call(now)
+		h.Call()
+	}
+	is.True(!b.Available(now))
+	is.True(!b.Take(now))
+	is.True(!h.Available())
+	is.True(!h.Take())
+}
--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -29,6 +29,12 @@
 	}, true
 }
 
+// limits returns the slots and connections of a service's targets.
+func (d *Daemon) limits(service string) (slots, conns int, ok bool) {
+	s, ok := d.config.Document().Service(types.ServiceName(service))
+	return s.Slots(), s.Connections(), ok
+}
+
 // offerDocument puts an encoded document in force if it is newer.
 func (d *Daemon) offerDocument(data []byte) error {
 	doc, err := config.Decode(data)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -175,6 +175,7 @@
 		Clock:       d.clock,
 		Log:         d.log,
 		Changed:     d.targetChanged,
+		Limits:      d.limits,
 		Enter:       d.enter,
 		Leave:       d.left,
 		Died:        d.targetDied,
--- a/io/daemon/doc.go
+++ b/io/daemon/doc.go
@@ -3,12 +3,22 @@
 //
 // A Daemon owns these tasks, each a goroutine of its own:
 //
-//	lead      drives core/lease: candidate or leader of the data centre
-//	attend    announces the own target to the leader and hears the rest
-//	publish   as leader: writes the summary, pushes documents, counts acknowledgements
-//	observe   as leader: watches the store for summaries and configuration
-//	watchdog  refuses late calls, notices a target that died, probes it
-//	suspects  reports requests that crashed the target
+//	lead            drives core/lease: candidate or leader of the data centre
+//	attend          announces the own target to the leader, in joins and heartbeats
+//	fetchDocuments  gets newer configuration documents from daemons that have them
+//	watchdog        refuses late calls and closes stalled connections
+//	checkAlive      notices a target that died while it was idle
+//	followStatus    asks the leader for versions in force while operators wait
+//	renewIdentity   takes over renewed certificates
+//	reportGauges    copies the state to the metrics
+//	keeper          one for each partition of keys that this daemon has kept
+//
+// and while it leads its data centre:
+//
+//	publish         keeps the member table, writes its summary and the version in force
+//	push            tells members and other leaders what they lack
+//	watchCentres    follows leaders, summaries and versions in force in the store
+//	watchConfig     follows the configuration document in the store
 //
 // Requests of callers and of other daemons have goroutines of their own, from
 // net/http and quic-go.
--- a/io/daemon/flow.go
+++ b/io/daemon/flow.go
@@ -40,7 +40,8 @@
 // retries returns the budgets that the configuration gives a service.
 func (d *Daemon) retries(service types.ServiceName) (retry.BudgetOptions, retry.HedgerOptions) {
 	s, _ := d.config.Document().Service(service)
-	return retry.BudgetOptions{Share: s.RetryShare()}, retry.HedgerOptions{Share: s.HedgeShare()}
+	return retry.BudgetOptions{Share: s.RetryShare(), Off: s.RetryShare() == 0},
+		retry.HedgerOptions{Share: s.HedgeShare(), Off: s.HedgeShare() == 0}
 }
 
 // classifyTries bounds how often a call is classified again while its service
--- a/io/demo/report.go
+++ b/io/demo/report.go
@@ -20,13 +20,13 @@
 
 // Report is what a demonstration measured.
 type Report struct {
-	Deployment string    `json:"deployment"`
-	Seconds    float64   `json:"seconds"`
-	Rate       float64   `json:"callsPerSecond"`
-	Lines      []load.Line    `json:"calls"`
-	Probing    []Probing `json:"measuring"`
-	Missed     int       `json:"notSent"`
-	Broken     []string  `json:"brokenPromises"`
+	Deployment string      `json:"deployment"`
+	Seconds    float64     `json:"seconds"`
+	Rate       float64     `json:"callsPerSecond"`
+	Lines      []load.Line `json:"calls"`
+	Probing    []Probing   `json:"measuring"`
+	Missed     int         `json:"notSent"`
+	Broken     []string    `json:"brokenPromises"`
 }
 
 func newReport(name string, rate float64, took time.Duration, res *load.Result, f *fleet.Fleet) *Report {
--- a/io/entry/flow.go
+++ b/io/entry/flow.go
@@ -57,6 +57,7 @@
 	p, ok := f.pools[service]
 	f.mu.RUnlock()
 	if ok {
+		p.setRetries(f.opts.Retries(service))
 		p.update(f.now(), f.opts.Targets(service))
 	}
 }
@@ -85,10 +86,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p, ok = f.pools[service]; !ok {
-		budget, hedger := f.opts.Retries(service)
-		p = &pool{
-			picker: f.opts.NewPicker(service), budget: retry.NewBudget(budget), hedger: retry.NewHedger(hedger),
-		}
+		p = &pool{picker: f.opts.NewPicker(service)}
+		p.setRetries(f.opts.Retries(service))
 		p.update(f.now(), f.opts.Targets(service))
 		f.pools[service] = p
 	}
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -16,6 +16,22 @@
 	picker *route.Picker
 	budget *retry.Budget
 	hedger *retry.Hedger
+
+	budgetOpts retry.BudgetOptions
+	hedgerOpts retry.HedgerOptions
+}
+
+// setRetries makes new budgets if the configuration of the service has other
+// shares than before.
+func (p *pool) setRetries(b retry.BudgetOptions, h retry.HedgerOptions) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.budget == nil || b != p.budgetOpts {
+		p.budgetOpts, p.budget = b, retry.NewBudget(b)
+	}
+	if p.hedger == nil || h != p.hedgerOpts {
+		p.hedgerOpts, p.hedger = h, retry.NewHedger(h)
+	}
 }
 
 func (p *pool) update(now time.Time, targets []types.Target) {
--- a/io/target/doc.go
+++ b/io/target/doc.go
@@ -12,7 +12,10 @@
 //
 // # Usage
 //
-//	local := target.New(target.Options{Gate: admit.Options{Slots: 12, Connections: 250}})
-//	local.Announce(target.Announcement{Service: "bookings", Address: "127.0.0.1:8081"})
+//	local := target.New(target.Options{
+//		Gate: admit.Options{Queue: 64}, Log: l,
+//		Enter: enter, Leave: left, Died: died, Grant: grant, Waits: waits,
+//	})
+//	local.Announce(target.Announcement{Service: "bookings", Address: "127.0.0.1:8081", Slots: 12, Connections: 250})
 //	ans, err := local.Do(ctx, head, body)
 package target
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -31,6 +31,9 @@
 	// Changed is called, without locks held, when the target comes up, drains
 	// or dies. It must not block.
 	Changed func(types.TargetState)
+	// Limits returns the slots and connections that the configuration allows a
+	// target of the service, or false if it has none.
+	Limits func(service string) (slots, conns int, ok bool)
 	// Enter is asked before a request is handed to the target; an outcome other
 	// than types.Done refuses it, with the reason.
 	Enter func(fp types.Fingerprint) (types.Outcome, string)
@@ -59,6 +62,8 @@
 	gate     *admit.Gate
 	waiting  waiters
 	ann      Announcement
+	slots    int // in force at the gate
+	conns    int
 	up       bool
 	draining bool // by an operator or a stop of the daemon
 	lastSeen time.Time
@@ -116,14 +121,17 @@
 	}
 	was := l.state()
 	restarted := l.up && a.Instance != "" && a.Instance != l.inst
-	if !l.up || a.Address != l.ann.Address || a.Slots != l.ann.Slots || a.Connections != l.ann.Connections {
+	slots, conns := l.allowed(a)
+	if !l.up || a.Address != l.ann.Address || slots != l.slots || conns != l.conns {
 		o := l.opts.Gate
-		o.Slots, o.Connections = a.Slots, a.Connections
+		o.Slots, o.Connections = slots, conns
 		l.gate.SetOptions(o)
+		l.waiting.deliver(l.gate.Tick(l.now()))
 		if old := l.http; old != nil {
 			old.CloseIdleConnections()
 		}
-		l.http = l.client(a.Connections)
+		l.http = l.client(conns)
+		l.slots, l.conns = slots, conns
 	}
 	l.ann, l.up, l.lastSeen, l.inst = a, true, l.now(), a.Instance
 	l.applyDrain()
@@ -138,6 +146,17 @@
 	return nil
 }
 
+// allowed returns the smaller of what the target announces and what operators
+// configured. A change of the configuration counts from the next announcement,
+// a second later at most.
+func (l *Local) allowed(a Announcement) (slots, conns int) {
+	slots, conns = a.Slots, a.Connections
+	if s, c, ok := l.opts.Limits(a.Service); ok {
+		slots, conns = min(slots, s), min(conns, c)
+	}
+	return slots, conns
+}
+
 // Drain takes the target out of service, or back into it, until it is called
 // again: a target that announces itself as up does not end it.
 func (l *Local) Drain(on bool) {
