io/daemon: clear suspects that end well anywhere

Cause: requests that many callers send alike become suspects when one of them is in flight at a death. Their trials could not begin while others of them were still running on the trial target, nor for 1 s on a target that had just died, and all were refused meanwhile. Ruled out: the second death, which was the poisonous request's own.

Change: a suspect that was running elsewhere when it became one and gets a whole answer is cleared at once. A request that crashes each target that runs it never gets one.

--- a/io/daemon/suspects.go
+++ b/io/daemon/suspects.go
@@ -54,6 +54,12 @@
 		d.poison.Cancel(now, fp)
 	} else {
 		cleared = d.poison.End(now, fp, how == target.Whole)
+		if how == target.Whole && !cleared && d.poison.Check(now, fp) == poison.Suspect {
+			// A request that crashes each target that runs it never gets a whole
+			// answer. One that was running elsewhere when it became a suspect and
+			// has ended well needs no trial.
+			cleared = d.poison.Clear(fp)
+		}
 	}
 	var entries []poison.Entry
 	if cleared {
