--- a/io/fleet/fleet_test.go
+++ b/io/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 	"trefoilthread/io/entry"
 	"trefoilthread/io/fleet"
 	"trefoilthread/io/load"
+	"trefoilthread/io/stand"
 )
 
 // start starts a deployment and waits until all daemons know all targets.
@@ -213,3 +215,26 @@
 	}
 	return reply{resp.StatusCode, resp.Header.Get(entry.HeaderOutcome), string(b)}
 }
+
+// Guards against a call of nine hops being stopped or losing a hop.
+func TestNineHops(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Options{Deployment: deploy.Small(3, time.Millisecond)})
+	call := func(hops int) (int, stand.Answer) {
+		req, err := http.NewRequest(http.MethodGet, "http://"+f.Nodes()[0].Daemon().CallerAddr()+"/s/echo/read", nil)
+		is.NoErr(err)
+		req.Header.Set(stand.ChainHeader, strings.TrimSuffix(strings.Repeat("echo,", hops), ","))
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		defer func() { _ = resp.Body.Close() }()
+		var a stand.Answer
+		is.NoErr(json.NewDecoder(resp.Body).Decode(&a))
+		return resp.StatusCode, a
+	}
+	status, a := call(9)
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(a.Chain), 10) // the first target and nine hops
+	status, a = call(0)
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(a.Chain), 1)
+}
