io/daemon: give up a leadership that the store shows to be over

Found in the read-through: core/member reports that a later leader has written the summary, but nothing asked; the old leader stopped writing and went on pushing, which members refuse by epoch, until its lease ended. It ends at once now. No test: the case needs two valid leases.

leadership.go is split by job; a partition's keeper starts no task in a daemon that is being closed.

--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -114,3 +114,9 @@
 	}
 	return &wire.Document{Delta: data}, ""
 }
+
+// applyDocument makes the tasks that depend on the configuration follow it.
+func (d *Daemon) applyDocument(config.Document) {
+	d.flow.RefreshAll()
+	d.pushNow()
+}
--- a/io/daemon/inforce.go
+++ b/io/daemon/inforce.go
@@ -10,6 +10,13 @@
 	"trefoilthread/io/store"
 )
 
+// stored is a key in the store that this leader writes.
+type stored struct {
+	revision int64
+	written  int64
+	busy     bool
+}
+
 // inForce is the value of dc/<name>/inForce: the configuration version that
 // all live members of a data centre have in force.
 type inForce struct {
--- a/io/daemon/keeper.go
+++ b/io/daemon/keeper.go
@@ -48,7 +48,9 @@
 		}),
 	}
 	d.keepers[index] = k
-	d.task(k.run)
+	if d.ctx.Err() == nil {
+		d.task(k.run)
+	}
 	return k
 }
 
--- a/io/daemon/leadership.go
+++ b/io/daemon/leadership.go
@@ -7,13 +7,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"trefoilthread/core/config"
 	"trefoilthread/core/lease"
 	"trefoilthread/core/member"
 	"trefoilthread/core/stage"
 	"trefoilthread/core/types"
 	"trefoilthread/io/store"
-	"trefoilthread/io/wire"
 )
 
 // leadership is what a daemon does and knows while it leads its data centre.
@@ -34,28 +32,6 @@
 	sent    map[types.TargetID]*sentTo
 }
 
-// stored is a key in the store that this leader writes.
-type stored struct {
-	revision int64
-	written  int64
-	busy     bool
-}
-
-// sentTo is what one start of a member has been told. A restarted daemon has
-// the name of its predecessor but knows nothing.
-type sentTo struct {
-	incarnation uint64
-	summaries   map[types.DataCentre]member.Summary
-	// failing is when the first of the last failed messages was sent, zero after
-	// a sign of life.
-	failing time.Time
-	failed  int
-}
-
-func newSentTo(incarnation uint64) *sentTo {
-	return &sentTo{incarnation: incarnation, summaries: map[types.DataCentre]member.Summary{}}
-}
-
 // becomeLeader starts the leader's tasks.
 func (d *Daemon) becomeLeader(ctx context.Context, epoch uint64) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -136,10 +112,23 @@
 		for _, a := range actions {
 			l.perform(ctx, a)
 		}
+		if l.isDeposed() {
+			d.log.WithField("epoch", l.epoch).Warn("a later leader has written the member summary")
+			d.endLeadership()
+			return
+		}
 		l.writeInForce(ctx)
 	}
 }
 
+// isDeposed reports whether the store shows a later leader, although this
+// daemon's lease seems valid.
+func (l *leadership) isDeposed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Deposed()
+}
+
 // open reads what the former leader left and makes the member table.
 func (l *leadership) open(ctx context.Context) bool {
 	d := l.d
@@ -267,73 +256,6 @@
 	}
 }
 
-// takeJoin handles a daemon's announcement.
-func (d *Daemon) takeJoin(m *wire.Join) wire.MemberReply {
-	l := d.leading()
-	if l == nil {
-		return wire.MemberReply{Refused: errNotLeader}
-	}
-	l.mu.Lock()
-	if l.table == nil {
-		l.mu.Unlock()
-		return wire.MemberReply{Refused: errNotReady}
-	}
-	before := l.table.Sequence()
-	rep := l.table.Join(d.now(), member.NewJoin(m.Target.Core(), m.Process))
-	changed := l.table.Sequence() != before
-	l.mu.Unlock()
-	if changed {
-		l.membersChanged()
-	}
-	if rep.Refused() == "" {
-		l.acknowledge(types.TargetID(m.Target.ID), m.Target.Incarnation, m.ConfigAt)
-	}
-	return wire.MemberReply{
-		Epoch: rep.Epoch(), Interval: rep.Interval().Microseconds(), Known: rep.Known(), Refused: rep.Refused(),
-		ConfigAt: d.config.Version(),
-	}
-}
-
-// Refusals of membership messages.
-const (
-	errNotLeader = "not the leader of the data centre"
-	errNotReady  = "leader has not read the member summary yet"
-)
-
-// takeHeartbeat handles a daemon's heartbeat.
-func (d *Daemon) takeHeartbeat(m *wire.Heartbeat) wire.MemberReply {
-	l := d.leading()
-	if l == nil {
-		return wire.MemberReply{Refused: errNotLeader}
-	}
-	id := types.TargetID(m.ID)
-	l.mu.Lock()
-	if l.table == nil {
-		l.mu.Unlock()
-		return wire.MemberReply{Refused: errNotReady}
-	}
-	t := types.NewTarget(types.TargetSpec{
-		ID: id, Incarnation: m.Incarnation, Sequence: m.Sequence, State: types.TargetState(m.State),
-	})
-	before := l.table.Sequence()
-	rep := l.table.Heartbeat(d.now(), member.NewHeartbeat(t))
-	if m.Leaving {
-		l.table.Leave(d.now(), id, m.Incarnation)
-	}
-	changed := l.table.Sequence() != before
-	l.mu.Unlock()
-	if changed {
-		l.membersChanged()
-	}
-	if rep.Status() == member.Accepted {
-		l.acknowledge(id, m.Incarnation, m.ConfigAt)
-	}
-	return wire.MemberReply{
-		Epoch: rep.Epoch(), Interval: rep.Interval().Microseconds(), Status: uint8(rep.Status()),
-		ConfigAt: d.config.Version(),
-	}
-}
-
 // acknowledge notes the configuration version that a member has in force.
 func (l *leadership) acknowledge(id types.TargetID, incarnation uint64, version int64) {
 	l.mu.Lock()
@@ -369,9 +291,3 @@
 	default:
 	}
 }
-
-// applyDocument makes the tasks that depend on the configuration follow it.
-func (d *Daemon) applyDocument(config.Document) {
-	d.flow.RefreshAll()
-	d.pushNow()
-}
