io/daemon: tell other leaders changes only

Found in the read-through: what other leaders had been told was kept beside what members had been told, and dropped with the members that left at each change, so other leaders got whole summaries every time. It is kept apart and forgotten when the leader of that data centre changes. The tests of io/fleet pass with the race detector; the saving is not measured.

--- a/io/daemon/leadership.go
+++ b/io/daemon/leadership.go
@@ -30,6 +30,8 @@
 	inForce stored
 	others  map[types.DataCentre]lease.Record
 	sent    map[types.TargetID]*sentTo
+	// othersTold is what the leaders in others have been told.
+	othersTold map[types.DataCentre]*sentTo
 }
 
 // becomeLeader starts the leader's tasks.
@@ -39,6 +41,7 @@
 		d: d, epoch: epoch, cancel: cancel, poke: make(chan struct{}, 1), tick: make(chan struct{}, 1),
 		status: stage.NewStatus(),
 		others: map[types.DataCentre]lease.Record{}, sent: map[types.TargetID]*sentTo{},
+		othersTold: map[types.DataCentre]*sentTo{},
 	}
 	d.mu.Lock()
 	old := d.led
--- a/io/daemon/push.go
+++ b/io/daemon/push.go
@@ -58,8 +58,9 @@
 
 // message is what one daemon is to be told.
 type message struct {
-	to       types.TargetID // "" for the leader of another data centre
+	to       types.TargetID
 	address  string
+	state    *sentTo
 	sums     []member.Summary
 	told     []member.Summary // what it knows of each of sums
 	configAt int64            // 0 if nothing is due
@@ -92,11 +93,11 @@
 		if t.ID() == d.id {
 			continue
 		}
-		m := message{to: t.ID(), address: t.Address()}
 		told, ok := l.sent[t.ID()]
 		if !ok {
 			continue
 		}
+		m := message{to: t.ID(), address: t.Address(), state: told}
 		for _, s := range all {
 			if old := told.summaries[s.DataCentre()]; s.Newer(old) {
 				m.sums, m.told = append(m.sums, s), append(m.told, old)
@@ -110,13 +111,15 @@
 		}
 	}
 	for dc, rec := range l.others {
-		key := types.TargetID("leader of " + string(dc))
-		if _, ok := l.sent[key]; !ok {
-			l.sent[key] = newSentTo(0)
+		told, ok := l.othersTold[dc]
+		if !ok {
+			told = newSentTo(0)
+			l.othersTold[dc] = told
 		}
-		if old := l.sent[key].summaries[own.DataCentre()]; own.Newer(old) {
+		if old := told.summaries[own.DataCentre()]; own.Newer(old) {
 			out = append(out, message{
-				to: key, address: rec.Address(), sums: []member.Summary{own}, told: []member.Summary{old},
+				to: rec.Holder(), address: rec.Address(), state: told,
+				sums: []member.Summary{own}, told: []member.Summary{old},
 			})
 		}
 	}
@@ -139,17 +142,15 @@
 			d.log.WithError(err).WithField("member", m.to).Debug("summary not delivered")
 		}
 		if err != nil && !errors.Is(err, peer.ErrRefused) {
-			l.failed(m.to)
+			l.failed(m)
 			return
 		}
-		l.mu.Lock()
-		if told, ok := l.sent[m.to]; ok {
-			if err != nil {
-				// A refused delta is followed by the whole summary.
-				s = member.Summary{}
-			}
-			told.summaries[m.sums[i].DataCentre()] = s
+		if err != nil {
+			// A refused delta is followed by the whole summary.
+			s = member.Summary{}
 		}
+		l.mu.Lock()
+		m.state.summaries[m.sums[i].DataCentre()] = s
 		l.mu.Unlock()
 	}
 	if m.configAt == 0 {
@@ -158,7 +159,7 @@
 	msg := &wire.ConfigAt{Sender: d.node.Addr(), Epoch: l.epoch, Version: m.configAt}
 	if err := d.node.Control(ctx, m.address, wire.KindConfigAt, msg, nil); err != nil {
 		d.log.WithError(err).WithField("member", m.to).Debug("configuration version not delivered")
-		l.failed(m.to)
+		l.failed(m)
 	}
 }
 
@@ -173,26 +174,21 @@
 // failed notes a message that did not arrive. A member that sends nothing
 // either meanwhile is dropped; if it lives, its next heartbeat makes it join
 // again.
-func (l *leadership) failed(id types.TargetID) {
+func (l *leadership) failed(m message) {
 	d := l.d
 	l.mu.Lock()
-	told, ok := l.sent[id]
-	if !ok {
-		l.mu.Unlock()
-		return
-	}
 	now := d.now()
-	if told.failed == 0 {
-		told.failing = now
+	if m.state.failed == 0 {
+		m.state.failing = now
 	}
-	told.failed++
-	drop := told.failed >= dropAfter && now.Sub(told.failing) >= dropTime
+	m.state.failed++
+	drop := m.state == l.sent[m.to] && m.state.failed >= dropAfter && now.Sub(m.state.failing) >= dropTime
 	if drop {
-		drop = l.table.Leave(now, id, told.incarnation)
+		drop = l.table.Leave(now, m.to, m.state.incarnation)
 	}
 	l.mu.Unlock()
 	if drop {
-		d.log.WithField("member", id).Warn("member not reached, dropped")
+		d.log.WithField("member", m.to).Warn("member not reached, dropped")
 		l.membersChanged()
 	}
 }
--- a/io/daemon/watch.go
+++ b/io/daemon/watch.go
@@ -96,6 +96,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// Whoever leads next has been told nothing by this leader.
+	delete(l.othersTold, dc)
 	if ev.Deleted {
 		delete(l.others, dc)
 		return nil
