io/daemon: ask the leader again for the versions in force

Cause, found by a new session that pauses, resumes and kills real processes: while an operator asked for the status more often than every 2 s, a daemon gave the answer it had kept and never asked again, so after the leader was killed the status named it for ever.

--- a/cmd/trefoilthread/script_test.go
+++ b/cmd/trefoilthread/script_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -42,7 +43,7 @@
 		UpdateScripts:       os.Getenv("UPDATE_SESSIONS") != "",
 		Setup:               func(e *testscript.Env) error { return setupSession(e, bin) },
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"await": await, "fixed": fixed, "settings": settings, "terminate": terminate,
+			"await": await, "fixed": fixed, "settings": settings, "terminate": terminate, "pause": pause,
 		},
 	})
 }
@@ -153,13 +154,29 @@
 	if neg || len(args) != 1 {
 		ts.Fatalf("usage: terminate WORD")
 	}
+	signalTo(ts, syscall.SIGTERM, args[0])
+}
+
+// pause WORD stops the process that has the word among its arguments, as a VM
+// that gets no processor time; "pause -end WORD" lets it go on.
+func pause(ts *testscript.TestScript, neg bool, args []string) {
+	switch {
+	case !neg && len(args) == 1:
+		signalTo(ts, syscall.SIGSTOP, args[0])
+	case !neg && len(args) == 2 && args[0] == "-end":
+		signalTo(ts, syscall.SIGCONT, args[1])
+	default:
+		ts.Fatalf("usage: pause [-end] WORD")
+	}
+}
+
+// signalTo signals the background process that has a word among its arguments.
+func signalTo(ts *testscript.TestScript, sig syscall.Signal, word string) {
 	for _, cmd := range ts.BackgroundCmds() {
-		for _, a := range cmd.Args {
-			if a == args[0] {
-				ts.Check(cmd.Process.Signal(syscall.SIGTERM))
-				return
-			}
+		if slices.Contains(cmd.Args, word) {
+			ts.Check(cmd.Process.Signal(sig))
+			return
 		}
 	}
-	ts.Fatalf("no background process with argument %s", args[0])
+	ts.Fatalf("no background process with argument %s", word)
 }
--- a/io/daemon/lead.go
+++ b/io/daemon/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"trefoilthread/core/lease"
@@ -57,9 +58,14 @@
 	now := d.now()
 	d.mu.Lock()
 	_, was := d.holder.MayAct(now)
+	before := d.holder.Phase()
 	actions := d.holder.Step(now, ev)
 	epoch, is := d.holder.MayAct(now)
+	phase, reason := d.holder.Phase(), d.holder.Reason()
 	d.mu.Unlock()
+	if phase != before {
+		d.log.WithFields(log.Fields{"phase": phase.String(), "reason": reason}).Debug("leadership changed phase")
+	}
 	for _, a := range actions {
 		go l.perform(ctx, a)
 	}
--- a/io/daemon/status.go
+++ b/io/daemon/status.go
@@ -25,7 +25,8 @@
 	mu      sync.Mutex
 	list    []stage.DataCentreStatus
 	changed chan struct{}
-	wanted  time.Time
+	wanted  time.Time // by an operator, last
+	asked   time.Time // when the leader last answered
 	poke    chan struct{}
 }
 
@@ -52,14 +53,15 @@
 		case <-next:
 		}
 		if list, ok := d.askStatus(ctx); ok {
-			b.set(list)
+			b.set(d.now(), list)
 		}
 	}
 }
 
-func (b *statusBoard) set(list []stage.DataCentreStatus) {
+func (b *statusBoard) set(now time.Time, list []stage.DataCentreStatus) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.asked = now
 	if slices.Equal(b.list, list) {
 		return
 	}
@@ -78,12 +80,12 @@
 	return b.changed
 }
 
-// status returns the versions in force; it asks the leader if nobody has for a
-// while.
+// status returns the versions in force; it asks the leader unless it has just
+// answered.
 func (d *Daemon) status() []stage.DataCentreStatus {
 	b := d.board
 	b.mu.Lock()
-	fresh := d.now().Sub(b.wanted) < statusInterest && b.list != nil
+	fresh := d.now().Sub(b.asked) < 2*statusEvery && b.list != nil
 	b.wanted = d.now()
 	list := b.list
 	b.mu.Unlock()
@@ -91,7 +93,7 @@
 		return list
 	}
 	if now, ok := d.askStatus(d.ctx); ok {
-		b.set(now)
+		b.set(d.now(), now)
 		return now
 	}
 	return list
