io/entry: let refreshes of the targets take turns

A refresh read the known targets and gave them to the picker in two steps; one that read before a change and arrived after the refresh for that change left the picker with the old list until the next change.

Change: reading and handing over are one step for each service.

Before: TestRefreshesTakeTurns, with the lock taken out, finds the old target. After: it passes 3 of 3 times with the race detector.

--- a/io/entry/flow.go
+++ b/io/entry/flow.go
@@ -58,10 +58,19 @@
 	f.mu.RUnlock()
 	if ok {
 		p.setRetries(f.opts.Retries(service))
-		p.update(f.now(), f.opts.Targets(service))
+		f.follow(p, service)
 	}
 }
 
+// follow gives a pool the known targets. Two refreshes at the same time take
+// turns: one that read the targets earlier and updated the picker later would
+// leave it with an old list until the next change.
+func (f *Flow) follow(p *pool, service types.ServiceName) {
+	p.refresh.Lock()
+	defer p.refresh.Unlock()
+	p.update(f.now(), f.opts.Targets(service))
+}
+
 // RefreshAll takes over the known targets of each service that was called
 // before. Services that this daemon never calls cost it nothing.
 func (f *Flow) RefreshAll() {
@@ -88,7 +97,7 @@
 	if p, ok = f.pools[service]; !ok {
 		p = &pool{picker: f.opts.NewPicker(service)}
 		p.setRetries(f.opts.Retries(service))
-		p.update(f.now(), f.opts.Targets(service))
+		f.follow(p, service)
 		f.pools[service] = p
 	}
 	return p
--- a/io/entry/flow_test.go
+++ b/io/entry/flow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,3 +110,70 @@
 		})
 	}
 }
+
+// Guards against a refresh that read the targets earlier, and reaches the picker
+// later than another one, leaving it with an old list.
+func TestRefreshesTakeTurns(t *testing.T) {
+	is := is.New(t)
+	target := func(id types.TargetID) []types.Target {
+		return []types.Target{types.NewTarget(types.TargetSpec{ID: id, Service: "svc", Slots: 4, Incarnation: 1})}
+	}
+	var mu sync.Mutex
+	known, hold := target("old"), make(chan struct{})
+	reads, reading := 0, make(chan struct{})
+	f := entry.NewFlow(entry.FlowOptions{
+		NewPicker: func(types.ServiceName) *route.Picker { return route.New(route.Options{}) },
+		Retries: func(types.ServiceName) (retry.BudgetOptions, retry.HedgerOptions) {
+			return retry.BudgetOptions{}, retry.HedgerOptions{}
+		},
+		Check: func(types.Fingerprint) poison.Status { return poison.Clear },
+		Targets: func(types.ServiceName) []types.Target {
+			mu.Lock()
+			got := known
+			reads++
+			second := reads == 2
+			mu.Unlock()
+			if second {
+				close(reading)
+				<-hold
+			}
+			return got
+		},
+		Send: func(_ context.Context, tg types.Target, head *wire.CallHead, _ io.Reader) (*wire.Answer, error) {
+			return answer(head, strings.NewReader(string(tg.ID())), 3), nil
+		},
+	})
+	ask := func() string {
+		body, err := entry.ReadBody(nil)
+		is.NoErr(err)
+		ans, err := f.Do(t.Context(), &wire.CallHead{
+			ID: "x", Service: "svc", Method: "GET", Path: "/", Timeout: time.Minute.Microseconds(), Tries: 4,
+		}, body)
+		is.NoErr(err)
+		b, err := io.ReadAll(ans.Body)
+		is.NoErr(err)
+		is.NoErr(ans.Body.Close())
+		return string(b)
+	}
+	is.Equal(ask(), "old") // the first read
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Refresh("svc") })
+	<-reading
+	mu.Lock()
+	known = target("new")
+	mu.Unlock()
+	later := make(chan struct{})
+	wg.Go(func() {
+		f.Refresh("svc")
+		close(later)
+	})
+	// Without turns the later refresh ends first; with them it waits for the
+	// earlier one, so the wait is bounded.
+	select {
+	case <-later:
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(hold)
+	wg.Wait()
+	is.Equal(ask(), "new")
+}
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -12,6 +12,9 @@
 // pool holds the decisions about one service and makes them safe for concurrent
 // use.
 type pool struct {
+	// refresh is held from reading the targets until the picker has them.
+	refresh sync.Mutex
+
 	mu     sync.Mutex
 	picker *route.Picker
 	budget *retry.Budget
