--- a/cmd/trefoilthread/daemon.go
+++ b/cmd/trefoilthread/daemon.go
@@ -10,9 +10,9 @@
 
 	"trefoilthread/io/certs"
 	"trefoilthread/io/daemon"
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/setup"
-	"trefoilthread/io/store"
 )
 
 type daemonCmd struct {
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	st, err := store.NewEtcd(s.StoreEndpoints(), store.EtcdOptions{})
+	st, err := etcd.New(s.StoreEndpoints(), etcd.Options{})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,174 @@
+package roster
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+// DefaultGrace is how long a record that vanished from the store is kept
+// without direct contact. Daemons that live have their records back within
+// about two seconds of the store's return.
+const DefaultGrace = 2500 * time.Millisecond
+
+// Options configure a Roster.
+type Options struct {
+	Self  string        // name of this daemon; its own record isn't kept
+	Grace time.Duration // default DefaultGrace
+}
+
+// Roster is the set of known daemons. It is not safe for concurrent use.
+type Roster struct {
+	opts  Options
+	nodes map[string]*node
+}
+
+type node struct {
+	rec     Record
+	heard   time.Time // last direct contact
+	missing time.Time // when the record vanished, zero while it is there
+	leaving bool      // said so itself
+}
+
+// New returns an empty roster.
+func New(o Options) *Roster {
+	if o.Grace <= 0 {
+		o.Grace = DefaultGrace
+	}
+	return &Roster{opts: o, nodes: make(map[string]*node)}
+}
+
+// Learn takes a record from the store and reports whether the targets changed.
+func (r *Roster) Learn(rec Record) bool {
+	if rec.Node == "" || rec.Node == r.opts.Self {
+		return false
+	}
+	n := r.nodes[rec.Node]
+	if n == nil {
+		r.nodes[rec.Node] = &node{rec: rec}
+		return true
+	}
+	n.missing = time.Time{}
+	if rec.Boot == n.rec.Boot && rec.Sequence <= n.rec.Sequence || rec.Sequence < n.rec.Sequence {
+		return false
+	}
+	if rec.Boot != n.rec.Boot {
+		n.leaving = false
+	}
+	changed := n.rec != rec
+	n.rec = rec
+	return changed
+}
+
+// Missing notes that the record of a node has vanished from the store.
+func (r *Roster) Missing(now time.Time, name string) {
+	if n := r.nodes[name]; n != nil && n.missing.IsZero() {
+		n.missing = now
+	}
+}
+
+// Retain notes all nodes as missing that keep reports false for. It is used
+// with a complete listing of the store.
+func (r *Roster) Retain(now time.Time, keep func(name string) bool) {
+	for name := range r.nodes {
+		if !keep(name) {
+			r.Missing(now, name)
+		}
+	}
+}
+
+// Heard notes direct contact with a node.
+func (r *Roster) Heard(now time.Time, name string) {
+	if n := r.nodes[name]; n != nil {
+		n.heard = now
+	}
+}
+
+// Leaving notes that a start of a daemon said that its target takes no new
+// calls, and reports whether that is news.
+func (r *Roster) Leaving(name string, boot uint64) bool {
+	n := r.nodes[name]
+	if n == nil || n.rec.Boot != boot || n.leaving {
+		return false
+	}
+	n.leaving = true
+	return true
+}
+
+// Expire removes nodes that are missing and were not heard of for Grace. It
+// returns their names and when to ask again, zero if no node is missing.
+func (r *Roster) Expire(now time.Time) (gone []string, next time.Time) {
+	for name, n := range r.nodes {
+		if n.missing.IsZero() {
+			continue
+		}
+		since := n.missing
+		if n.heard.After(since) {
+			since = n.heard
+		}
+		due := since.Add(r.opts.Grace)
+		if !now.Before(due) {
+			gone = append(gone, name)
+			delete(r.nodes, name)
+			continue
+		}
+		if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	slices.Sort(gone)
+	return gone, next
+}
+
+// Len returns the number of known daemons.
+func (r *Roster) Len() int { return len(r.nodes) }
+
+// Has reports whether a daemon is known.
+func (r *Roster) Has(name string) bool { return r.nodes[name] != nil }
+
+// Records returns all records sorted by name.
+func (r *Roster) Records() []Record {
+	recs := make([]Record, 0, len(r.nodes))
+	for _, n := range r.nodes {
+		recs = append(recs, n.rec)
+	}
+	slices.SortFunc(recs, func(a, b Record) int { return strings.Compare(a.Node, b.Node) })
+	return recs
+}
+
+// Targets returns the targets of a service, sorted by daemon.
+func (r *Roster) Targets(service types.ServiceName) []types.Target {
+	var list []types.Target
+	for _, rec := range r.Records() {
+		if rec.Target.known() && rec.Target.Service == service {
+			list = append(list, rec.target(r.nodes[rec.Node].leaving))
+		}
+	}
+	return list
+}
+
+// Services returns the services that have targets.
+func (r *Roster) Services() []types.ServiceName {
+	var names []types.ServiceName
+	for _, n := range r.nodes {
+		if s := n.rec.Target.Service; n.rec.Target.known() && !slices.Contains(names, s) {
+			names = append(names, s)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (rec Record) target(leaving bool) types.Target {
+	state := rec.Target.State
+	if leaving {
+		state = types.Draining
+	}
+	return types.NewTarget(types.TargetSpec{
+		ID: rec.Target.ID, Service: rec.Target.Service, DataCentre: rec.DataCentre,
+		Address: rec.Address, Slots: rec.Target.Slots,
+		Incarnation: rec.Target.Born, Sequence: rec.Sequence, State: state,
+	})
+}
--- a/io/daemon/watch.go
+++ b/io/daemon/watch.go
@@ -41,6 +41,9 @@
 	d := l.d
 	for ctx.Err() == nil {
 		err := d.store.Watch(ctx, prefix, func(ev store.Event) {
+			if ev.Synced {
+				return
+			}
 			if err := take(ev); err != nil {
 				d.log.WithError(err).WithField("key", ev.Item.Key).Error("value in store not understood")
 			}
--- a/io/store/etcd.go
+++ b/io/etcd/client.go
@@ -1,4 +1,4 @@
-package store
+package etcd
 
 import (
 	"context"
@@ -6,21 +6,22 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+	"trefoilthread/io/store"
 
 	"github.com/cockroachdb/errors"
 )
 
-// Etcd is a client of the published etcd v3 API over gRPC.
-type Etcd struct {
-	opts      EtcdOptions
+// Client is a client of the published etcd v3 API over gRPC.
+type Client struct {
+	opts      Options
 	transport *http.Transport
 	endpoints []*endpoint
 	current   atomic.Uint32 // index of the endpoint that is tried first
 }
 
-// NewEtcd returns a client for endpoints given as http or https URLs. HTTP/2
+// New returns a client for endpoints given as http or https URLs. HTTP/2
 // is used with both. It makes no connection yet.
-func NewEtcd(endpoints []string, o EtcdOptions) (*Etcd, error) {
+func New(endpoints []string, o Options) (*Client, error) {
 	if len(endpoints) == 0 {
 		return nil, errors.New("store: no endpoints")
 	}
@@ -28,7 +29,7 @@
 	var p http.Protocols
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
-	e := &Etcd{opts: o, transport: &http.Transport{
+	e := &Client{opts: o, transport: &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
 		TLSClientConfig: o.TLS,
 		Protocols:       &p,
@@ -49,8 +50,8 @@
 }
 
 // Store returns the operations.
-func (e *Etcd) Store() Store {
-	return Store{
+func (e *Client) Store() store.Store {
+	return store.Store{
 		Get:            e.get,
 		CompareAndSwap: e.compareAndSwap,
 		Watch:          e.watch,
@@ -61,14 +62,14 @@
 }
 
 // Close closes idle connections. Calls in progress are not ended.
-func (e *Etcd) Close() { e.transport.CloseIdleConnections() }
+func (e *Client) Close() { e.transport.CloseIdleConnections() }
 
 // call runs fn on an endpoint, and on the next one only after an error that
 // proves that nothing was sent: an answer that was lost may not be bought with
 // a second call that the platform counts as well. After any failure without
 // an answer, later calls begin with the next endpoint. It reports whether the
 // last attempt began to send.
-func (e *Etcd) call(ctx context.Context, fn func(context.Context, *endpoint) error) (sent bool, err error) {
+func (e *Client) call(ctx context.Context, fn func(context.Context, *endpoint) error) (sent bool, err error) {
 	for range e.endpoints {
 		i := e.current.Load()
 		var a attempt
--- a/io/store/endpoint.go
+++ b/io/etcd/endpoint.go
@@ -1,4 +1,4 @@
-package store
+package etcd
 
 import (
 	"net/http"
--- a/io/store/get.go
+++ b/io/etcd/get.go
@@ -1,8 +1,9 @@
-package store
+package etcd
 
 import (
 	"context"
 	"fmt"
+	"trefoilthread/io/store"
 
 	"connectrpc.com/connect"
 
@@ -10,19 +11,19 @@
 )
 
 // get implements Store.Get with a linearizable range of one key.
-func (e *Etcd) get(ctx context.Context, key string) (Item, error) {
+func (e *Client) get(ctx context.Context, key string) (store.Item, error) {
 	resp, err := e.readRange(ctx, "get "+key, &etcdpb.RangeRequest{Key: []byte(key)})
 	if err != nil {
-		return Item{}, err
+		return store.Item{}, err
 	}
 	if len(resp.Kvs) == 0 {
-		return Item{}, fmt.Errorf("store: get %s: %w", key, ErrNotFound)
+		return store.Item{}, fmt.Errorf("store: get %s: %w", key, store.ErrNotFound)
 	}
 	return item(resp.Kvs[0]), nil
 }
 
 // readRange sends a range. ctx is the caller's; the call has its own bound.
-func (e *Etcd) readRange(ctx context.Context, op string, r *etcdpb.RangeRequest) (*etcdpb.RangeResponse, error) {
+func (e *Client) readRange(ctx context.Context, op string, r *etcdpb.RangeRequest) (*etcdpb.RangeResponse, error) {
 	bounded, cancel := context.WithTimeout(ctx, e.opts.CallTimeout)
 	defer cancel()
 	var resp *etcdpb.RangeResponse
@@ -38,6 +39,6 @@
 	return resp, nil
 }
 
-func item(kv *etcdpb.KeyValue) Item {
-	return Item{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision, Lease: LeaseID(kv.Lease)}
+func item(kv *etcdpb.KeyValue) store.Item {
+	return store.Item{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision, Lease: store.LeaseID(kv.Lease)}
 }
--- a/io/store/lease.go
+++ b/io/etcd/lease.go
@@ -1,9 +1,10 @@
-package store
+package etcd
 
 import (
 	"context"
 	"fmt"
 	"time"
+	"trefoilthread/io/store"
 
 	"connectrpc.com/connect"
 
@@ -12,15 +13,15 @@
 
 // grant implements Store.Grant. The API counts in seconds: a fraction is
 // rounded up. A lease whose answer was lost expires by itself.
-func (e *Etcd) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+func (e *Client) grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	bounded, cancel := context.WithTimeout(ctx, e.opts.CallTimeout)
 	defer cancel()
 	req := &etcdpb.LeaseGrantRequest{TTL: int64((ttl + time.Second - 1) / time.Second)}
-	var id LeaseID
+	var id store.LeaseID
 	if sent, err := e.call(bounded, func(ctx context.Context, ep *endpoint) error {
 		out, err := ep.lease.LeaseGrant(ctx, connect.NewRequest(req))
 		if err == nil {
-			id = LeaseID(out.Msg.ID)
+			id = store.LeaseID(out.Msg.ID)
 		}
 		return err
 	}); err != nil {
@@ -33,7 +34,7 @@
 // every few seconds a stream that stays open would only add states to test. A
 // renewal without an answer is unavailable, not unknown, because a holder
 // relies on nothing but the answer.
-func (e *Etcd) renew(ctx context.Context, id LeaseID) (time.Duration, error) {
+func (e *Client) renew(ctx context.Context, id store.LeaseID) (time.Duration, error) {
 	op := fmt.Sprintf("renew lease %d", id)
 	bounded, cancel := context.WithTimeout(ctx, e.opts.CallTimeout)
 	defer cancel()
@@ -56,13 +57,13 @@
 		return 0, readError(ctx, op, err)
 	}
 	if ttl <= 0 {
-		return 0, fmt.Errorf("store: %s: %w", op, ErrLeaseGone)
+		return 0, fmt.Errorf("store: %s: %w", op, store.ErrLeaseGone)
 	}
 	return time.Duration(ttl) * time.Second, nil
 }
 
 // revoke implements Store.Revoke.
-func (e *Etcd) revoke(ctx context.Context, id LeaseID) error {
+func (e *Client) revoke(ctx context.Context, id store.LeaseID) error {
 	bounded, cancel := context.WithTimeout(ctx, e.opts.CallTimeout)
 	defer cancel()
 	sent, err := e.call(bounded, func(ctx context.Context, ep *endpoint) error {
--- a/io/store/etcdoptions.go
+++ b/io/etcd/options.go
@@ -1,12 +1,12 @@
-package store
+package etcd
 
 import (
 	"crypto/tls"
 	"time"
 )
 
-// EtcdOptions are the properties of an Etcd. The zero value has the defaults.
-type EtcdOptions struct {
+// Options are the properties of an Etcd. The zero value has the defaults.
+type Options struct {
 	// DialTimeout bounds the time to connect to an endpoint, 0 for 1 s.
 	DialTimeout time.Duration
 	// CallTimeout bounds a call over all endpoints, and the time until a watch
@@ -20,7 +20,7 @@
 	TLS *tls.Config
 }
 
-func (o EtcdOptions) withDefaults() EtcdOptions {
+func (o Options) withDefaults() Options {
 	for _, d := range []struct {
 		field *time.Duration
 		value time.Duration
--- a/io/store/outcome.go
+++ b/io/etcd/outcome.go
@@ -1,8 +1,9 @@
-package store
+package etcd
 
 import (
 	"context"
 	"fmt"
+	"trefoilthread/io/store"
 
 	"connectrpc.com/connect"
 )
@@ -35,7 +36,7 @@
 	if answered(err) {
 		return fmt.Errorf("store: %s: %w", op, err)
 	}
-	return unavailable(ctx, op, err)
+	return store.Unavailable(ctx, op, err)
 }
 
 // writeError returns the error of a write; sent tells whether the request may
@@ -44,24 +45,11 @@
 	switch {
 	case answered(err):
 		if connect.CodeOf(err) == connect.CodeNotFound {
-			return fmt.Errorf("store: %s: %w: %w", op, ErrLeaseGone, err)
+			return fmt.Errorf("store: %s: %w: %w", op, store.ErrLeaseGone, err)
 		}
 		return fmt.Errorf("store: %s: %w", op, err)
 	case sent && !refused(err):
-		return fmt.Errorf("store: %s: %w: %w", op, ErrUnknown, cause(ctx, err))
+		return fmt.Errorf("store: %s: %w: %w", op, store.ErrUnknown, store.Cause(ctx, err))
 	}
-	return unavailable(ctx, op, err)
-}
-
-func unavailable(ctx context.Context, op string, err error) error {
-	return fmt.Errorf("store: %s: %w: %w", op, ErrUnavailable, cause(ctx, err))
-}
-
-// cause adds the end of the caller's context to an error, which the RPC
-// library reports as a status only.
-func cause(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return fmt.Errorf("%w: %w", ctx.Err(), err)
-	}
-	return err
+	return store.Unavailable(ctx, op, err)
 }
--- a/io/store/swap.go
+++ b/io/etcd/swap.go
@@ -1,8 +1,9 @@
-package store
+package etcd
 
 import (
 	"context"
 	"fmt"
+	"trefoilthread/io/store"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,7 @@
 // compareAndSwap implements Store.CompareAndSwap with a transaction that
 // compares the revision of the last write. A key that does not exist is
 // compared by its creation, as the API documents it.
-func (e *Etcd) compareAndSwap(ctx context.Context, key string, revision int64, value []byte, lease LeaseID) (int64, error) {
+func (e *Client) compareAndSwap(ctx context.Context, key string, revision int64, value []byte, lease store.LeaseID) (int64, error) {
 	op := "swap " + key
 	if len(value) > MaxValue {
 		return 0, errors.Newf("store: %s: value of %d bytes, allowed %d", op, len(value), MaxValue)
@@ -47,7 +48,7 @@
 		return 0, writeError(ctx, op, sent, err)
 	}
 	if !resp.Succeeded {
-		return 0, fmt.Errorf("store: %s: %w with revision %d", op, ErrConflict, revision)
+		return 0, fmt.Errorf("store: %s: %w with revision %d", op, store.ErrConflict, revision)
 	}
 	return resp.GetHeader().GetRevision(), nil
 }
--- a/io/store/watch.go
+++ b/io/etcd/watch.go
@@ -1,9 +1,10 @@
-package store
+package etcd
 
 import (
 	"context"
 	"fmt"
 	"time"
+	"trefoilthread/io/store"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,7 +13,7 @@
 
 // watch implements Store.Watch: a range, then a watch that starts at the
 // revision after it, so that no change is missed in between.
-func (e *Etcd) watch(ctx context.Context, prefix string, fn func(Event)) error {
+func (e *Client) watch(ctx context.Context, prefix string, fn func(store.Event)) error {
 	op := "watch " + prefix
 	from, end := []byte(prefix), prefixEnd(prefix)
 	if prefix == "" {
@@ -23,8 +24,9 @@
 		return err
 	}
 	for _, kv := range now.Kvs {
-		fn(Event{Item: item(kv)})
+		fn(store.Event{Item: item(kv)})
 	}
+	fn(store.Event{Synced: true})
 	create := &etcdpb.WatchCreateRequest{Key: from, RangeEnd: end, StartRevision: now.GetHeader().GetRevision() + 1}
 	_, err = e.call(ctx, func(ctx context.Context, ep *endpoint) error {
 		return e.follow(ctx, ep, create, fn)
@@ -45,7 +47,7 @@
 var errWatchEnded = errors.New("watch canceled by the store")
 
 // follow runs one watch stream until it ends; it never returns nil.
-func (e *Etcd) follow(ctx context.Context, ep *endpoint, create *etcdpb.WatchCreateRequest, fn func(Event)) error {
+func (e *Client) follow(ctx context.Context, ep *endpoint, create *etcdpb.WatchCreateRequest, fn func(store.Event)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// An endpoint that accepts the stream and never answers must not hold the
@@ -88,7 +90,7 @@
 			setup.Stop()
 		}
 		for _, ev := range resp.Events {
-			fn(Event{Item: item(ev.Kv), Deleted: ev.Type == etcdpb.Event_DELETE})
+			fn(store.Event{Item: item(ev.Kv), Deleted: ev.Type == etcdpb.Event_DELETE})
 		}
 	}
 }
--- a/io/fleet/capacity_bench_test.go
+++ b/io/fleet/capacity_bench_test.go
@@ -17,6 +17,7 @@
 	"trefoilthread/core/member"
 	"trefoilthread/core/types"
 	"trefoilthread/io/deploy"
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/fleet"
 	"trefoilthread/io/opspb"
 	"trefoilthread/io/store"
@@ -239,7 +240,7 @@
 	f := startFleet(b, fleet.Options{
 		Deployment: deploy.Small(n, time.Microsecond), LeaseTime: 10 * time.Second, StoreVia: r.via,
 	})
-	cl, err := store.NewEtcd([]string{"http://" + f.Store().Addr()}, store.EtcdOptions{})
+	cl, err := etcd.New([]string{"http://" + f.Store().Addr()}, etcd.Options{})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -10,9 +10,9 @@
 	"trefoilthread/core/config"
 	"trefoilthread/core/types"
 	"trefoilthread/io/certs"
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/stand"
-	"trefoilthread/io/store"
 )
 
 const (
@@ -77,7 +77,7 @@
 
 // configure writes the services of the deployment as the first document.
 func (f *Fleet) configure(ctx context.Context) error {
-	cl, err := store.NewEtcd([]string{"http://" + f.store.Addr()}, store.EtcdOptions{})
+	cl, err := etcd.New([]string{"http://" + f.store.Addr()}, etcd.Options{})
 	if err != nil {
 		return err
 	}
--- a/io/fleet/node.go
+++ b/io/fleet/node.go
@@ -10,9 +10,9 @@
 	"trefoilthread/core/types"
 	"trefoilthread/io/daemon"
 	"trefoilthread/io/deploy"
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/setup"
 	"trefoilthread/io/stand"
-	"trefoilthread/io/store"
 )
 
 // Node is one VM: a target and the daemon beside it.
@@ -22,7 +22,7 @@
 	service deploy.Service
 	target  *stand.Target
 	daemon  *daemon.Daemon
-	store   *store.Etcd
+	store   *etcd.Client
 	former  []*stand.Target // earlier targets of the same name, for counting runs
 	away    atomic.Bool     // being replaced
 	entry   atomic.Value    // string, address for callers
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	if n.store, err = store.NewEtcd(set.StoreEndpoints(), store.EtcdOptions{}); err != nil {
+	if n.store, err = etcd.New(set.StoreEndpoints(), etcd.Options{}); err != nil {
 		return err
 	}
 	n.daemon, err = daemon.New(daemon.Options{
--- a/io/fleet/process_bench_test.go
+++ b/io/fleet/process_bench_test.go
@@ -16,6 +16,7 @@
 	"trefoilthread/core/member"
 	"trefoilthread/core/types"
 	"trefoilthread/io/certs"
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/peer"
 	"trefoilthread/io/stand"
@@ -142,7 +143,7 @@
 		time.Sleep(15 * time.Second) // until it leads
 		b.ReportMetric(p.idle(), "cpu-%-1-target")
 		b.ReportMetric(p.resident(), "rss-MB-1-target")
-		cl, err := store.NewEtcd([]string{"http://" + st.Addr()}, store.EtcdOptions{})
+		cl, err := etcd.New([]string{"http://" + st.Addr()}, etcd.Options{})
 		if err != nil {
 			b.Fatal(err)
 		}
--- /dev/null
+++ b/io/front/conn.go
@@ -0,0 +1,197 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"trefoilthread/io/httpw"
+)
+
+// readBuffer is the size of a connection's read buffer in bytes: most requests
+// fit, and a daemon holds hundreds of connections.
+const readBuffer = 2 << 10
+
+// exchange is one request with its response, once that is there.
+type exchange struct {
+	method string
+	resp   *httpw.Response
+	last   bool // the caller expects the connection to end
+}
+
+// conn is one connection of a caller.
+type conn struct {
+	s      *Server
+	nc     net.Conn
+	br     *bufio.Reader
+	ctx    context.Context
+	cancel context.CancelFunc
+	room   *sync.Cond // signals a shorter queue; uses mu
+
+	mu      sync.Mutex
+	queue   []*exchange // unanswered, oldest first
+	writing bool
+	reading bool // a request has begun to arrive
+	ended   bool // nothing is written any more
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &conn{s: s, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), ctx: ctx, cancel: cancel}
+	c.room = sync.NewCond(&c.mu)
+	return c
+}
+
+// serve reads requests until the connection ends.
+func (c *conn) serve() {
+	defer c.s.remove(c)
+	defer c.cancel()
+	for {
+		req, err := c.read()
+		if err != nil {
+			c.finish(err)
+			return
+		}
+		x := &exchange{method: req.Method, last: req.Close}
+		if !c.enqueue(x) {
+			c.awaitClose() // the connection has ended with an earlier response
+			return
+		}
+		go func() { c.answer(x, c.s.opts.Handle(c.ctx, req)) }()
+		if req.Close {
+			c.awaitClose()
+			return
+		}
+	}
+}
+
+// read reads the next request within the bounds of idle and header time.
+func (c *conn) read() (*httpw.Request, error) {
+	b := c.s.opts.Bounds()
+	c.setReadDeadline(b.Idle)
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.reading = true
+	c.mu.Unlock()
+	c.setReadDeadline(b.Header)
+	head, err := httpw.ReadRequestHead(c.br, b.Message)
+	if err != nil {
+		return nil, err
+	}
+	if head.HasBody() {
+		c.setReadDeadline(b.Idle)
+		if s := head.WantsContinue(); s != "" {
+			if _, err := io.WriteString(c.nc, s); err != nil {
+				return nil, err
+			}
+		}
+		if err := head.ReadBody(c.br, b.Message); err != nil {
+			return nil, err
+		}
+	}
+	return &head.Request, nil
+}
+
+// setReadDeadline bounds the next read, unless the last response has set the
+// linger time.
+func (c *conn) setReadDeadline(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.readWithin(d)
+	}
+}
+
+// readWithin bounds the reads from now on.
+func (c *conn) readWithin(d time.Duration) {
+	// An error means a closed connection, which the next read reports.
+	_ = c.nc.SetReadDeadline(c.s.opts.Clock.Now().Add(d))
+}
+
+// enqueue adds an exchange, waiting while too many are unanswered.
+func (c *conn) enqueue(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.queue) >= maxPipeline && !c.ended {
+		c.room.Wait()
+	}
+	if c.ended {
+		return false
+	}
+	c.reading = false
+	c.queue = append(c.queue, x)
+	return true
+}
+
+// finish ends a connection on which no further request can be read. A timeout
+// while requests run is no reason to end them.
+func (c *conn) finish(err error) {
+	var bad *httpw.MessageError
+	if errors.As(err, &bad) {
+		x := &exchange{last: true}
+		if c.enqueue(x) {
+			c.answer(x, c.s.opts.Refuse(bad.Status()))
+			c.awaitClose()
+		}
+		return
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && c.markLast() {
+		c.awaitClose()
+		return
+	}
+	c.cancel()
+	c.end()
+	_ = c.nc.Close()
+}
+
+// markLast makes the newest unanswered request the last one; false if there is
+// none.
+func (c *conn) markLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 {
+		return false
+	}
+	c.queue[len(c.queue)-1].last = true
+	return true
+}
+
+// awaitClose reads until the caller closes the connection or the last response
+// has been written and the linger time is over.
+func (c *conn) awaitClose() {
+	c.mu.Lock()
+	if !c.ended {
+		_ = c.nc.SetReadDeadline(time.Time{}) // an error shows in the read
+	}
+	c.mu.Unlock()
+	_, _ = io.Copy(io.Discard, c.br) // ends with the connection, whatever the reason
+	c.cancel()
+	c.end()
+	_ = c.nc.Close()
+}
+
+// end drops all unanswered exchanges.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	c.queue = nil
+	c.room.Broadcast()
+}
+
+// closeIfIdle closes the connection if no request has begun.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 && !c.writing && !c.reading && !c.ended {
+		c.ended = true
+		_ = c.nc.Close()
+	}
+}
--- /dev/null
+++ b/io/front/write.go
@@ -0,0 +1,71 @@
+package front
+
+import (
+	"net"
+
+	"trefoilthread/io/httpw"
+)
+
+// answer stores a response and writes all responses that are due. Only one
+// goroutine of a connection writes at a time; the others leave theirs to it.
+func (c *conn) answer(x *exchange, resp *httpw.Response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.resp = resp
+	if c.writing {
+		return
+	}
+	c.writing = true
+	for !c.ended && len(c.queue) > 0 && c.queue[0].resp != nil {
+		c.writeNext()
+	}
+	c.writing = false
+}
+
+// writeNext writes the oldest responses that are there in one go. It is called
+// with the lock held and gives it up while it writes.
+func (c *conn) writeNext() {
+	var buf []byte
+	last := false
+	for len(c.queue) > 0 && c.queue[0].resp != nil && !last {
+		x := c.queue[0]
+		c.queue = c.queue[1:]
+		// The response may be shared; only the copy says how this connection
+		// goes on.
+		resp := *x.resp
+		last = x.last || resp.Close || c.s.draining.Load()
+		resp.Close = last
+		buf = httpw.AppendResponse(buf, &resp, x.method)
+	}
+	c.room.Signal()
+	c.mu.Unlock()
+	err := c.write(buf)
+	c.mu.Lock()
+	if err != nil || last {
+		c.ended = true
+		c.queue = nil
+		c.room.Broadcast()
+		c.shut(err)
+	}
+}
+
+func (c *conn) write(buf []byte) error {
+	if err := c.nc.SetWriteDeadline(c.s.opts.Clock.Now().Add(writeTime)); err != nil {
+		return err
+	}
+	_, err := c.nc.Write(buf)
+	return err
+}
+
+// shut ends the sending side after the last response and leaves the reader the
+// linger time to see the caller's close. Other requests of the connection are
+// canceled: their callers take them as not read.
+func (c *conn) shut(err error) {
+	c.cancel()
+	tcp, ok := c.nc.(*net.TCPConn)
+	if err != nil || !ok || tcp.CloseWrite() != nil {
+		_ = c.nc.Close()
+		return
+	}
+	c.readWithin(lingerTime)
+}
--- /dev/null
+++ b/io/httpw/body.go
@@ -0,0 +1,86 @@
+package httpw
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+)
+
+const (
+	// maxChunkLine bounds the line with the size of a chunk, in bytes.
+	maxChunkLine = 1 << 10
+	// maxTrailer bounds the header lines after the last chunk, in bytes.
+	maxTrailer = 16 << 10
+	// readStep bounds the memory that is taken before bytes have come, so
+	// that a large announced length costs its sender as much as the reader.
+	readStep = 256 << 10
+)
+
+// readLength reads a body of n bytes.
+func readLength(br *bufio.Reader, n int64) ([]byte, error) {
+	if n == 0 {
+		return nil, nil
+	}
+	return appendBytes(br, make([]byte, 0, min(n, readStep)), n)
+}
+
+// appendBytes appends n bytes of br to body.
+func appendBytes(br *bufio.Reader, body []byte, n int64) ([]byte, error) {
+	for n > 0 {
+		step := int(min(n, readStep))
+		at := len(body)
+		body = append(body, make([]byte, step)...)
+		if _, err := io.ReadFull(br, body[at:]); err != nil {
+			return nil, noEOF(err)
+		}
+		n -= int64(step)
+	}
+	return body, nil
+}
+
+// readChunked reads a chunked body of at most limit bytes and drops its
+// trailers.
+func readChunked(br *bufio.Reader, limit int64) ([]byte, error) {
+	var body []byte
+	for {
+		h := head{br: br, left: maxChunkLine}
+		line, err := h.line()
+		if err != nil {
+			return nil, noEOF(err)
+		}
+		size, ok := parseChunkSize(line)
+		if !ok {
+			return nil, newMessageError(400, "malformed chunk size")
+		}
+		if size == 0 {
+			h.left = maxTrailer
+			_, err := h.fields()
+			return body, err
+		}
+		if int64(len(body))+size > limit {
+			return nil, newMessageError(413, "body longer than %d bytes", limit)
+		}
+		if body, err = appendBytes(br, body, size); err != nil {
+			return nil, err
+		}
+		end, err := h.line()
+		if err != nil {
+			return nil, noEOF(err)
+		}
+		if end != "" {
+			return nil, newMessageError(400, "chunk longer than its size")
+		}
+	}
+}
+
+// parseChunkSize reads a chunk size; an extension after it is ignored.
+func parseChunkSize(line string) (int64, bool) {
+	digits, _, _ := strings.Cut(line, ";")
+	digits = strings.TrimRight(digits, " \t")
+	if digits == "" || len(digits) > 15 {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 16, 60)
+	return int64(n), err == nil && digits[0] != '+'
+}
--- /dev/null
+++ b/io/httpw/doc.go
@@ -0,0 +1,26 @@
+// Package httpw reads and writes HTTP/1.1 messages on a byte stream.
+//
+// The data path uses it instead of net/http for four reasons: requests that a
+// caller pipelined are read while earlier ones run, a caller's close is seen
+// while its request runs, a second answer on a connection is told from the
+// next one, and an answer that is cut is never taken for a whole one. It is
+// not a general HTTP library: bodies are held in memory, and there are no
+// redirects, cookies, proxies or protocol upgrades.
+//
+// # Strictness
+//
+// Messages whose framing could be understood in two ways are refused: both
+// Content-Length and Transfer-Encoding, different lengths, line folding, white
+// space before a colon, control characters, and chunk sizes that are no plain
+// hexadecimal number. What is written has exactly one framing.
+//
+// # Usage
+//
+//	br := bufio.NewReader(conn)
+//	req, err := httpw.ReadRequest(br, httpw.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20})
+//	var bad *httpw.MessageError
+//	if errors.As(err, &bad) {
+//		// Answer bad.Status() and close the connection.
+//	}
+//	buf := httpw.AppendResponse(nil, &httpw.Response{Status: 200, Body: body})
+package httpw
--- /dev/null
+++ b/io/httpw/head.go
@@ -0,0 +1,128 @@
+package httpw
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// head reads the lines of one message head within a limit in bytes.
+type head struct {
+	br   *bufio.Reader
+	left int
+}
+
+// line reads one line without its end. A bare LF ends a line as well, as
+// RFC 9112 allows; a bare CR does not.
+func (h *head) line() (string, error) {
+	var long []byte
+	for {
+		part, err := h.br.ReadSlice('\n')
+		h.left -= len(part)
+		if h.left < 0 {
+			return "", newMessageError(431, "header longer than allowed")
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			long = append(long, part...)
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(part)+len(long) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return "", err
+		}
+		if long != nil {
+			part = append(long, part...)
+		}
+		s := strings.TrimSuffix(string(part[:len(part)-1]), "\r")
+		if strings.ContainsAny(s, "\r\x00") {
+			return "", newMessageError(400, "control character in header")
+		}
+		return s, nil
+	}
+}
+
+// fields reads header lines up to the empty line.
+func (h *head) fields() (Header, error) {
+	hdr := make(Header, 0, 8)
+	for {
+		s, err := h.line()
+		if err != nil {
+			return nil, noEOF(err)
+		}
+		if s == "" {
+			return hdr, nil
+		}
+		name, value, ok := strings.Cut(s, ":")
+		if !ok || !isToken(name) {
+			return nil, newMessageError(400, "malformed header line")
+		}
+		hdr = append(hdr, Field{Name: name, Value: strings.Trim(value, " \t")})
+	}
+}
+
+// noEOF turns an end between two bytes of a message into an unexpected one.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// isToken reports whether s is a token of RFC 9110.
+func isToken(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		case strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// framing is how the end of a body is found.
+type framing struct {
+	chunked bool
+	length  int64 // -1: none given
+}
+
+// framingOf reads the framing headers and refuses contradictory ones.
+func framingOf(hdr Header) (framing, error) {
+	f := framing{length: -1}
+	for _, l := range hdr {
+		switch {
+		case strings.EqualFold(l.Name, "Transfer-Encoding"):
+			if f.chunked || !strings.EqualFold(l.Value, "chunked") {
+				return f, newMessageError(501, "transfer encoding %q", l.Value)
+			}
+			f.chunked = true
+		case strings.EqualFold(l.Name, "Content-Length"):
+			n, ok := parseLength(l.Value)
+			if !ok || f.length >= 0 && f.length != n {
+				return f, newMessageError(400, "content length %q", l.Value)
+			}
+			f.length = n
+		}
+	}
+	if f.chunked && f.length >= 0 {
+		return f, newMessageError(400, "both content length and transfer encoding")
+	}
+	return f, nil
+}
+
+func parseLength(s string) (int64, bool) {
+	if s == "" || len(s) > 18 || strings.Trim(s, "0123456789") != "" {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	return n, err == nil
+}
--- /dev/null
+++ b/io/httpw/message.go
@@ -0,0 +1,29 @@
+package httpw
+
+// Limits bound what is read of one message.
+type Limits struct {
+	HeaderBytes int   // start line and header lines, in bytes
+	BodyBytes   int64 // body without framing, in bytes
+}
+
+// Request is a whole request.
+type Request struct {
+	Method string
+	Target string // path and query as sent
+	Header Header
+	Body   []byte
+	// Close tells that the sender wants no further exchange on the connection.
+	Close bool
+}
+
+// Response is a whole response.
+type Response struct {
+	Status int
+	Reason string
+	Header Header
+	Body   []byte
+	// Close tells that the connection ends with this response.
+	Close bool
+	// NoLength tells that the body was framed by the end of the connection.
+	NoLength bool
+}
--- /dev/null
+++ b/io/local/client.go
@@ -0,0 +1,205 @@
+package local
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/io/httpw"
+)
+
+// ErrNotSent means that the request can't have reached the target.
+var ErrNotSent = errors.New("request was not sent to the target")
+
+// Options configure a Client. Belongs and Clock are required.
+type Options struct {
+	// Belongs reports whether a response is to a request.
+	Belongs func(req *httpw.Request, resp *httpw.Response) bool
+	Clock   clockwork.Clock
+	Limits  httpw.Limits // of responses
+	// DialTimeout bounds the time for a connection; default 250 ms.
+	DialTimeout time.Duration
+	// Idle is how long a connection is kept without a request if the target
+	// names no time of its own; default 4 s.
+	Idle time.Duration
+}
+
+const (
+	defaultDialTimeout = 250 * time.Millisecond
+	defaultIdle        = 4 * time.Second
+	// idleMargin is taken off the idle time that a target names, so that a
+	// request isn't sent while the target closes the connection.
+	idleMargin = time.Second
+	// maxExtra is the number of responses to other requests that may come
+	// before the one that is waited for.
+	maxExtra = 2
+	readSize = 4 << 10
+)
+
+// Client keeps connections to one target.
+type Client struct {
+	opts Options
+
+	mu   sync.Mutex
+	addr string
+	idle []*conn // the most recently used last
+}
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	nc    net.Conn
+	br    *bufio.Reader
+	addr  string
+	until time.Time // end of the idle time
+}
+
+// New returns a client of the target at addr, without connections.
+func New(addr string, o Options) *Client {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.Idle <= 0 {
+		o.Idle = defaultIdle
+	}
+	return &Client{opts: o, addr: addr}
+}
+
+// Reset closes idle connections, for a target that has been replaced, and
+// sets the address of the next ones.
+func (c *Client) Reset(addr string) {
+	c.mu.Lock()
+	old := c.idle
+	c.idle, c.addr = nil, addr
+	c.mu.Unlock()
+	for _, cn := range old {
+		_ = cn.nc.Close()
+	}
+}
+
+// Do sends a request and returns the whole response to it. The connection is
+// closed when ctx ends, which lets the target stop working.
+func (c *Client) Do(ctx context.Context, req *httpw.Request) (*httpw.Response, error) {
+	cn, err := c.take(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "%v", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
+	resp, err := c.exchange(cn, req)
+	if !stop() && err != nil {
+		err = errors.Wrapf(ctx.Err(), "%v", err)
+	}
+	if err != nil || !c.keep(cn, resp) {
+		_ = cn.nc.Close()
+	}
+	return resp, err
+}
+
+func (c *Client) exchange(cn *conn, req *httpw.Request) (*httpw.Response, error) {
+	sent := make(chan error, 1)
+	buf := httpw.AppendRequest(nil, req)
+	if len(buf) <= smallRequest {
+		if _, err := cn.nc.Write(buf); err != nil {
+			return nil, err
+		}
+		sent <- nil
+	} else {
+		// A target may answer before it has read a long body, and reads on
+		// only when its response is taken.
+		go func() {
+			_, err := cn.nc.Write(buf)
+			sent <- err
+		}()
+	}
+	resp, err := c.receive(cn, req)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case err := <-sent:
+		if err != nil {
+			resp.Close = true
+		}
+	default:
+		// The rest of the body is still to come: nothing else may follow it.
+		resp.Close = true
+	}
+	return resp, nil
+}
+
+// smallRequest is the size in bytes up to which a request fits the socket's
+// buffers, so that writing it can't wait for the target to read.
+const smallRequest = 16 << 10
+
+// receive reads the response to req and drops those to other requests.
+func (c *Client) receive(cn *conn, req *httpw.Request) (*httpw.Response, error) {
+	for range maxExtra + 1 {
+		resp, err := httpw.ReadResponse(cn.br, req.Method, c.opts.Limits)
+		if err != nil {
+			return nil, err
+		}
+		if c.opts.Belongs(req, resp) {
+			return resp, nil
+		}
+		if resp.Close {
+			return nil, errors.New("connection ended with a response to another request")
+		}
+	}
+	return nil, errors.New("responses to other requests only")
+}
+
+// take returns a kept connection that is still open, or a new one.
+func (c *Client) take(ctx context.Context) (*conn, error) {
+	for {
+		cn, addr := c.pop()
+		if cn == nil {
+			return c.dial(ctx, addr)
+		}
+		if c.opts.Clock.Now().Before(cn.until) && isQuiet(cn) {
+			return cn, nil
+		}
+		_ = cn.nc.Close()
+	}
+}
+
+func (c *Client) pop() (*conn, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.idle)
+	if n == 0 {
+		return nil, c.addr
+	}
+	cn := c.idle[n-1]
+	c.idle[n-1] = nil
+	c.idle = c.idle[:n-1]
+	return cn, c.addr
+}
+
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
+	d := net.Dialer{Timeout: c.opts.DialTimeout}
+	nc, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readSize), addr: addr}, nil
+}
+
+// keep stores a connection for the next request if its response allows that.
+func (c *Client) keep(cn *conn, resp *httpw.Response) bool {
+	idle := idleTime(resp, c.opts.Idle)
+	if resp.Close || idle <= 0 || cn.br.Buffered() > 0 {
+		return false
+	}
+	cn.until = c.opts.Clock.Now().Add(idle)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cn.addr != c.addr {
+		return false
+	}
+	c.idle = append(c.idle, cn)
+	return true
+}
--- /dev/null
+++ b/io/mesh/client.go
@@ -0,0 +1,142 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+var (
+	// ErrBroken means that the connection ended while the call was open: it
+	// may have run.
+	ErrBroken = errors.New("mesh: connection broke during the call")
+	// ErrUnreachable means that no connection could be made: the call was not
+	// sent.
+	ErrUnreachable = errors.New("mesh: daemon unreachable")
+)
+
+// ClientOptions configure a Client. Clock and Hello are required.
+type ClientOptions struct {
+	Hello Hello
+	Clock clockwork.Clock
+	// DialTimeout bounds the time for a connection; default 300 ms.
+	DialTimeout time.Duration
+	// Silence is the time without a byte after which an open call is checked
+	// with a ping, and then the time for its answer; default 250 ms.
+	Silence time.Duration
+	// Ended is told of connections that ended with an error.
+	Ended func(addr string, err error)
+}
+
+const (
+	defaultDialTimeout = 300 * time.Millisecond
+	defaultSilence     = 250 * time.Millisecond
+)
+
+// Client calls other daemons over one kept connection each.
+type Client struct {
+	opts ClientOptions
+
+	mu    sync.Mutex
+	links map[string]*link // by address
+}
+
+// NewClient returns a client without connections.
+func NewClient(o ClientOptions) *Client {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.Silence <= 0 {
+		o.Silence = defaultSilence
+	}
+	if o.Ended == nil {
+		o.Ended = func(string, error) {}
+	}
+	return &Client{opts: o, links: make(map[string]*link)}
+}
+
+// Call sends a call and waits for its answer. When ctx ends first, the call is
+// canceled at the peer and the error is that of ctx.
+func (c *Client) Call(ctx context.Context, addr string, head *CallHead) (*Answer, error) {
+	l, err := c.link(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return l.call(ctx, head)
+}
+
+// Notify sends a notice, over a new connection if there is none.
+func (c *Client) Notify(ctx context.Context, addr string, n *Notice) error {
+	l, err := c.link(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return l.out.send(kindNotice, 0, n)
+}
+
+// Drop closes the connection to a daemon that has gone.
+func (c *Client) Drop(addr string) {
+	c.mu.Lock()
+	l := c.links[addr]
+	c.mu.Unlock()
+	if l != nil {
+		l.drop()
+	}
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	all := make([]*link, 0, len(c.links))
+	for _, l := range c.links {
+		all = append(all, l)
+	}
+	c.mu.Unlock()
+	for _, l := range all {
+		l.drop()
+	}
+}
+
+// link returns the connection to addr, making it if there is none. Callers
+// that come meanwhile share the attempt.
+func (c *Client) link(ctx context.Context, addr string) (*link, error) {
+	c.mu.Lock()
+	l := c.links[addr]
+	if l == nil {
+		l = newLink(c, addr)
+		c.links[addr] = l
+		go l.run()
+	}
+	c.mu.Unlock()
+	select {
+	case <-l.ready:
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", addr, ctx.Err())
+	}
+	if l.dialErr != nil {
+		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", addr, l.dialErr)
+	}
+	return l, nil
+}
+
+func (c *Client) remove(l *link) {
+	c.mu.Lock()
+	if c.links[l.addr] == l {
+		delete(c.links, l.addr)
+	}
+	c.mu.Unlock()
+}
+
+func (c *Client) dial(addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: c.opts.DialTimeout}
+	nc, err := d.Dial("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	setKeepAlive(nc)
+	return nc, nil
+}
--- /dev/null
+++ b/io/mesh/doc.go
@@ -0,0 +1,24 @@
+// Package mesh carries calls between daemons over kept TCP connections.
+//
+// A daemon keeps one connection to each daemon it calls. Calls share it: each
+// frame names its call, so a slow call holds no other up, and a canceled call
+// costs one frame instead of a connection. Messages are CBOR and whole: a call
+// is delivered only when all its bytes are there, and so is its answer.
+//
+// A connection that has gone silent is told by a ping: when calls are open and
+// nothing has come for Options.Silence, a ping is sent, and without any byte
+// for another Silence the connection is closed. Its open calls end with
+// ErrBroken: each of them may have run.
+//
+// # Proof that nothing ran
+//
+// A call that ends with an error other than ErrBroken has not left this
+// daemon. Anything else is for the peer to say in its answer.
+//
+// # Usage
+//
+//	srv := mesh.NewServer(mesh.ServerOptions{Serve: serve, Notice: notice, Clock: clock})
+//	go srv.Serve(ln)
+//	cl := mesh.NewClient(mesh.ClientOptions{Clock: clock, Self: hello})
+//	ans, err := cl.Call(ctx, "10.0.0.3:7380", head)
+package mesh
--- /dev/null
+++ b/io/mesh/link.go
@@ -0,0 +1,196 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// link is one connection to another daemon.
+type link struct {
+	c       *Client
+	addr    string
+	ready   chan struct{} // closed when the connection is made or failed
+	dialErr error         // set before ready is closed
+	out     *sender
+
+	mu     sync.Mutex
+	calls  map[uint64]chan *Answer // open calls
+	last   uint64                  // number of the latest call
+	heard  time.Time               // when bytes came last
+	pinged bool                    // a ping is out since heard
+	timer  clockwork.Timer         // checks for silence while calls are open
+	ended  bool
+}
+
+func newLink(c *Client, addr string) *link {
+	return &link{c: c, addr: addr, ready: make(chan struct{}), calls: make(map[uint64]chan *Answer)}
+}
+
+// run makes the connection and reads it until it ends.
+func (l *link) run() {
+	nc, err := l.c.dial(l.addr)
+	if err == nil {
+		l.out = &sender{nc: nc, clock: l.c.opts.Clock}
+		if err = l.out.send(kindHello, 0, &l.c.opts.Hello); err != nil {
+			_ = nc.Close() // the error of the send is reported
+		}
+	}
+	if err != nil {
+		l.dialErr = err
+		l.c.remove(l)
+		close(l.ready)
+		l.c.opts.Ended(l.addr, err)
+		return
+	}
+	close(l.ready)
+	err = l.read(bufio.NewReaderSize(nc, readBuffer))
+	_ = nc.Close()
+	l.c.remove(l)
+	l.fail()
+	l.c.opts.Ended(l.addr, err)
+}
+
+// drop closes the connection; its reader does the rest.
+func (l *link) drop() {
+	select {
+	case <-l.ready:
+		if l.dialErr == nil {
+			_ = l.out.nc.Close()
+		}
+	default: // still being made; it ends by itself when idle
+	}
+}
+
+func (l *link) read(br *bufio.Reader) error {
+	for {
+		f, err := readFrame(br)
+		if err != nil {
+			return err
+		}
+		l.mu.Lock()
+		l.heard, l.pinged = l.c.opts.Clock.Now(), false
+		l.mu.Unlock()
+		if f.kind != kindAnswer {
+			continue
+		}
+		ans := new(Answer)
+		if err := f.decode(ans); err != nil {
+			return err
+		}
+		l.deliver(f.call, ans)
+	}
+}
+
+// deliver hands an answer to its call, which may have been canceled.
+func (l *link) deliver(id uint64, ans *Answer) {
+	l.mu.Lock()
+	ch := l.calls[id]
+	delete(l.calls, id)
+	l.mu.Unlock()
+	if ch != nil {
+		ch <- ans
+	}
+}
+
+// fail ends all open calls.
+func (l *link) fail() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	for id, ch := range l.calls {
+		delete(l.calls, id)
+		close(ch)
+	}
+}
+
+func (l *link) call(ctx context.Context, head *CallHead) (*Answer, error) {
+	id, ch, ok := l.open()
+	if !ok {
+		return nil, ErrUnreachable
+	}
+	if err := l.out.send(kindCall, id, head); err != nil {
+		l.forget(id)
+		return nil, ErrUnreachable
+	}
+	select {
+	case ans, ok := <-ch:
+		if !ok {
+			return nil, ErrBroken
+		}
+		return ans, nil
+	case <-ctx.Done():
+		if l.forget(id) {
+			// An error means that the connection is gone, and the call with it.
+			_ = l.out.send(kindCancel, id, nil)
+		}
+		return nil, ctx.Err()
+	}
+}
+
+// open enters a call and starts to watch for silence.
+func (l *link) open() (uint64, chan *Answer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return 0, nil, false
+	}
+	if len(l.calls) == 0 {
+		l.heard, l.pinged = l.c.opts.Clock.Now(), false
+		if l.timer == nil {
+			l.timer = l.c.opts.Clock.AfterFunc(l.c.opts.Silence, l.check)
+		} else {
+			l.timer.Reset(l.c.opts.Silence)
+		}
+	}
+	l.last++
+	ch := make(chan *Answer, 1)
+	l.calls[l.last] = ch
+	return l.last, ch, true
+}
+
+// forget removes a call and reports whether it was still open.
+func (l *link) forget(id uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.calls[id]
+	delete(l.calls, id)
+	return ok
+}
+
+// check pings a silent connection with open calls, and closes it if that
+// brought nothing.
+func (l *link) check() {
+	l.mu.Lock()
+	if l.ended || len(l.calls) == 0 {
+		l.mu.Unlock()
+		return
+	}
+	silence := l.c.opts.Silence
+	quiet := l.c.opts.Clock.Since(l.heard)
+	ping, broken := false, false
+	switch {
+	case quiet < silence:
+	case !l.pinged:
+		l.pinged, ping = true, true
+	default:
+		broken = true
+	}
+	next := silence
+	if quiet < silence {
+		next = silence - quiet
+	}
+	l.timer.Reset(next)
+	l.mu.Unlock()
+	if broken {
+		_ = l.out.nc.Close() // the reader reports the end
+	} else if ping {
+		_ = l.out.send(kindPing, 0, nil) // an error ends the connection
+	}
+}
--- /dev/null
+++ b/io/mesh/message.go
@@ -0,0 +1,101 @@
+package mesh
+
+import (
+	"trefoilthread/io/httpw"
+)
+
+// CallHead is a call with the whole request.
+type CallHead struct {
+	_           struct{} `cbor:",toarray"`
+	ID          string   // request id
+	Service     string   // service that is to run it
+	Target      string   // target that is to run it
+	Caller      string   // service beside which the request came in
+	Method      string
+	Path        string // path and query as the caller sent them
+	Header      httpw.Header
+	Body        []byte
+	RemainingMs int64   // time left until the call's deadline
+	GoalMs      int64   // time left in which the answer has its full worth
+	Rank        int     // 0 is the most urgent
+	Worth       float64 // value of the answer
+	AtMostOnce  bool
+	Config      int64 // configuration version by which the call was routed
+}
+
+// Result tells what became of a call at the daemon beside its target.
+type Result uint8
+
+const (
+	// Answered means that the target's whole response is there.
+	Answered Result = iota
+	// Refused means that the call has not run and never will.
+	Refused
+	// Broken means that the call may have run and has no valid response.
+	Broken
+	// Expired means that the deadline passed while the call ran.
+	Expired
+)
+
+// Load is the load of a target when an answer left its daemon.
+type Load struct {
+	_         struct{} `cbor:",toarray"`
+	InFlight  int
+	Queued    int
+	Limit     int
+	LatencyUs int64
+	Draining  bool
+	Born      uint64 // start of the target
+}
+
+// Answer is the result of a call.
+type Answer struct {
+	_       struct{} `cbor:",toarray"`
+	Result  Result
+	Reason  string // for people, of a result other than Answered
+	RetryMs int64  // when a refused call may find room, 0 if unknown
+	// Reached tells that the call was handed to the target, which then
+	// refused it.
+	Reached bool
+	Status  int
+	Phrase  string
+	Header  httpw.Header
+	Body    []byte
+	Load    Load
+	Config  int64 // configuration version of the answering daemon
+}
+
+// Hello opens a connection.
+type Hello struct {
+	_    struct{} `cbor:",toarray"`
+	Node string
+	Boot uint64
+}
+
+// Notice is a message without an answer.
+type Notice struct {
+	_        struct{} `cbor:",toarray"`
+	Node     string
+	Boot     uint64
+	Config   int64  // configuration version in force at the sender
+	Target   string // target beside the sender, "" for none
+	Leaving  bool   // the target takes no new calls
+	Suspects []Suspect
+}
+
+// Suspect is a request that was running when a target died.
+type Suspect struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Deaths      []Death
+}
+
+// Death is the death of a target that ran a suspect.
+type Death struct {
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Boot    uint64
+	Number  uint64
+	AgeMs   int64
+	Cleared bool
+}
--- /dev/null
+++ b/io/mesh/sender.go
@@ -0,0 +1,95 @@
+package mesh
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// errBacklog means that the peer has not accepted bytes for too long.
+var errBacklog = errors.New("mesh: peer accepts no bytes")
+
+const (
+	// maxBacklog bounds the bytes that wait for a connection.
+	maxBacklog = 16 << 20
+	// writeTime bounds one write.
+	writeTime = 5 * time.Second
+)
+
+// sender writes frames to a connection. The goroutine that finds nobody
+// writing writes for all until nothing is left, so a lone frame needs no
+// hand-over and frames that meet share a system call.
+type sender struct {
+	nc    net.Conn
+	clock clockwork.Clock
+
+	mu      sync.Mutex
+	pending []byte
+	spare   []byte
+	writing bool
+	err     error
+}
+
+// send queues a frame and, if nobody else is writing, writes. It returns an
+// error only if the frame was not queued.
+func (s *sender) send(k kind, call uint64, msg any) error {
+	s.mu.Lock()
+	if s.err != nil {
+		defer s.mu.Unlock()
+		return s.err
+	}
+	if len(s.pending) > maxBacklog {
+		s.mu.Unlock()
+		return errBacklog
+	}
+	buf, err := appendFrame(s.pending, k, call, msg)
+	if err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	s.pending = buf
+	if s.writing {
+		s.mu.Unlock()
+		return nil
+	}
+	s.writing = true
+	s.mu.Unlock()
+	s.flush()
+	return nil
+}
+
+// flush writes until nothing is pending.
+func (s *sender) flush() {
+	for {
+		s.mu.Lock()
+		if len(s.pending) == 0 || s.err != nil {
+			s.writing = false
+			s.mu.Unlock()
+			return
+		}
+		buf := s.pending
+		s.pending, s.spare = s.spare[:0], nil
+		s.mu.Unlock()
+		err := s.write(buf)
+		s.mu.Lock()
+		s.err = err
+		if cap(buf) <= payloadStep {
+			s.spare = buf[:0]
+		}
+		s.mu.Unlock()
+		if err != nil {
+			_ = s.nc.Close() // the reader reports the end
+		}
+	}
+}
+
+func (s *sender) write(buf []byte) error {
+	if err := s.nc.SetWriteDeadline(s.clock.Now().Add(writeTime)); err != nil {
+		return err
+	}
+	_, err := s.nc.Write(buf)
+	return err
+}
--- /dev/null
+++ b/io/mesh/server.go
@@ -0,0 +1,192 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// ServerOptions configure a Server. All fields are required.
+type ServerOptions struct {
+	// Serve runs a call. Its context ends when the caller cancels it or its
+	// connection breaks.
+	Serve func(ctx context.Context, from Hello, call *CallHead) *Answer
+	// Notice takes a notice. It must not block.
+	Notice func(n *Notice)
+	// Failed is told of connections that ended with an error.
+	Failed func(addr string, err error)
+	Clock  clockwork.Clock
+}
+
+const (
+	readBuffer  = 8 << 10
+	acceptPause = 20 * time.Millisecond
+	// keepAliveIdle and keepAliveCount end a connection whose peer lost power
+	// while no call is open.
+	keepAliveIdle  = 5 * time.Second
+	keepAliveCount = 3
+)
+
+// Server takes calls of other daemons.
+type Server struct {
+	opts ServerOptions
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	ln    net.Listener
+	ended bool
+}
+
+// NewServer returns a server that isn't listening yet.
+func NewServer(o ServerOptions) *Server {
+	return &Server{opts: o, conns: make(map[net.Conn]struct{})}
+}
+
+// Serve accepts connections until the server is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	s.mu.Lock()
+	s.ln = ln
+	s.mu.Unlock()
+	for {
+		nc, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.opts.Failed("", err)
+			s.opts.Clock.Sleep(acceptPause)
+			continue
+		}
+		setKeepAlive(nc)
+		if s.add(nc) {
+			go s.serveConn(nc)
+		}
+	}
+}
+
+func (s *Server) add(nc net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		_ = nc.Close() // refused: the server is closed
+		return false
+	}
+	s.conns[nc] = struct{}{}
+	return true
+}
+
+// Close ends all connections and with them their calls.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	if s.ln != nil {
+		_ = s.ln.Close()
+	}
+	for nc := range s.conns {
+		_ = nc.Close()
+	}
+}
+
+// serveConn reads frames until the connection ends.
+func (s *Server) serveConn(nc net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := &inbound{s: s, out: &sender{nc: nc, clock: s.opts.Clock}, calls: make(map[uint64]context.CancelFunc)}
+	err := p.read(ctx, bufio.NewReaderSize(nc, readBuffer))
+	_ = nc.Close()
+	s.mu.Lock()
+	delete(s.conns, nc)
+	s.mu.Unlock()
+	s.opts.Failed(nc.RemoteAddr().String(), err)
+}
+
+// inbound is the state of one accepted connection.
+type inbound struct {
+	s    *Server
+	out  *sender
+	from Hello
+
+	mu    sync.Mutex
+	calls map[uint64]context.CancelFunc
+}
+
+func (p *inbound) read(ctx context.Context, br *bufio.Reader) error {
+	for {
+		f, err := readFrame(br)
+		if err != nil {
+			return err
+		}
+		if err := p.handle(ctx, f); err != nil {
+			return err
+		}
+	}
+}
+
+// handle acts on one frame. Frames of unknown kinds are from later versions
+// and are skipped.
+func (p *inbound) handle(ctx context.Context, f frame) error {
+	switch f.kind {
+	case kindHello:
+		return f.decode(&p.from)
+	case kindPing:
+		return p.out.send(kindPong, f.call, nil)
+	case kindNotice:
+		var n Notice
+		if err := f.decode(&n); err != nil {
+			return err
+		}
+		p.s.opts.Notice(&n)
+	case kindCancel:
+		p.cancel(f.call)
+	case kindCall:
+		head := new(CallHead)
+		if err := f.decode(head); err != nil {
+			return err
+		}
+		p.start(ctx, f.call, head)
+	}
+	return nil
+}
+
+func (p *inbound) start(ctx context.Context, id uint64, head *CallHead) {
+	ctx, cancel := context.WithCancel(ctx)
+	p.mu.Lock()
+	p.calls[id] = cancel
+	p.mu.Unlock()
+	from := p.from
+	go func() {
+		defer p.cancel(id)
+		ans := p.s.opts.Serve(ctx, from, head)
+		// An error means that the connection has ended, which the caller
+		// sees as well.
+		_ = p.out.send(kindAnswer, id, ans)
+	}()
+}
+
+func (p *inbound) cancel(id uint64) {
+	p.mu.Lock()
+	cancel := p.calls[id]
+	delete(p.calls, id)
+	p.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// setKeepAlive lets the kernel end a connection whose peer has vanished.
+func setKeepAlive(nc net.Conn) {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	// An error leaves the system's defaults, which only find it later.
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
+	})
+}
--- a/io/store/bench_test.go
+++ b/io/store/bench_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/matryer/is"
 
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/stand"
-	"trefoilthread/io/store"
 )
 
 // The time that the adapter and the stand-in add to a call, without the
@@ -16,7 +16,7 @@
 	srv := stand.NewStore(stand.StoreOptions{ResponseTime: -1})
 	is.NoErr(srv.Start("127.0.0.1:0"))
 	defer srv.Close()
-	e, err := store.NewEtcd([]string{"http://" + srv.Addr()}, store.EtcdOptions{})
+	e, err := etcd.New([]string{"http://" + srv.Addr()}, etcd.Options{})
 	is.NoErr(err)
 	defer e.Close()
 	st := e.Store()
--- a/io/store/budget_test.go
+++ b/io/store/budget_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/stand"
 	"trefoilthread/io/store"
 )
@@ -30,7 +31,7 @@
 	clock := clockwork.NewFakeClock()
 	var daemons []store.Store
 	for i := range clients {
-		daemons = append(daemons, store.Budgeted(client(t, store.EtcdOptions{CallTimeout: 100 * time.Millisecond}, srv),
+		daemons = append(daemons, store.Budgeted(client(t, etcd.Options{CallTimeout: 100 * time.Millisecond}, srv),
 			store.NewBudget(store.BudgetOptions{
 				WritesPerSecond: rate, ReadsPerSecond: rate, WriteBurst: burst, ReadBurst: burst,
 				Seed: uint64(i + 1), Clock: clock,
--- a/io/store/budgeted.go
+++ b/io/store/budgeted.go
@@ -16,7 +16,7 @@
 	return Store{
 		Get: func(ctx context.Context, key string) (Item, error) {
 			if err := ctx.Err(); err != nil {
-				return Item{}, unavailable(ctx, "get "+key, err)
+				return Item{}, Unavailable(ctx, "get "+key, err)
 			}
 			it, err := shared.do(ctx, key, func() (bool, error) {
 				return b.admit(b.reads, 1)
--- a/io/store/flights.go
+++ b/io/store/flights.go
@@ -71,7 +71,7 @@
 	defer f.leave(key, k)
 	select {
 	case <-ctx.Done():
-		return Item{}, unavailable(ctx, "get "+key, context.Cause(ctx))
+		return Item{}, Unavailable(ctx, "get "+key, context.Cause(ctx))
 	case r := <-result:
 		it, _ := r.Val.(Item)
 		return it, r.Err
--- a/io/store/linear_test.go
+++ b/io/store/linear_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/stand"
 	"trefoilthread/io/store"
 )
@@ -78,7 +79,7 @@
 			// The clients of one daemon share its budget and reads; another
 			// daemon has its own.
 			daemons := []store.Store{
-				wrap(client(t, store.EtcdOptions{}, srv)), wrap(client(t, store.EtcdOptions{}, srv)),
+				wrap(client(t, etcd.Options{}, srv)), wrap(client(t, etcd.Options{}, srv)),
 			}
 			var mu sync.Mutex
 			var history []porcupine.Operation
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -41,6 +41,9 @@
 type Event struct {
 	Item    Item
 	Deleted bool
+	// Synced marks the end of the items as they were when the watch began. It
+	// comes alone: keys that have not been seen by then do not exist.
+	Synced bool
 }
 
 // Store holds the operations of the platform's key-value service.
@@ -52,8 +55,8 @@
 	// until it is replaced. It fails with ErrConflict, or with ErrUnknown if
 	// the answer was lost.
 	CompareAndSwap func(ctx context.Context, key string, revision int64, value []byte, lease LeaseID) (int64, error)
-	// Watch calls fn for each item below prefix as it is now, then for each
-	// change in order of revision, until ctx ends or the connection breaks.
+	// Watch calls fn for each item below prefix as it is now, then with a
+	// Synced event, then for each change in order of revision, until ctx ends or the connection breaks.
 	// It returns the reason.
 	Watch func(ctx context.Context, prefix string, fn func(Event)) error
 	// Grant makes a lease that expires ttl after the last renewal.
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/stand"
 	"trefoilthread/io/store"
 )
@@ -29,13 +30,13 @@
 }
 
 // client returns an adapter for stores, in this order of preference.
-func client(t *testing.T, o store.EtcdOptions, stores ...*stand.Store) store.Store {
+func client(t *testing.T, o etcd.Options, stores ...*stand.Store) store.Store {
 	t.Helper()
 	var urls []string
 	for _, s := range stores {
 		urls = append(urls, "http://"+s.Addr())
 	}
-	e, err := store.NewEtcd(urls, o)
+	e, err := etcd.New(urls, o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,7 +50,7 @@
 	is := is.New(t)
 	ctx := t.Context()
 	srv := startStore(t, stand.StoreOptions{ResponseTime: -1})
-	st := client(t, store.EtcdOptions{}, srv)
+	st := client(t, etcd.Options{}, srv)
 
 	rev, err := st.CompareAndSwap(ctx, "a", 0, []byte("1"), 0)
 	is.NoErr(err)
@@ -57,7 +58,7 @@
 	is.True(errors.Is(err, store.ErrConflict))
 	_, err = st.CompareAndSwap(ctx, "a", rev, []byte("2"), 12345)
 	is.True(errors.Is(err, store.ErrLeaseGone))
-	_, err = st.CompareAndSwap(ctx, "a", rev, make([]byte, store.MaxValue+1), 0)
+	_, err = st.CompareAndSwap(ctx, "a", rev, make([]byte, etcd.MaxValue+1), 0)
 	is.True(err != nil && !errors.Is(err, store.ErrUnknown))
 
 	srv.LoseAnswers(1)
@@ -71,7 +72,7 @@
 	// A client without an open connection: on one that the outage breaks, a
 	// write can be sent before the break is noticed, and is then unknown.
 	is.NoErr(srv.SetDown(true))
-	st = client(t, store.EtcdOptions{}, srv)
+	st = client(t, etcd.Options{}, srv)
 	_, err = st.CompareAndSwap(ctx, "b", 0, []byte("1"), 0)
 	is.True(errors.Is(err, store.ErrUnavailable))
 	is.True(!errors.Is(err, store.ErrUnknown))
@@ -105,7 +106,7 @@
 	is := is.New(t)
 	ctx := t.Context()
 	first, second := startStore(t, stand.StoreOptions{}), startStore(t, stand.StoreOptions{})
-	st := client(t, store.EtcdOptions{}, first, second)
+	st := client(t, etcd.Options{}, first, second)
 	is.NoErr(first.SetDown(true))
 	_, err := st.CompareAndSwap(ctx, "a", 0, []byte("1"), 0)
 	is.NoErr(err)
@@ -123,7 +124,7 @@
 func TestWatchOrderOverReconnects(t *testing.T) {
 	is := is.New(t)
 	srv := startStore(t, stand.StoreOptions{ResponseTime: -1})
-	st := client(t, store.EtcdOptions{}, srv)
+	st := client(t, etcd.Options{}, srv)
 	const writes = 150
 	ctx, cancel := context.WithCancel(t.Context())
 	seen := make(chan struct{})
@@ -134,6 +135,9 @@
 		for ctx.Err() == nil {
 			first := true
 			err := st.Watch(ctx, "k/", func(ev store.Event) {
+				if ev.Synced {
+					return
+				}
 				n := 0
 				if _, err := fmt.Sscanf(string(ev.Item.Value), "%d", &n); err != nil {
 					t.Errorf("value %q: %v", ev.Item.Value, err)
@@ -179,7 +183,7 @@
 func TestLeaseExpiryDeletesKeys(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	srv := startStore(t, stand.StoreOptions{Clock: clock})
-	st := client(t, store.EtcdOptions{}, srv)
+	st := client(t, etcd.Options{}, srv)
 	for name, expire := range map[string]func(store.LeaseID) error{
 		"run out": func(store.LeaseID) error {
 			// The timer of the lease is set.
@@ -208,6 +212,9 @@
 			is.Equal(ttl, 10*time.Second)
 			var events []store.Event
 			err = st.Watch(ctx, "dc/", func(ev store.Event) {
+				if ev.Synced {
+					return
+				}
 				events = append(events, ev)
 				if ev.Deleted {
 					cancel()
@@ -232,7 +239,7 @@
 // treated as if it might have taken effect.
 func TestRefusedWriteIsNotUnknown(t *testing.T) {
 	is := is.New(t)
-	st := client(t, store.EtcdOptions{}, startStore(t, stand.StoreOptions{WritesPerSecond: 0.001}))
+	st := client(t, etcd.Options{}, startStore(t, stand.StoreOptions{WritesPerSecond: 0.001}))
 	_, err := st.CompareAndSwap(t.Context(), "a", 0, nil, 0)
 	is.NoErr(err)
 	_, err = st.CompareAndSwap(t.Context(), "b", 0, nil, 0)
--- a/io/store/transport_test.go
+++ b/io/store/transport_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"trefoilthread/io/certs"
+	"trefoilthread/io/etcd"
 	"trefoilthread/io/stand"
 	"trefoilthread/io/store"
 )
@@ -39,7 +40,7 @@
 		cfg *tls.Config
 		ok  bool
 	}{{config(), true}, {nil, false}} {
-		e, err := store.NewEtcd([]string{"https://" + srv.Addr()}, store.EtcdOptions{TLS: c.cfg})
+		e, err := etcd.New([]string{"https://" + srv.Addr()}, etcd.Options{TLS: c.cfg})
 		is.NoErr(err)
 		defer e.Close()
 		_, err = e.Store().CompareAndSwap(t.Context(), "a", 0, nil, 0)
@@ -53,7 +54,7 @@
 func TestSilentConnection(t *testing.T) {
 	is := is.New(t)
 	srv := startStore(t, stand.StoreOptions{ResponseTime: -1})
-	st := client(t, store.EtcdOptions{
+	st := client(t, etcd.Options{
 		CallTimeout: 100 * time.Millisecond, PingAfter: 20 * time.Millisecond, PingTimeout: 20 * time.Millisecond,
 	}, srv)
 	_, err := st.CompareAndSwap(t.Context(), "a", 0, nil, 0)
@@ -73,11 +74,14 @@
 func TestCompactedWatch(t *testing.T) {
 	is := is.New(t)
 	srv := startStore(t, stand.StoreOptions{ResponseTime: -1})
-	st := client(t, store.EtcdOptions{}, srv)
+	st := client(t, etcd.Options{}, srv)
 	_, err := st.CompareAndSwap(t.Context(), "a", 0, nil, 0)
 	is.NoErr(err)
 	events := 0
-	err = st.Watch(t.Context(), "a", func(store.Event) {
+	err = st.Watch(t.Context(), "a", func(ev store.Event) {
+		if !ev.Synced {
+			return
+		}
 		events++
 		_, err := st.CompareAndSwap(t.Context(), "ab", 0, nil, 0)
 		is.NoErr(err)
@@ -99,7 +103,7 @@
 	var st store.Store
 	for i := range writes {
 		if i%20 == 0 {
-			st = client(t, store.EtcdOptions{}, srv) // must dial
+			st = client(t, etcd.Options{}, srv) // must dial
 		}
 		one := st
 		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.Int64N(int64(40*time.Millisecond))))
@@ -148,7 +152,7 @@
 			})
 		}
 	})
-	e, err := store.NewEtcd([]string{"http://" + ln.Addr().String()}, store.EtcdOptions{})
+	e, err := etcd.New([]string{"http://" + ln.Addr().String()}, etcd.Options{})
 	is.NoErr(err)
 	_, err = e.Store().CompareAndSwap(t.Context(), "a", 0, []byte("1"), 0)
 	is.True(errors.Is(err, store.ErrUnknown))
