--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -21,8 +21,9 @@
 
 // Roster is the set of known daemons. It is not safe for concurrent use.
 type Roster struct {
-	opts  Options
-	nodes map[string]*node
+	opts    Options
+	nodes   map[string]*node
+	missing int // nodes whose record has vanished
 }
 
 type node struct {
@@ -50,7 +51,7 @@
 		r.nodes[rec.Node] = &node{rec: rec}
 		return true
 	}
-	n.missing = time.Time{}
+	r.found(n)
 	if rec.Boot == n.rec.Boot && rec.Sequence <= n.rec.Sequence || rec.Sequence < n.rec.Sequence {
 		return false
 	}
@@ -66,6 +67,15 @@
 func (r *Roster) Missing(now time.Time, name string) {
 	if n := r.nodes[name]; n != nil && n.missing.IsZero() {
 		n.missing = now
+		r.missing++
+	}
+}
+
+// found notes that a node's record is there.
+func (r *Roster) found(n *node) {
+	if !n.missing.IsZero() {
+		n.missing = time.Time{}
+		r.missing--
 	}
 }
 
@@ -86,6 +96,19 @@
 	}
 }
 
+// HeardAt notes direct contact with the node at an address. It matters only
+// while records are missing, and costs nothing otherwise.
+func (r *Roster) HeardAt(now time.Time, addr string) {
+	if r.missing == 0 {
+		return
+	}
+	for _, n := range r.nodes {
+		if n.rec.Address == addr {
+			n.heard = now
+		}
+	}
+}
+
 // Leaving notes that a start of a daemon said that its target takes no new
 // calls, and reports whether that is news.
 func (r *Roster) Leaving(name string, boot uint64) bool {
@@ -111,6 +134,7 @@
 		due := since.Add(r.opts.Grace)
 		if !now.Before(due) {
 			gone = append(gone, name)
+			r.found(n)
 			delete(r.nodes, name)
 			continue
 		}
--- /dev/null
+++ b/io/agent/note.go
@@ -0,0 +1,60 @@
+package agent
+
+import (
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"trefoilthread/io/httpw"
+	"trefoilthread/io/mesh"
+)
+
+// resultNames are the results of calls in logs and metrics.
+var resultNames = [...]string{
+	mesh.Answered: "answered", mesh.Refused: "refused", mesh.Broken: "broken", mesh.Expired: "expired",
+}
+
+// note logs a request that never had a route.
+func (e *entry) note(ask Ask, service string, status int, reason string) {
+	e.count.answered(status, 0)
+	e.log.WithFields(log.Fields{
+		"request": ask.ID, "host": ask.Host, "service": service, "status": status, "reason": reason,
+		"config": e.tables.version(),
+	}).Warn("request ended")
+}
+
+// finish logs the end of a request with what decided it.
+func (e *entry) finish(q *request, r *run, resp *httpw.Response) {
+	took := e.clock.Since(q.began)
+	e.count.answered(resp.Status, took)
+	if resp.Status < 400 && len(r.tried) == 1 && !e.now(q).After(q.goal) {
+		return // the counters have it; lines are for what needs explaining
+	}
+	names := make([]string, len(r.tried))
+	for i, id := range r.tried {
+		names[i] = string(id)
+	}
+	e.log.WithFields(log.Fields{
+		"request": q.ask.ID, "route": q.route.Name(), "service": string(q.service), "rank": q.route.Rank(),
+		"config": q.config, "status": resp.Status, "reason": r.reason, "targets": strings.Join(names, ","),
+		"reached": r.reached, "moves": r.moves, "tookMs": took.Milliseconds(),
+		"leftMs": q.deadline.Sub(e.clock.Now()).Milliseconds(),
+	}).Info("request ended")
+}
+
+func (e *entry) now(*request) time.Time { return e.clock.Now() }
+
+// note logs a call that the target on this VM did not answer.
+func (o *own) note(head *mesh.CallHead, ans *mesh.Answer, took time.Duration) {
+	o.count.served(resultNames[ans.Result], took)
+	if ans.Result == mesh.Answered {
+		return
+	}
+	o.log.WithFields(log.Fields{
+		"request": head.ID, "service": head.Service, "target": head.Target, "result": resultNames[ans.Result],
+		"reason": ans.Reason, "tookMs": took.Milliseconds(), "leftMs": head.RemainingMs - took.Milliseconds(),
+		"running": ans.Load.InFlight, "waiting": ans.Load.Queued, "limit": ans.Load.Limit,
+		"latencyMs": ans.Load.LatencyUs / 1000, "config": head.Config,
+	}).Info("call ended")
+}
--- /dev/null
+++ b/io/agent/own.go
@@ -0,0 +1,203 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/core/admit"
+	"trefoilthread/core/beat"
+	"trefoilthread/core/types"
+	"trefoilthread/io/local"
+	"trefoilthread/io/mesh"
+)
+
+const (
+	// busyShare is the part of a target's slots that are used: targets slow
+	// down when they are nearly full, and then finish less in all.
+	busyShare = 0.8
+	// queueRounds is the number of calls that may wait for each slot.
+	queueRounds = 3
+	// minShare is the lowest part of the used slots that the adaptive limit
+	// goes down to. Neighbours on the host come and go within fractions of a
+	// second; fewer calls at a time would not make them finish sooner.
+	minShare = 0.75
+	// checkInterval is how often calls that wait are looked at.
+	checkInterval = 20 * time.Millisecond
+	// downPause is how long a target that accepts no connection is left alone.
+	downPause = 150 * time.Millisecond
+)
+
+// ownOptions configure an own. All fields are required.
+type ownOptions struct {
+	clock  clockwork.Clock
+	log    log.Interface
+	count  *counts
+	wire   Wire
+	client *local.Client
+	// changed is told when the target or its state is another one.
+	changed func()
+}
+
+// own is the target on this VM.
+type own struct {
+	ownOptions
+
+	mu       sync.Mutex
+	beat     *beat.Beat
+	gate     *admit.Gate
+	waiters  map[admit.Ticket]chan admit.Event
+	ticking  bool
+	stopping bool      // this agent is stopping
+	downTill time.Time // the target accepted no connection
+	pace     float64   // how long work takes now, 1 as usual
+	usual    float64   // average pace
+}
+
+func newOwn(opts ownOptions) *own {
+	return &own{
+		ownOptions: opts, beat: beat.New(), gate: admit.New(gateOptions(0, 0)),
+		waiters: make(map[admit.Ticket]chan admit.Event), pace: 1, usual: 1,
+	}
+}
+
+// gateOptions returns the gate of a target with the given slots, which loads
+// up to the knee at which targets slow down.
+func gateOptions(slots, connections int) admit.Options {
+	used := max(1, int(float64(slots)*busyShare))
+	return admit.Options{
+		Slots: used, Connections: connections, Queue: queueRounds * used, MinShare: minShare,
+	}
+}
+
+// announce takes a message of the target. Draining is in force when it
+// returns.
+func (o *own) announce(a beat.Announcement) beat.Verdict {
+	return o.apply("announcement", a.ID, func() beat.Verdict { return o.beat.Announce(a) })
+}
+
+// leave takes the last message of the target.
+func (o *own) leave(id types.TargetID, born uint64) beat.Verdict {
+	return o.apply("leave", id, func() beat.Verdict { return o.beat.Leave(id, born) })
+}
+
+// restore sets what an earlier start of this agent has recorded.
+func (o *own) restore(a beat.Announcement, gone bool) {
+	o.apply("record", a.ID, func() beat.Verdict { return o.beat.Restore(a, gone) })
+}
+
+// apply changes the belief about the target and the gate with it.
+func (o *own) apply(source string, id types.TargetID, change func() beat.Verdict) beat.Verdict {
+	o.mu.Lock()
+	before, _ := o.beat.Current()
+	v := change()
+	cur, _ := o.beat.Current()
+	state := o.beat.State()
+	var events []admit.Event
+	if v == beat.Changed {
+		if before.ID != cur.ID || before.Born != cur.Born {
+			o.replaced(cur)
+		}
+		events = o.setGate(cur, state)
+	}
+	o.mu.Unlock()
+	o.deliver(events)
+	if v != beat.Same {
+		o.log.WithFields(log.Fields{
+			"source": source, "target": string(id), "born": cur.Born, "sequence": cur.Sequence,
+			"state": state.String(), "verdict": v.String(), "service": string(cur.Service),
+		}).Info("target")
+	}
+	if v == beat.Changed {
+		o.changed()
+	}
+	return v
+}
+
+// replaced forgets what belonged to the previous target, with the lock held.
+func (o *own) replaced(cur beat.Announcement) {
+	o.pace, o.usual = 1, 1
+	o.downTill = time.Time{}
+	if cur.Address != "" {
+		o.client.SetAddr(cur.Address)
+	}
+}
+
+// setGate brings the gate in line with the target's state, with the lock held.
+func (o *own) setGate(cur beat.Announcement, state types.TargetState) []admit.Event {
+	if state != types.Up || o.stopping {
+		return o.gate.Drain(o.clock.Now())
+	}
+	o.gate.Resume()
+	o.gate.SetOptions(gateOptions(cur.Slots, 0))
+	return o.gate.Tick(o.clock.Now())
+}
+
+// stop refuses all further calls.
+func (o *own) stop() {
+	o.mu.Lock()
+	o.stopping = true
+	events := o.gate.Drain(o.clock.Now())
+	o.mu.Unlock()
+	o.deliver(events)
+	o.changed()
+}
+
+// isIdle reports whether the target runs no call of this agent's gate.
+func (o *own) isIdle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gate.Idle()
+}
+
+// target returns the target and its state; false without one.
+func (o *own) target() (beat.Announcement, types.TargetState, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	cur, ok := o.beat.Current()
+	state := o.beat.State()
+	if o.stopping && state == types.Up {
+		state = types.Draining
+	}
+	return cur, state, ok
+}
+
+// load returns the load of the target, with the lock held.
+func (o *own) load() mesh.Load {
+	r := o.gate.Report()
+	cur, _ := o.beat.Current()
+	latency := float64(r.Latency) * o.pace / o.usual
+	return mesh.Load{
+		InFlight: r.InFlight, Queued: r.Queued, Limit: r.Limit,
+		LatencyUs: time.Duration(latency).Microseconds(), Draining: r.Draining, Born: cur.Born,
+	}
+}
+
+// deliver hands events to the calls that wait for them.
+func (o *own) deliver(events []admit.Event) {
+	if len(events) == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, ev := range events {
+		if ch := o.waiters[ev.Ticket]; ch != nil {
+			delete(o.waiters, ev.Ticket)
+			ch <- ev
+		}
+	}
+}
+
+// tick looks at the waiting calls until none is left.
+func (o *own) tick() {
+	o.mu.Lock()
+	events := o.gate.Tick(o.clock.Now())
+	o.ticking = o.gate.Report().Queued > 0
+	if o.ticking {
+		o.clock.AfterFunc(checkInterval, o.tick)
+	}
+	o.mu.Unlock()
+	o.deliver(events)
+}
--- /dev/null
+++ b/io/agent/places.go
@@ -0,0 +1,181 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/core/retry"
+	"trefoilthread/core/roster"
+	"trefoilthread/core/route"
+	"trefoilthread/core/types"
+	"trefoilthread/io/mesh"
+)
+
+const (
+	// sameRegion and otherRegion are the one-way times to other data centres
+	// that placing assumes; the platform gives none. They include a share for
+	// the price of bytes between data centres.
+	sameRegion  = 3 * time.Millisecond
+	otherRegion = 40 * time.Millisecond
+	// budgetShare is the part of the permitted retries that agents use. Calls
+	// of a target that runs a retry count as retries as well, and the counts
+	// of two windows may meet in one.
+	budgetShare = 0.5
+)
+
+// places is what this agent knows of the others and of its calls to their
+// targets.
+type places struct {
+	set   Settings
+	clock clockwork.Clock
+	seed  uint64
+
+	mu       sync.Mutex
+	roster   *roster.Roster
+	own      []types.Target // the target on this VM, if any
+	services map[types.ServiceName]*place
+	most     int // largest number of agents seen
+}
+
+// place is one service.
+type place struct {
+	picker *route.Picker
+	budget *retry.Budget
+	agents int // number of agents the budget is for
+}
+
+func newPlaces(set Settings, clock clockwork.Clock, seed uint64) *places {
+	return &places{
+		set: set, clock: clock, seed: seed,
+		roster:   roster.New(roster.Options{Self: set.Node}),
+		services: make(map[types.ServiceName]*place),
+	}
+}
+
+// distance is the assumed one-way time between two data centres.
+func (p *places) distance(from, to types.DataCentre) time.Duration {
+	switch {
+	case from == to:
+		return 0
+	case p.set.Regions[from] == p.set.Regions[to]:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// place returns the state of a service, with the lock held.
+func (p *places) place(name types.ServiceName) *place {
+	pl := p.services[name]
+	if pl == nil {
+		pl = &place{picker: route.New(route.Options{
+			Self: types.TargetID(p.set.Node), DataCentre: p.set.DataCentre,
+			Distance: p.distance, Seed: p.seed,
+		})}
+		p.services[name] = pl
+		pl.picker.Update(p.clock.Now(), p.targets(name))
+	}
+	if n := p.most; pl.budget == nil || pl.agents != n {
+		pl.agents = n
+		pl.budget = retry.NewBudget(p.retryOptions(n))
+	}
+	return pl
+}
+
+// retryOptions returns this agent's part of the retries permitted to n agents.
+// Half of what is beyond the share comes as a burst, half as a rate.
+func (p *places) retryOptions(n int) retry.BudgetOptions {
+	extra := budgetShare * float64(p.set.RetryExtra) / float64(max(n, 1))
+	return retry.BudgetOptions{
+		Share: budgetShare * p.set.RetryShare,
+		Floor: extra / 2 / p.set.RetryWindow.Seconds(),
+		Burst: extra / 2,
+	}
+}
+
+// targets returns the targets of a service, with the lock held.
+func (p *places) targets(name types.ServiceName) []types.Target {
+	list := p.roster.Targets(name)
+	for _, t := range p.own {
+		if t.Service() == name {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// refresh hands the membership to all pickers, with the lock held.
+func (p *places) refresh() {
+	p.most = max(p.most, p.roster.Len()+1)
+	now := p.clock.Now()
+	for name, pl := range p.services {
+		pl.picker.Update(now, p.targets(name))
+	}
+}
+
+// setOwn sets the target on this VM.
+func (p *places) setOwn(list []types.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.own = list
+	p.refresh()
+}
+
+// update runs change on the roster and refreshes the pickers if it reports
+// true.
+func (p *places) update(change func(r *roster.Roster) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if change(p.roster) {
+		p.refresh()
+	}
+}
+
+// began counts a request of a caller, which adds to the retry budget.
+func (p *places) began(name types.ServiceName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.place(name).budget.Call(p.clock.Now())
+}
+
+// takeRetry uses one retry of the budget, if there is one.
+func (p *places) takeRetry(name types.ServiceName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.place(name).budget.Take(p.clock.Now())
+}
+
+// pick chooses a target and counts the call as begun.
+func (p *places) pick(name types.ServiceName, tried []types.TargetID) (types.Target, route.Token, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl, now := p.place(name), p.clock.Now()
+	t, ok := pl.picker.Pick(now, tried)
+	if !ok {
+		return t, route.Token{}, false
+	}
+	return t, pl.picker.Start(now, t.ID()), true
+}
+
+// finish records the result of a call.
+func (p *places) finish(name types.ServiceName, tok route.Token, res route.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.place(name).picker.Finish(p.clock.Now(), tok, res)
+}
+
+// size returns the number of known agents, this one included.
+func (p *places) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Len() + 1
+}
+
+// report turns the load that came with an answer into that of core.
+func report(l mesh.Load) types.Report {
+	return types.NewReport(types.ReportSpec{
+		InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit,
+		Latency: time.Duration(l.LatencyUs) * time.Microsecond, Draining: l.Draining, Incarnation: l.Born,
+	})
+}
--- /dev/null
+++ b/io/agent/register.go
@@ -0,0 +1,282 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/io/store"
+)
+
+const (
+	// leasePerAgent bounds the renewals of all agents together to 100 a
+	// second: the lease grows with their number.
+	leasePerAgent = 30 * time.Millisecond
+	// minLeaseTime is the shortest lease of a record. Others learn of an
+	// agent's end by their calls, so it may be long.
+	minLeaseTime = 10 * time.Second
+	// renewals is the number of renewals in the time of a lease.
+	renewals = 3
+	// storeCallTime bounds a call to the store.
+	storeCallTime = 800 * time.Millisecond
+	// storePause is the mean pause after a failed call: records have to be
+	// back about two seconds after the store's return.
+	storePause = 400 * time.Millisecond
+)
+
+// registerOptions configure a register. All fields are required.
+type registerOptions struct {
+	store store.Store
+	clock clockwork.Clock
+	log   log.Interface
+	key   string
+	// value returns the record as it should be.
+	value func() storedRecord
+	// size returns the number of agents.
+	size func() int
+	// seen is told of an earlier record of this agent, once, and of none.
+	seen func(rec *storedRecord)
+}
+
+// register keeps this agent's record in the store under a lease.
+type register struct {
+	registerOptions
+
+	dirty   chan struct{} // holds one token when the record is to be written
+	stopped chan struct{} // closed when run has returned
+
+	mu      sync.Mutex
+	written storedRecord
+	ok      bool          // written is what the store has
+	done    chan struct{} // closed at the next successful write
+
+	lease   store.LeaseID
+	renewed time.Time
+	ttl     time.Duration
+	rev     int64
+	known   bool // rev is what the store has, as far as is known
+}
+
+func newRegister(o registerOptions) *register {
+	return &register{
+		registerOptions: o, dirty: make(chan struct{}, 1),
+		stopped: make(chan struct{}), done: make(chan struct{}),
+	}
+}
+
+// touch asks for the record to be written again.
+func (r *register) touch() {
+	select {
+	case r.dirty <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+// lost notes that the record has vanished from the store.
+func (r *register) lost() {
+	r.mu.Lock()
+	r.ok = false
+	r.mu.Unlock()
+	r.touch()
+}
+
+// settled waits until the store has the record as it is now, or ctx ends.
+func (r *register) settled(ctx context.Context) bool {
+	for {
+		r.mu.Lock()
+		same, done := r.ok && r.written == r.value(), r.done
+		r.mu.Unlock()
+		if same {
+			return true
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// run keeps the record until ctx ends.
+func (r *register) run(ctx context.Context) {
+	defer close(r.stopped)
+	first := true
+	for ctx.Err() == nil {
+		if first && !r.readOwn(ctx) {
+			r.pause(ctx, storePause)
+			continue
+		}
+		first = false
+		if err := r.write(ctx); err != nil {
+			r.log.WithError(err).WithField("key", r.key).Warn("record not written")
+			r.pause(ctx, storePause)
+			continue
+		}
+		r.hold(ctx)
+	}
+}
+
+// readOwn reads the record of an earlier start.
+func (r *register) readOwn(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
+	defer cancel()
+	it, err := r.store.Get(ctx, r.key)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		r.rev, r.known = 0, true
+		r.seen(nil)
+		return true
+	case err != nil:
+		r.log.WithError(err).WithField("key", r.key).Warn("own record not read")
+		return false
+	}
+	r.rev, r.known = it.Revision, true
+	_, rec, err := decodeRecord(it.Key, it.Value, it.Revision)
+	if err != nil {
+		r.log.WithError(err).Warn("own record of an earlier start not understood, taken as none")
+		r.seen(nil)
+		return true
+	}
+	r.seen(&rec)
+	return true
+}
+
+// write makes the store's record the one that it should be.
+func (r *register) write(ctx context.Context) error {
+	if err := r.grant(ctx); err != nil {
+		return err
+	}
+	for {
+		rec := r.value()
+		r.mu.Lock()
+		same := r.ok && r.written == rec
+		r.mu.Unlock()
+		if same {
+			return nil
+		}
+		if err := r.put(ctx, rec); err != nil {
+			return err
+		}
+	}
+}
+
+// grant makes sure there is a lease.
+func (r *register) grant(ctx context.Context) error {
+	if r.lease != 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
+	defer cancel()
+	r.ttl = max(minLeaseTime, time.Duration(r.size())*leasePerAgent*renewals)
+	id, err := r.store.Grant(ctx, r.ttl)
+	if err != nil {
+		return errors.Wrap(err, "lease for the record")
+	}
+	r.lease, r.renewed = id, r.clock.Now()
+	return nil
+}
+
+// put writes rec. A write of unknown outcome is read back, and a late one
+// fails by its revision.
+func (r *register) put(ctx context.Context, rec storedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
+	defer cancel()
+	value, err := cbor.Marshal(rec)
+	if err != nil {
+		return errors.Wrap(err, "encode record")
+	}
+	if !r.known {
+		it, err := r.store.Get(ctx, r.key)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return err
+		}
+		r.rev, r.known = it.Revision, true
+	}
+	rev, err := r.store.CompareAndSwap(ctx, r.key, r.rev, value, r.lease)
+	switch {
+	case errors.Is(err, store.ErrLeaseGone):
+		r.lease = 0
+		return err
+	case err != nil:
+		r.known = false
+		return err
+	}
+	r.rev = rev
+	r.mu.Lock()
+	r.written, r.ok = rec, true
+	close(r.done)
+	r.done = make(chan struct{})
+	r.mu.Unlock()
+	r.log.WithFields(log.Fields{
+		"key": r.key, "revision": rev, "target": rec.Target, "state": rec.State, "lease": int64(r.lease),
+	}).Info("record written")
+	return nil
+}
+
+// hold renews the lease until the record has to be written again.
+func (r *register) hold(ctx context.Context) {
+	for {
+		due := r.renewed.Add(r.ttl / renewals).Sub(r.clock.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.dirty:
+			r.mu.Lock()
+			if !r.ok {
+				r.known = false
+			}
+			r.mu.Unlock()
+			return
+		case <-r.clock.After(due):
+		}
+		if !r.renew(ctx) {
+			return
+		}
+	}
+}
+
+// renew extends the lease; false if the record has to be written anew.
+func (r *register) renew(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, storeCallTime)
+	defer cancel()
+	sent := r.clock.Now()
+	ttl, err := r.store.Renew(bounded, r.lease)
+	switch {
+	case err == nil:
+		r.renewed, r.ttl = sent, ttl
+		return true
+	case errors.Is(err, store.ErrLeaseGone):
+		r.log.WithField("lease", int64(r.lease)).Warn("lease of the record gone")
+		r.lease, r.known = 0, false
+		r.mu.Lock()
+		r.ok = false
+		r.mu.Unlock()
+		return false
+	}
+	r.log.WithError(err).Warn("lease of the record not renewed")
+	r.renewed = sent.Add(storePause - r.ttl/renewals) // due again after the pause
+	return true
+}
+
+// withdraw ends the lease and with it the record, after run was told to end.
+func (r *register) withdraw(ctx context.Context) error {
+	<-r.stopped
+	if r.lease == 0 {
+		return nil
+	}
+	return r.store.Revoke(ctx, r.lease)
+}
+
+// pause waits for a random time around d.
+func (r *register) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-r.clock.After(d/2 + rand.N(d)):
+	}
+}
--- /dev/null
+++ b/io/agent/serve.go
@@ -0,0 +1,187 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilthread/core/admit"
+	"trefoilthread/core/types"
+	"trefoilthread/io/httpw"
+	"trefoilthread/io/local"
+	"trefoilthread/io/mesh"
+)
+
+// paceAlpha weighs a new pace in the average.
+const paceAlpha = 0.05
+
+// serve runs a call at the target on this VM, or refuses it.
+func (o *own) serve(ctx context.Context, head *mesh.CallHead) *mesh.Answer {
+	began := o.clock.Now()
+	ans := o.admitAndRun(ctx, head)
+	o.mu.Lock()
+	ans.Load = o.load()
+	o.mu.Unlock()
+	o.note(head, ans, o.clock.Since(began))
+	return ans
+}
+
+func (o *own) admitAndRun(ctx context.Context, head *mesh.CallHead) *mesh.Answer {
+	now := o.clock.Now()
+	call, err := callOf(now, head)
+	if err != nil {
+		return refused("call not understood: "+err.Error(), 0)
+	}
+	ticket, refusal := o.enter(ctx, now, call, head)
+	if refusal != nil {
+		return refusal
+	}
+	ctx, cancel := o.bound(ctx, call)
+	defer cancel()
+	start := o.clock.Now()
+	left := call.Remaining(start)
+	req := o.wire.TargetRequest(head, left)
+	resp, err := o.client.Do(ctx, req)
+	ans, failed := o.judge(ctx, resp, err)
+	o.mu.Lock()
+	events := o.gate.Done(o.clock.Now(), ticket, o.clock.Since(start), failed)
+	o.mu.Unlock()
+	o.deliver(events)
+	return ans
+}
+
+// bound returns the context of a run. A call that may run only once goes on
+// when its caller has left: cut off, nobody would know whether it ran.
+func (o *own) bound(ctx context.Context, call types.Call) (context.Context, context.CancelFunc) {
+	if call.Class().Runs() == types.AtMostOnce {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, call.Deadline())
+}
+
+// enter passes the gate, or returns the refusal.
+func (o *own) enter(ctx context.Context, now time.Time, call types.Call, head *mesh.CallHead) (admit.Ticket, *mesh.Answer) {
+	o.mu.Lock()
+	if reason := o.mismatch(now, head); reason != "" {
+		o.mu.Unlock()
+		return admit.Ticket{}, refused(reason, 0)
+	}
+	ticket, v := o.gate.Offer(now, call)
+	events := o.gate.Pending()
+	var ch chan admit.Event
+	if v == admit.Wait {
+		ch = make(chan admit.Event, 1)
+		o.waiters[ticket] = ch
+		if !o.ticking {
+			o.ticking = true
+			o.clock.AfterFunc(checkInterval, o.tick)
+		}
+	}
+	hint := o.roomIn()
+	o.mu.Unlock()
+	o.deliver(events)
+	switch v {
+	case admit.Run:
+		return ticket, nil
+	case admit.Refuse:
+		return ticket, refused(ticket.Reason(), hint)
+	}
+	return o.wait(ctx, ticket, ch, hint)
+}
+
+// mismatch returns why a call isn't for the target as it is now, with the lock
+// held.
+func (o *own) mismatch(now time.Time, head *mesh.CallHead) string {
+	cur, ok := o.beat.Current()
+	switch {
+	case !ok:
+		return "no target announced"
+	case string(cur.ID) != head.Target:
+		return "another target has the address"
+	case string(cur.Service) != head.Service:
+		return "target runs another service"
+	case o.beat.State() != types.Up || o.stopping:
+		return "target is leaving"
+	case now.Before(o.downTill):
+		return "target accepts no connection"
+	}
+	return ""
+}
+
+// roomIn estimates when a refused call may find room, with the lock held: the
+// time in which the calls that wait now have been started.
+func (o *own) roomIn() time.Duration {
+	r := o.gate.Report()
+	return r.Latency * time.Duration(r.Queued+1) / time.Duration(max(r.Limit, 1))
+}
+
+// wait waits for the gate's decision.
+func (o *own) wait(ctx context.Context, ticket admit.Ticket, ch chan admit.Event, hint time.Duration) (admit.Ticket, *mesh.Answer) {
+	select {
+	case ev := <-ch:
+		if ev.Verdict == admit.Run {
+			return ticket, nil
+		}
+		return ticket, refused(ev.Reason, hint)
+	case <-ctx.Done():
+	}
+	o.mu.Lock()
+	delete(o.waiters, ticket)
+	events := o.gate.Cancel(o.clock.Now(), ticket)
+	// A grant that came meanwhile is given back.
+	events = append(events, o.gate.Done(o.clock.Now(), ticket, 0, true)...)
+	o.mu.Unlock()
+	o.deliver(events)
+	return ticket, refused("caller left while the call waited", hint)
+}
+
+// judge turns the target's response into the answer, and tells whether the
+// target failed.
+func (o *own) judge(ctx context.Context, resp *httpw.Response, err error) (*mesh.Answer, bool) {
+	switch {
+	case errors.Is(err, local.ErrNotSent):
+		o.markDown()
+		return refused("target accepts no connection", 0), true
+	case err != nil && ctx.Err() != nil:
+		return &mesh.Answer{Result: mesh.Expired, Reason: "deadline passed or caller left while the target worked"}, false
+	case err != nil:
+		return &mesh.Answer{Result: mesh.Broken, Reason: "target's response broke off: " + err.Error()}, true
+	}
+	v := o.wire.ReadVerdict(resp)
+	o.setPace(v.Pace)
+	switch {
+	case v.NotRun:
+		ans := refused("target refused with status "+itoa(int64(resp.Status)), 0)
+		ans.Reached = true
+		return ans, true
+	case !v.Valid:
+		return &mesh.Answer{Result: mesh.Broken, Reason: "response isn't the target's own"}, true
+	}
+	return &mesh.Answer{
+		Result: mesh.Answered, Status: resp.Status, Phrase: resp.Reason,
+		Header: resp.Header.EndToEnd(), Body: resp.Body,
+	}, v.Failed
+}
+
+func (o *own) markDown() {
+	o.mu.Lock()
+	o.downTill = o.clock.Now().Add(downPause)
+	o.mu.Unlock()
+	o.client.Flush()
+}
+
+// setPace takes over how long work takes on this VM now.
+func (o *own) setPace(pace float64) {
+	if pace <= 0 {
+		return
+	}
+	o.mu.Lock()
+	o.pace = pace
+	o.usual += (pace - o.usual) * paceAlpha
+	o.mu.Unlock()
+}
+
+func refused(reason string, retry time.Duration) *mesh.Answer {
+	return &mesh.Answer{Result: mesh.Refused, Reason: reason, RetryMs: retry.Milliseconds()}
+}
--- /dev/null
+++ b/io/agent/settings.go
@@ -0,0 +1,29 @@
+package agent
+
+import (
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+// Settings are what an agent is told at its start.
+type Settings struct {
+	Node       string
+	DataCentre types.DataCentre
+	Regions    map[types.DataCentre]string // region of each data centre
+	Service    types.ServiceName           // service of the target on this VM
+	TargetAddr string                      // HTTP address of that target
+
+	Callers string // address for callers and the target's own calls
+	Ready   string // address for the readiness check
+	Control string // address for the target's announcements
+	Mesh    string // address for other agents
+	Metrics string // address for metrics, "" for none
+
+	StopTime    time.Duration // from SIGTERM to SIGKILL
+	RetryShare  float64       // retries of all agents per request of a service
+	RetryExtra  int           // retries beyond the share in RetryWindow, all agents together
+	RetryWindow time.Duration
+	Announce    time.Duration // interval of the target's announcements
+	MinLease    time.Duration // shortest lease of the store
+}
--- /dev/null
+++ b/io/agent/stop.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// exitMargin is left between the end of a graceful stop and SIGKILL.
+	exitMargin = 600 * time.Millisecond
+	// quietTime is how long callers are still accepted after the readiness
+	// check has begun to fail: two misses a second apart.
+	quietTime = 2300 * time.Millisecond
+	// stopCheck is how often a stopping agent looks whether it is idle.
+	stopCheck = 50 * time.Millisecond
+)
+
+// Stop stops gracefully: no new work for the target, callers are sent away,
+// accepted requests are answered.
+func (a *Agent) Stop() {
+	began := a.clock.Now()
+	bound := a.opts.Settings.StopTime - exitMargin
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	a.stopping.Store(true)
+	a.log.Info("agent stopping")
+	a.own.stop()
+	a.front.Drain()
+	a.sleep(ctx, min(quietTime, bound/2))
+	a.front.Close()
+	err := a.front.Wait(ctx)
+	for !a.own.isIdle() && ctx.Err() == nil {
+		a.sleep(ctx, stopCheck)
+	}
+	a.cancel()
+	a.withdraw()
+	a.server.Close()
+	a.client.Close()
+	for _, s := range a.https {
+		_ = s.Close() // the process ends anyway
+	}
+	l := a.log.WithField("tookMs", a.clock.Since(began).Milliseconds())
+	if err != nil {
+		l.WithError(err).Warn("agent stopped, requests were cut off")
+		return
+	}
+	l.Info("agent stopped")
+}
+
+// withdraw removes this agent's record.
+func (a *Agent) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
+	defer cancel()
+	if err := a.register.withdraw(ctx); err != nil {
+		a.log.WithError(err).Warn("record not withdrawn, it ends with its lease")
+	}
+}
--- a/io/local/client.go
+++ b/io/local/client.go
@@ -69,12 +69,20 @@
 	return &Client{opts: o, addr: addr}
 }
 
-// Reset closes idle connections, for a target that has been replaced, and
-// sets the address of the next ones.
-func (c *Client) Reset(addr string) {
+// SetAddr sets the address of the target and closes the connections to the
+// one before.
+func (c *Client) SetAddr(addr string) {
+	c.mu.Lock()
+	c.addr = addr
+	c.mu.Unlock()
+	c.Flush()
+}
+
+// Flush closes idle connections, for a target that has been replaced.
+func (c *Client) Flush() {
 	c.mu.Lock()
 	old := c.idle
-	c.idle, c.addr = nil, addr
+	c.idle = nil
 	c.mu.Unlock()
 	for _, cn := range old {
 		_ = cn.nc.Close()
--- /dev/null
+++ b/io/prefs/keys.go
@@ -0,0 +1,119 @@
+package prefs
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+// key describes one key of the settings file.
+type key struct {
+	section  string
+	name     string
+	deflt    string
+	optional bool // may be empty
+	allowed  string
+	help     string
+	set      func(p *Prefs, v string) bool // false if the value isn't allowed
+}
+
+const (
+	nameAllowed    = "letters, digits, - _ . /"
+	addressAllowed = "IP:port"
+)
+
+// keys lists each key of the settings file.
+var keys = []key{
+	{"node", "name", "", false, nameAllowed, "name of this agent, unique in the deployment", name(func(p *Prefs, v string) { p.agent.Node = v })},
+	{"node", "dataCentre", "", false, nameAllowed, "data centre of this VM", name(func(p *Prefs, v string) { p.agent.DataCentre = types.DataCentre(v) })},
+	{"node", "service", "", false, nameAllowed, "service of the target on this VM", name(func(p *Prefs, v string) { p.agent.Service = types.ServiceName(v) })},
+	{"node", "target", "", false, addressAllowed, "HTTP address of the target on this VM", address(func(p *Prefs) *string { return &p.agent.TargetAddr })},
+
+	{"listen", "callers", "", false, addressAllowed, "address for callers and for the target's own calls", address(func(p *Prefs) *string { return &p.agent.Callers })},
+	{"listen", "ready", "", false, addressAllowed, "address for the readiness check", address(func(p *Prefs) *string { return &p.agent.Ready })},
+	{"listen", "control", "", false, addressAllowed, "address for the target's announcements", address(func(p *Prefs) *string { return &p.agent.Control })},
+	{"listen", "mesh", "", false, addressAllowed, "address for other agents", address(func(p *Prefs) *string { return &p.agent.Mesh })},
+	{"listen", "metrics", "", true, addressAllowed, "address for metrics; none if empty", address(func(p *Prefs) *string { return &p.agent.Metrics })},
+
+	{"store", "address", "", false, addressAllowed, "address of the platform's store", address(func(p *Prefs) *string { return &p.store })},
+	{"store", "minLease", "1s", false, "100ms to 10m", "shortest lease that the store grants", duration(100*time.Millisecond, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.MinLease })},
+
+	{"bounds", "stopTime", "6s", false, "1s to 10m", "time from SIGTERM to SIGKILL", duration(time.Second, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.StopTime })},
+	{"bounds", "retryShare", "0.2", false, "0 to 1", "retries of all agents per request of a service", number(0, 1, func(p *Prefs) *float64 { return &p.agent.RetryShare })},
+	{"bounds", "retryExtra", "0", false, "0 to 1000000", "retries beyond the share in each retryWindow, all agents together", integer(0, 1_000_000, func(p *Prefs) *int { return &p.agent.RetryExtra })},
+	{"bounds", "retryWindow", "10s", false, "1s to 10m", "time over which retries are counted", duration(time.Second, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.RetryWindow })},
+	{"bounds", "announceInterval", "1500ms", false, "10ms to 10m", "time between two announcements of a target", duration(10*time.Millisecond, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.Announce })},
+
+	{"log", "level", "info", false, "debug, info, warn, error", "lowest level that is logged", oneOf([]string{"debug", "info", "warn", "error"}, func(p *Prefs) *string { return &p.logLevel })},
+	{"log", "format", "logfmt", false, "logfmt, json", "format of log lines", oneOf([]string{"logfmt", "json"}, func(p *Prefs) *string { return &p.logFormat })},
+	{"log", "linesPerSecond", "200", false, "1 to 100000", "lines that are logged in a second at most; the rest is counted", integer(1, 100_000, func(p *Prefs) *int { return &p.logRate })},
+}
+
+const nameChars = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_./"
+
+func name(put func(*Prefs, string)) func(*Prefs, string) bool {
+	return func(p *Prefs, v string) bool {
+		if len(v) > 255 || strings.Trim(v, nameChars) != "" {
+			return false
+		}
+		put(p, v)
+		return true
+	}
+}
+
+func address(field func(*Prefs) *string) func(*Prefs, string) bool {
+	return func(p *Prefs, v string) bool {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			return false
+		}
+		*field(p) = v
+		return true
+	}
+}
+
+func duration(lo, hi time.Duration, field func(*Prefs) *time.Duration) func(*Prefs, string) bool {
+	return func(p *Prefs, v string) bool {
+		d, err := time.ParseDuration(v)
+		if err != nil || d < lo || d > hi {
+			return false
+		}
+		*field(p) = d
+		return true
+	}
+}
+
+func number(lo, hi float64, field func(*Prefs) *float64) func(*Prefs, string) bool {
+	return func(p *Prefs, v string) bool {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= lo && n <= hi) {
+			return false
+		}
+		*field(p) = n
+		return true
+	}
+}
+
+func integer(lo, hi int, field func(*Prefs) *int) func(*Prefs, string) bool {
+	return func(p *Prefs, v string) bool {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < lo || n > hi {
+			return false
+		}
+		*field(p) = n
+		return true
+	}
+}
+
+func oneOf(allowed []string, field func(*Prefs) *string) func(*Prefs, string) bool {
+	return func(p *Prefs, v string) bool {
+		if !slices.Contains(allowed, v) {
+			return false
+		}
+		*field(p) = v
+		return true
+	}
+}
