io/logs: leave out log lines beyond a rate, and never block

Cause: the note about lines left out was logged from within a write, under the lock of the logger: every later line waited for ever, and with it its request. Change: the note is logged by the flush, in the second after; lines count when they are whole, since the handler writes them in pieces.

--- a/io/logs/bounded.go
+++ b/io/logs/bounded.go
@@ -32,6 +32,7 @@
 	opts BoundedOptions
 
 	mu      sync.Mutex
+	line    []byte // a line that is not whole yet
 	pending bytes.Buffer
 	busy    bool // a flush is planned or under way
 	second  time.Time
@@ -50,61 +51,70 @@
 	b.note = func(left int) { l.WithField("lines", left).Warn("log lines left out") }
 }
 
-// Write implements io.Writer. It takes a line or leaves it out.
-func (b *Bounded) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	note, left := b.admit(len(line))
-	b.mu.Unlock()
-	if note != nil {
-		note(left)
-	}
+// Write implements io.Writer. Handlers may write a line in pieces; it is taken
+// or left out as a whole. A logger holds its own lock meanwhile, so nothing may
+// be logged from here.
+func (b *Bounded) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.lines > b.opts.PerSecond || b.pending.Len()+len(line) > maxPending {
+	b.line = append(b.line, p...)
+	if end := bytes.LastIndexByte(b.line, '\n'); end < 0 || end < len(b.line)-1 {
+		return len(p), nil
+	}
+	if now := b.opts.Clock.Now(); now.Sub(b.second) >= time.Second {
+		b.second, b.lines = now, 0
+	}
+	if b.lines >= b.opts.PerSecond || b.pending.Len()+len(b.line) > maxPending {
 		b.left++
-		return len(line), nil
+	} else {
+		b.lines++
+		b.pending.Write(b.line)
 	}
-	b.lines++
-	b.pending.Write(line)
+	b.line = b.line[:0]
 	if !b.busy {
 		b.busy = true
 		b.opts.Clock.AfterFunc(flushPause, b.flush)
 	}
-	return len(line), nil
-}
-
-// admit starts a new second and returns the note that is due, with the lock
-// held.
-func (b *Bounded) admit(size int) (func(int), int) {
-	now := b.opts.Clock.Now()
-	if now.Sub(b.second) < time.Second {
-		return nil, 0
-	}
-	b.second, b.lines = now, 0
-	if b.left == 0 || b.note == nil || b.pending.Len()+size > maxPending {
-		return nil, 0
-	}
-	left := b.left
-	b.left = 0
-	return b.note, left
+	return len(p), nil
 }
 
 // flush writes what is pending; only it waits for the reader.
 func (b *Bounded) flush() {
 	for {
-		b.mu.Lock()
-		if b.pending.Len() == 0 {
-			b.busy = false
-			b.mu.Unlock()
+		out, note, left := b.next()
+		if left > 0 {
+			note(left)
+		}
+		if len(out) == 0 {
 			return
 		}
-		out := bytes.Clone(b.pending.Bytes())
-		b.pending.Reset()
-		b.mu.Unlock()
 		// A reader that is gone must not end the daemon; its lines are lost.
 		_, _ = b.opts.Out.Write(out)
 	}
 }
 
+// next returns what is pending, or nothing and the note that is due. The note
+// waits for the second after the one in which lines were left out.
+func (b *Bounded) next() (out []byte, note func(int), left int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pending.Len() > 0 {
+		out = bytes.Clone(b.pending.Bytes())
+		b.pending.Reset()
+		return out, nil, 0
+	}
+	b.busy = false
+	if b.left == 0 || b.note == nil {
+		return nil, nil, 0
+	}
+	if rest := time.Second - b.opts.Clock.Since(b.second); rest > 0 {
+		b.busy = true
+		b.opts.Clock.AfterFunc(rest, b.flush)
+		return nil, nil, 0
+	}
+	left, b.left = b.left, 0
+	return nil, b.note, left
+}
+
 // Flush writes what is pending, for the end of a process.
 func (b *Bounded) Flush() { b.flush() }
