platform: ask anew for changes often enough that lost ones show

Change: a call waits for N/2 s at N agents, between 2 and 25 s, half of it random; the first agent that learns of a version tells the others with its calls and answers, and they read the document.

--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -39,9 +39,12 @@
 	}
 	out.Notes(l)
 	m := meter.New()
-	a, err := agent.New(agent.Options{
-		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l,
-		Store:          platform.NewStore(p.StoreAddress(), platform.StoreOptions{Clock: clock}),
+	var a *agent.Agent
+	st := platform.NewStore(p.StoreAddress(), platform.StoreOptions{
+		Clock: clock, WatchTime: func() time.Duration { return a.WatchTime() },
+	})
+	a, err = agent.New(agent.Options{
+		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: st,
 		Scope:          m.Scope(),
 		Metrics:        m.Handler(),
 		ReadyHandler:   platform.ReadyHandler,
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -20,6 +20,24 @@
 	fetchPause = 300 * time.Millisecond
 )
 
+const (
+	// watchPerAgent makes all agents together begin two calls of a watch a
+	// second. A store that drops its history may leave waiting calls without
+	// word of changes; the first agent that asks anew learns of them, and its
+	// calls tell the others.
+	watchPerAgent = 500 * time.Millisecond
+	minWatchTime  = 2 * time.Second
+	maxWatchTime  = 25 * time.Second
+)
+
+// WatchTime returns how long a call to the store waits for changes. It is
+// random so that the agents' calls spread over the time.
+func (a *Agent) WatchTime() time.Duration {
+	d := time.Duration(a.places.size()) * watchPerAgent
+	d = max(minWatchTime, min(d, maxWatchTime))
+	return d/2 + rand.N(d)/2
+}
+
 // followTable watches the configuration until ctx ends.
 func (a *Agent) followTable(ctx context.Context) {
 	a.follow(ctx, a.opts.Wire.TableKey, func(ev store.Event) {
