core/route: place calls by the pace that targets report

Cause: neighbours on a target's host slow its work several times over for some hundred milliseconds; the average latency of a target shows that too late. Reserved slots for urgent calls stayed empty in services without any. Change: a report carries the pace of the target's host, the score counts the call's own time by it, and it fades with a half-life of 200 ms. The agent reserves no slots. Calls that wait for a configuration are shorter: with 5.5 s a version was missing 3 s after the store had dropped its history.

--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -41,7 +41,7 @@
 	m := meter.New()
 	var a *agent.Agent
 	st := platform.NewStore(p.StoreAddress(), platform.StoreOptions{
-		Clock: clock, WatchTime: func() time.Duration { return a.WatchTime() },
+		Clock: clock, WatchTime: func(prefix string) time.Duration { return a.WatchTime(prefix) },
 	})
 	a, err = agent.New(agent.Options{
 		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: st,
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -23,6 +23,10 @@
 	// idleHalfLife lets old results fade while no new ones come in.
 	idleHalfLife = time.Second
 
+	// paceHalfLife lets a reported pace fade: neighbours on the host change
+	// within a few hundred milliseconds.
+	paceHalfLife = 200 * time.Millisecond
+
 	// drainHold bounds how long a report that says draining overrides the
 	// membership, which may never show a drain that was undone.
 	drainHold = 30 * time.Second
@@ -55,6 +59,7 @@
 	others        float64 // reported calls of other daemons
 	limit         int
 	reportLatency time.Duration
+	pace          float64 // of the last report, 0 if unknown
 
 	suspended bool
 	backoff   time.Duration
@@ -137,12 +142,23 @@
 	}
 }
 
+// slowness returns how much longer than usual a call takes that starts now, by
+// the pace of the last report. Neighbours on the host come and go, so it fades
+// to 1.
+func (m *member) slowness(now time.Duration) float64 {
+	if m.pace <= 0 {
+		return 1
+	}
+	return 1 + (m.pace-1)*decay(now-m.reported, paceHalfLife)
+}
+
 // accept stores a load report that belongs to the current incarnation.
 func (m *member) accept(now time.Duration, r types.Report) {
 	m.reported = now
 	m.others = float64(max(0, r.InFlight()+r.Queued()-m.inFlight))
 	m.limit = r.Limit()
 	m.reportLatency = r.Latency()
+	m.pace = r.Pace()
 	if r.Draining() {
 		m.drained = now + drainHold
 	}
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -25,6 +25,11 @@
 	}
 	load := 1 + float64(m.inFlight) + p.othersAt(now, m)
 	wait := load/m.slots()*latency + float64(m.distance)
+	if m.pace > 0 {
+		// With a known pace the call's own time there can be told from that of
+		// a call elsewhere.
+		wait = (1+load/m.slots())*latency*m.slowness(now) + float64(m.distance)
+	}
 	return wait * (1 + failurePenalty*m.failures*weight) / m.warmth(now)
 }
 
--- a/core/types/report.go
+++ b/core/types/report.go
@@ -10,6 +10,9 @@
 	Latency     time.Duration
 	Draining    bool
 	Incarnation uint64
+	// Pace is how long work takes on the target's VM at the moment, as a
+	// multiple of what is usual; 0 if unknown.
+	Pace float64
 }
 
 // Report is the load of a target as the daemon beside it saw it when it sent
@@ -38,3 +41,7 @@
 
 // Incarnation returns the number of the daemon's start; a higher one is newer.
 func (r Report) Incarnation() uint64 { return r.spec.Incarnation }
+
+// Pace returns how long work takes on the target's VM at the moment, as a
+// multiple of what is usual; 0 if unknown.
+func (r Report) Pace() float64 { return r.spec.Pace }
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -14,28 +14,33 @@
 const (
 	// watchPause is the mean pause after a watch that broke.
 	watchPause = 250 * time.Millisecond
-	// fetchPause is the time between two reads of the configuration after
-	// another agent has shown a newer version; the watch usually brings it
-	// first.
-	fetchPause = 300 * time.Millisecond
+	// fetchPause is the time that the watch is left to bring a version that
+	// another agent has in force.
+	fetchPause = 100 * time.Millisecond
 )
 
 const (
-	// watchPerAgent makes all agents together begin two calls of a watch a
-	// second. A store that drops its history may leave waiting calls without
-	// word of changes; the first agent that asks anew learns of them, and its
-	// calls tell the others.
-	watchPerAgent = 500 * time.Millisecond
-	minWatchTime  = 2 * time.Second
-	maxWatchTime  = 25 * time.Second
+	// tableWatchPerAgent makes all agents together begin about four calls a
+	// second that wait for a configuration. A store that drops its history may
+	// leave waiting calls without word of changes; the first agent that asks
+	// anew learns of them, and its calls tell the others.
+	tableWatchPerAgent = 300 * time.Millisecond
+	// nodeWatchPerAgent is longer: agents show with their answers that their
+	// targets leave, and a missed one that joins costs little.
+	nodeWatchPerAgent = 1200 * time.Millisecond
+	minWatchTime      = 2 * time.Second
+	maxWatchTime      = 25 * time.Second
 )
 
-// WatchTime returns how long a call to the store waits for changes. It is
-// random so that the agents' calls spread over the time.
-func (a *Agent) WatchTime() time.Duration {
-	d := time.Duration(a.places.size()) * watchPerAgent
+// WatchTime returns how long a call to the store waits for changes below a
+// prefix. It is random so that the agents' calls spread over the time.
+func (a *Agent) WatchTime(prefix string) time.Duration {
+	d := time.Duration(a.places.size()) * nodeWatchPerAgent
+	if prefix == a.opts.Wire.TableKey {
+		d = time.Duration(a.places.size()) * tableWatchPerAgent
+	}
 	d = max(minWatchTime, min(d, maxWatchTime))
-	return d/2 + rand.N(d)/2
+	return d/2 + rand.N(d/2)
 }
 
 // followTable watches the configuration until ctx ends.
--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -52,14 +52,13 @@
 	ticking  bool
 	stopping bool      // this agent is stopping
 	downTill time.Time // the target accepted no connection
-	pace     float64   // how long work takes now, 1 as usual
-	usual    float64   // average pace
+	pace     float64   // how long work takes now, 1 as usual, 0 if not told
 }
 
 func newOwn(opts ownOptions) *own {
 	return &own{
 		ownOptions: opts, beat: beat.New(), gate: admit.New(gateOptions(0, 0)),
-		waiters: make(map[admit.Ticket]chan admit.Event), pace: 1, usual: 1,
+		waiters: make(map[admit.Ticket]chan admit.Event),
 	}
 }
 
@@ -67,8 +66,10 @@
 // up to the knee at which targets slow down.
 func gateOptions(slots, connections int) admit.Options {
 	used := max(1, int(float64(slots)*busyShare))
+	// No slots are reserved for urgent calls: a service may have none, and its
+	// slots would stay empty.
 	return admit.Options{
-		Slots: used, Connections: connections, Queue: queueRounds * used, MinShare: minShare,
+		Slots: used, Connections: connections, Queue: queueRounds * used, MinShare: minShare, UrgentShare: -1,
 	}
 }
 
@@ -118,7 +119,7 @@
 
 // replaced forgets what belonged to the previous target, with the lock held.
 func (o *own) replaced(cur beat.Announcement) {
-	o.pace, o.usual = 1, 1
+	o.pace = 0
 	o.downTill = time.Time{}
 	if cur.Address != "" {
 		o.client.SetAddr(cur.Address)
@@ -168,10 +169,9 @@
 func (o *own) load() mesh.Load {
 	r := o.gate.Report()
 	cur, _ := o.beat.Current()
-	latency := float64(r.Latency) * o.pace / o.usual
 	return mesh.Load{
 		InFlight: r.InFlight, Queued: r.Queued, Limit: r.Limit,
-		LatencyUs: time.Duration(latency).Microseconds(), Draining: r.Draining, Born: cur.Born,
+		LatencyUs: r.Latency.Microseconds(), Draining: r.Draining, Born: cur.Born, Pace: o.pace,
 	}
 }
 
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -176,6 +176,6 @@
 func report(l mesh.Load) types.Report {
 	return types.NewReport(types.ReportSpec{
 		InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit,
-		Latency: time.Duration(l.LatencyUs) * time.Microsecond, Draining: l.Draining, Incarnation: l.Born,
+		Latency: time.Duration(l.LatencyUs) * time.Microsecond, Draining: l.Draining, Incarnation: l.Born, Pace: l.Pace,
 	})
 }
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -13,9 +13,6 @@
 	"trefoilthread/io/mesh"
 )
 
-// paceAlpha weighs a new pace in the average.
-const paceAlpha = 0.05
-
 // serve runs a call at the target on this VM, or refuses it.
 func (o *own) serve(ctx context.Context, head *mesh.CallHead) *mesh.Answer {
 	began := o.clock.Now()
@@ -178,7 +175,6 @@
 	}
 	o.mu.Lock()
 	o.pace = pace
-	o.usual += (pace - o.usual) * paceAlpha
 	o.mu.Unlock()
 }
 
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -45,7 +45,8 @@
 	Limit     int
 	LatencyUs int64
 	Draining  bool
-	Born      uint64 // start of the target
+	Born      uint64  // start of the target
+	Pace      float64 // how long work takes there, 1 as usual, 0 if unknown
 }
 
 // Answer is the result of a call.
