io/agent: tell callers' agents of a new pace at once

Cause: a report rides on answers, of which one pair of agents sees some six a second, while the pace of a host changes every 300 ms. Change: an agent whose target shows another pace by a factor of 1.3 tells the agents that called in the last second, at most every 20 ms.

--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// Report takes over a load report that came without a call.
+func (p *Picker) Report(now time.Time, id types.TargetID, r types.Report) {
+	if m := p.byID[id]; m != nil {
+		p.accept(p.since(now), m, r)
+	}
+}
+
 // accept takes a report over, unless it is from an earlier incarnation. A
 // report of a later one tells of a restart before the membership does.
 func (p *Picker) accept(now time.Duration, m *member, r types.Report) {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -76,7 +76,7 @@
 	a.tables = &tables{log: o.Log}
 	a.places = newPlaces(o.Settings, o.Clock, a.boot)
 	a.own = newOwn(ownOptions{
-		clock: o.Clock, log: o.Log, count: a.count, wire: o.Wire, changed: a.targetChanged,
+		clock: o.Clock, log: o.Log, count: a.count, wire: o.Wire, changed: a.targetChanged, paceChanged: a.publishLoad,
 		client: local.New(o.Settings.TargetAddr, local.Options{
 			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits,
 		}),
@@ -86,7 +86,7 @@
 		value: a.record, size: a.places.size, seen: a.recordSeen,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
-		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot}, Clock: o.Clock, Ended: a.linkEnded,
+		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.notice,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
 		Serve: a.serve, Notice: a.notice, Failed: func(string, error) {}, Clock: o.Clock,
@@ -254,11 +254,27 @@
 		r.Heard(now, n.Node)
 		return n.Leaving && r.Leaving(n.Node, n.Boot)
 	})
+	if n.HasLoad {
+		a.places.report(types.ServiceName(n.Service), types.TargetID(n.Target), n.Load)
+	}
 	if n.Leaving {
 		a.log.WithField("node", n.Node).WithField("target", n.Target).Info("target is leaving, told by its agent")
 	}
 }
 
+// recentCall is the time in which an agent has to have called to be told of a
+// change of pace.
+const recentCall = time.Second
+
+// publishLoad tells the agents that use the target of its load.
+func (a *Agent) publishLoad(cur beat.Announcement, l mesh.Load) {
+	a.places.report(cur.Service, cur.ID, l)
+	a.server.Publish(&mesh.Notice{
+		Node: a.opts.Settings.Node, Boot: a.boot, Config: a.tables.version(),
+		Target: string(cur.ID), Service: string(cur.Service), HasLoad: true, Load: l,
+	}, recentCall)
+}
+
 // linkEnded logs lost connections to other agents.
 func (a *Agent) linkEnded(addr string, err error) {
 	if a.stopping.Load() {
--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -39,6 +39,8 @@
 	client *local.Client
 	// changed is told when the target or its state is another one.
 	changed func()
+	// paceChanged is told when work takes longer or shorter than was last told.
+	paceChanged func(cur beat.Announcement, l mesh.Load)
 }
 
 // own is the target on this VM.
@@ -53,6 +55,8 @@
 	stopping bool      // this agent is stopping
 	downTill time.Time // the target accepted no connection
 	pace     float64   // how long work takes now, 1 as usual, 0 if not told
+	told     float64   // pace that the other agents were told last
+	toldAt   time.Time
 }
 
 func newOwn(opts ownOptions) *own {
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -165,6 +165,15 @@
 	p.place(name).picker.Finish(p.clock.Now(), tok, res)
 }
 
+// report takes over the load of a target that came without an answer.
+func (p *places) report(name types.ServiceName, id types.TargetID, l mesh.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl := p.services[name]; pl != nil {
+		pl.picker.Report(p.clock.Now(), id, report(l))
+	}
+}
+
 // size returns the number of known agents, this one included.
 func (p *places) size() int {
 	p.mu.Lock()
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -168,14 +168,33 @@
 	o.client.Flush()
 }
 
-// setPace takes over how long work takes on this VM now.
+const (
+	// paceStep is the change of the pace, as a factor, that other agents are
+	// told of at once.
+	paceStep = 1.3
+	// paceGap is the shortest time between two such messages.
+	paceGap = 20 * time.Millisecond
+)
+
+// setPace takes over how long work takes on this VM now, and tells the other
+// agents if that is news.
 func (o *own) setPace(pace float64) {
 	if pace <= 0 {
 		return
 	}
 	o.mu.Lock()
+	now := o.clock.Now()
 	o.pace = pace
+	isNews := (o.told == 0 || pace > o.told*paceStep || pace < o.told/paceStep) && now.Sub(o.toldAt) >= paceGap
+	if isNews {
+		o.told, o.toldAt = pace, now
+	}
+	l := o.load()
+	cur, _ := o.beat.Current()
 	o.mu.Unlock()
+	if isNews {
+		o.paceChanged(cur, l)
+	}
 }
 
 func refused(reason string, retry time.Duration) *mesh.Answer {
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -28,6 +28,8 @@
 	// Silence is the time without a byte after which an open call is checked
 	// with a ping, and then the time for its answer; default 250 ms.
 	Silence time.Duration
+	// Notice takes a notice of a daemon that was called. It must not block.
+	Notice func(n *Notice)
 	// Ended is told of connections that ended with an error.
 	Ended func(addr string, err error)
 }
@@ -56,6 +58,9 @@
 	if o.Ended == nil {
 		o.Ended = func(string, error) {}
 	}
+	if o.Notice == nil {
+		o.Notice = func(*Notice) {}
+	}
 	return &Client{opts: o, links: make(map[string]*link)}
 }
 
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -74,15 +74,30 @@
 		l.mu.Lock()
 		l.heard, l.pinged = l.c.opts.Clock.Now(), false
 		l.mu.Unlock()
-		if f.kind != kindAnswer {
-			continue
+		if err := l.handle(f); err != nil {
+			return err
 		}
+	}
+}
+
+// handle acts on one frame. Frames of other kinds are pongs, or from later
+// versions.
+func (l *link) handle(f frame) error {
+	switch f.kind {
+	case kindAnswer:
 		ans := new(Answer)
 		if err := f.decode(ans); err != nil {
 			return err
 		}
 		l.deliver(f.call, ans)
+	case kindNotice:
+		n := new(Notice)
+		if err := f.decode(n); err != nil {
+			return err
+		}
+		l.c.opts.Notice(n)
 	}
+	return nil
 }
 
 // deliver hands an answer to its call, which may have been canceled.
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -80,7 +80,10 @@
 	Boot     uint64
 	Config   int64  // configuration version in force at the sender
 	Target   string // target beside the sender, "" for none
+	Service  string // service of that target
 	Leaving  bool   // the target takes no new calls
+	HasLoad  bool   // Load is that of the target
+	Load     Load
 	Suspects []Suspect
 }
 
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -37,14 +37,14 @@
 	opts ServerOptions
 
 	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	conns map[net.Conn]*inbound
 	ln    net.Listener
 	ended bool
 }
 
 // NewServer returns a server that isn't listening yet.
 func NewServer(o ServerOptions) *Server {
-	return &Server{opts: o, conns: make(map[net.Conn]struct{})}
+	return &Server{opts: o, conns: make(map[net.Conn]*inbound)}
 }
 
 // Serve accepts connections until the server is closed.
@@ -63,23 +63,42 @@
 			continue
 		}
 		setKeepAlive(nc)
-		if s.add(nc) {
-			go s.serveConn(nc)
+		p := &inbound{s: s, out: &sender{nc: nc, clock: s.opts.Clock}, calls: make(map[uint64]context.CancelFunc)}
+		if s.add(nc, p) {
+			go s.serveConn(nc, p)
 		}
 	}
 }
 
-func (s *Server) add(nc net.Conn) bool {
+func (s *Server) add(nc net.Conn, p *inbound) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		_ = nc.Close() // refused: the server is closed
 		return false
 	}
-	s.conns[nc] = struct{}{}
+	s.conns[nc] = p
 	return true
 }
 
+// Publish sends a notice to the daemons that have called within recent: the
+// others would not use it.
+func (s *Server) Publish(n *Notice, recent time.Duration) {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	to := make([]*inbound, 0, len(s.conns))
+	for _, p := range s.conns {
+		if p.calledSince(now.Add(-recent)) {
+			to = append(to, p)
+		}
+	}
+	s.mu.Unlock()
+	for _, p := range to {
+		// An error means that the connection has ended.
+		_ = p.out.send(kindNotice, 0, n)
+	}
+}
+
 // Close ends all connections and with them their calls.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -94,10 +113,9 @@
 }
 
 // serveConn reads frames until the connection ends.
-func (s *Server) serveConn(nc net.Conn) {
+func (s *Server) serveConn(nc net.Conn, p *inbound) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p := &inbound{s: s, out: &sender{nc: nc, clock: s.opts.Clock}, calls: make(map[uint64]context.CancelFunc)}
 	err := p.read(ctx, bufio.NewReaderSize(nc, readBuffer))
 	_ = nc.Close()
 	s.mu.Lock()
@@ -112,8 +130,16 @@
 	out  *sender
 	from Hello
 
-	mu    sync.Mutex
-	calls map[uint64]context.CancelFunc
+	mu     sync.Mutex
+	calls  map[uint64]context.CancelFunc
+	called time.Time // latest call
+}
+
+// calledSince reports whether a call has come since t.
+func (p *inbound) calledSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.called.After(t)
 }
 
 func (p *inbound) read(ctx context.Context, br *bufio.Reader) error {
@@ -158,6 +184,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	p.calls[id] = cancel
+	p.called = p.s.opts.Clock.Now()
 	p.mu.Unlock()
 	from := p.from
 	go func() {
