core/route: let a reported pace last, and load count twice

Cause: with changes told at once, a pace is valid until the next message; a half-life of 200 ms made slow hosts look usual again.

--- a/core/route/member.go
+++ b/core/route/member.go
@@ -23,9 +23,9 @@
 	// idleHalfLife lets old results fade while no new ones come in.
 	idleHalfLife = time.Second
 
-	// paceHalfLife lets a reported pace fade: neighbours on the host change
-	// within a few hundred milliseconds.
-	paceHalfLife = 200 * time.Millisecond
+	// paceHalfLife lets a reported pace fade. Changes are told at once, but only
+	// a target that runs calls can know of them.
+	paceHalfLife = time.Second
 
 	// drainHold bounds how long a report that says draining overrides the
 	// membership, which may never show a drain that was undone.
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -11,6 +11,10 @@
 	// failurePenalty is the factor that a share of failures of 1 adds. It
 	// outweighs the lack of queueing at a target that fails fast.
 	failurePenalty = 30
+	// loadWeight counts the load of a target against the pace of its host: its
+	// calls get slower as it fills, and a slow host may be a fast one again
+	// before a queue there has gone.
+	loadWeight = 2
 	// unknownLatency holds before the first result of a service. Its value
 	// matters only relative to the distances.
 	unknownLatency = float64(5 * time.Millisecond)
@@ -28,7 +32,7 @@
 	if m.pace > 0 {
 		// With a known pace the call's own time there can be told from that of
 		// a call elsewhere.
-		wait = (1+load/m.slots())*latency*m.slowness(now) + float64(m.distance)
+		wait = (1+loadWeight*load/m.slots())*latency*m.slowness(now) + float64(m.distance)
 	}
 	return wait * (1 + failurePenalty*m.failures*weight) / m.warmth(now)
 }
