core/admit: let calls that miss their goal wait behind the others

Change: a call carries its goal and its kind; one that would miss its goal counts a tenth in the order, and is refused first at two gates, since another target may have room. Service times are kept for each route and follow the pace of the host. The agent orders by worth alone.

--- a/core/admit/entry.go
+++ b/core/admit/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"trefoilthread/core/limit"
 	"trefoilthread/core/types"
 )
 
@@ -15,17 +16,42 @@
 	running  bool
 	canceled bool
 	deadline time.Time
+	goal     time.Time
+	late     bool // the answer will miss its goal; value is that of a late one
 	value    float64
 	index    int
 }
 
 func (e *entry) ticket() Ticket { return Ticket{id: e.id, place: e.place} }
 
-// kindOf numbers the classes that have latency averages of their own.
-func kindOf(c types.Class) int {
-	kind := int(c.Runs()) & 1
-	if c.Urgent() {
+// classKinds is the number of kinds that stand for classes.
+const classKinds = 4
+
+// kindOf numbers the calls that have latency averages of their own: by name,
+// or by class.
+func (g *Gate) kindOf(c types.Call) int {
+	if c.Kind() != "" {
+		return g.namedKind(c.Kind())
+	}
+	kind := int(c.Class().Runs()) & 1
+	if c.Class().Urgent() {
 		kind += 2
 	}
 	return kind
 }
+
+// namedKind numbers a kind. Names beyond the bound share the last number.
+func (g *Gate) namedKind(name string) int {
+	if n, ok := g.kinds[name]; ok {
+		return n
+	}
+	n := classKinds + len(g.kinds)
+	if n >= limit.MaxKinds {
+		return limit.MaxKinds - 1
+	}
+	if g.kinds == nil {
+		g.kinds = make(map[string]int)
+	}
+	g.kinds[name] = n
+	return n
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -21,6 +21,8 @@
 	draining bool
 	lastID   uint64
 	pending  []Event
+	kinds    map[string]int // numbers of named kinds
+	pace     float64        // how long work takes now, relative to the averages
 }
 
 // New returns a gate that takes calls.
@@ -29,6 +31,7 @@
 		opts:   o.withDefaults(),
 		urgent: queue{before: byDeadline},
 		normal: queue{before: byValue},
+		pace:   1,
 	}
 	g.limit = limit.New(g.limitOptions())
 	return g
@@ -47,6 +50,30 @@
 	return limit.Options{Max: g.opts.Slots, MinShare: g.opts.MinShare, Tolerance: g.opts.Tolerance}
 }
 
+// SetPace sets how long work takes on the target's VM now, relative to what the
+// averages of its calls have been.
+func (g *Gate) SetPace(pace float64) { g.pace = pace }
+
+// paceHold is how long a slow pace is expected to last: neighbours on a host
+// come and go within some hundred milliseconds.
+const paceHold = 150 * time.Millisecond
+
+// service returns the time that a call of a kind is expected to take.
+func (g *Gate) service(now time.Time, kind int) time.Duration {
+	return g.atPace(g.limit.Median(now, kind))
+}
+
+// atPace returns the time for work that usually takes d: at the present pace
+// for paceHold, then at the usual one.
+func (g *Gate) atPace(d time.Duration) time.Duration {
+	slow := time.Duration(float64(d) * g.pace)
+	if slow <= paceHold {
+		return slow
+	}
+	done := time.Duration(float64(paceHold) / g.pace)
+	return min(slow, paceHold+d-done)
+}
+
 // Offer decides about a call that has arrived. A refused call has not run;
 // its ticket has the reason.
 func (g *Gate) Offer(now time.Time, c types.Call) (Ticket, Verdict) {
@@ -54,17 +81,28 @@
 		return g.refusal(draining), Refuse
 	}
 	remaining := c.Remaining(now)
-	kind := kindOf(c.Class())
-	service := g.limit.Median(now, kind)
+	kind := g.kindOf(c)
+	service := g.service(now, kind)
 	if remaining <= 0 || remaining < service {
 		return g.refusal(late), Refuse
 	}
 	e := g.accept(kind, c)
 	e.value = g.value(now, kind, c.Worth())
+	if c.PromptOnly() && g.missesGoal(now, e, 0) {
+		g.release(e)
+		return g.refusal(slow), Refuse
+	}
 	if g.hasSlot(e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
 		g.start(e)
 		return e.ticket(), Run
 	}
+	if g.missesGoal(now, e, g.wait(e)) {
+		if c.PromptOnly() {
+			g.release(e)
+			return g.refusal(slow), Refuse
+		}
+		e.demote()
+	}
 	if remaining < g.wait(e)+service {
 		g.release(e)
 		return g.refusal(late), Refuse
@@ -113,8 +151,15 @@
 // now, and grants free slots.
 func (g *Gate) Tick(now time.Time) []Event {
 	for _, e := range g.entries {
-		if e.id != 0 && !e.running && g.isLate(now, e) {
+		switch {
+		case e.id == 0 || e.running:
+		case g.isLate(now, e):
 			g.drop(e, late)
+		case !e.late && g.missesGoal(now, e, 0):
+			q := g.queueOf(e)
+			q.remove(e)
+			e.demote()
+			q.add(e)
 		}
 	}
 	return g.grant(now)
--- a/core/admit/grant.go
+++ b/core/admit/grant.go
@@ -56,6 +56,11 @@
 			continue
 		}
 		q.remove(e)
+		if !e.late && g.missesGoal(now, e, 0) {
+			e.demote()
+			q.add(e)
+			continue
+		}
 		g.start(e)
 		if e.urgent {
 			g.streak = min(g.streak+1, maxStreak)
--- a/core/admit/place.go
+++ b/core/admit/place.go
@@ -14,7 +14,7 @@
 		g.entries = append(g.entries, e)
 	}
 	e.id, e.kind = g.lastID, kind
-	e.urgent, e.deadline = c.Class().Urgent(), c.Deadline()
+	e.urgent, e.deadline, e.goal = c.Class().Urgent(), c.Deadline(), c.Goal()
 	return e
 }
 
--- a/core/admit/reason.go
+++ b/core/admit/reason.go
@@ -10,6 +10,7 @@
 	full
 	displaced
 	shrunk
+	slow
 )
 
 func (r reason) String() string {
@@ -24,6 +25,8 @@
 		return "displaced by a call of more value"
 	case shrunk:
 		return "queue made smaller"
+	case slow:
+		return "answer would come after its goal"
 	}
 	return ""
 }
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -30,12 +30,28 @@
 	} else {
 		grants += min(g.urgent.Len(), grants*g.dueAfter())
 	}
-	return g.limit.Latency() * time.Duration(grants) / time.Duration(max(g.capacity(), 1))
+	return g.atPace(g.limit.Latency()) * time.Duration(grants) / time.Duration(max(g.capacity(), 1))
 }
 
 // isLate reports whether a waiting call would miss its deadline if it started
 // now.
 func (g *Gate) isLate(now time.Time, e *entry) bool {
 	remaining := e.deadline.Sub(now)
-	return remaining <= 0 || remaining < g.limit.Median(now, e.kind)
+	return remaining <= 0 || remaining < g.service(now, e.kind)
+}
+
+// lateShare is the part of its worth that an answer keeps after its goal.
+const lateShare = 0.1
+
+// missesGoal reports whether the answer of a call that starts after wait would
+// miss its goal.
+func (g *Gate) missesGoal(now time.Time, e *entry, wait time.Duration) bool {
+	return !e.goal.IsZero() && now.Add(wait+g.service(now, e.kind)).After(e.goal)
+}
+
+// demote makes a call that will miss its goal worth that of a late one, so that
+// it holds up no call that can still meet its own.
+func (e *entry) demote() {
+	e.late = true
+	e.value *= lateShare
 }
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// Kinds is the number of kinds of calls that have averages of their own.
-	Kinds = 4
+	// MaxKinds bounds the kinds of calls that have averages of their own.
+	MaxKinds = 256
 
 	decreaseFactor = 0.75
 	meanWeight     = 1.0 / 16
@@ -18,7 +18,7 @@
 	opts     Options
 	value    float64
 	mean     float64
-	tracks   [Kinds]track
+	tracks   []track // by kind
 	lowered  time.Time
 	lowWater float64
 }
@@ -42,10 +42,18 @@
 	l.value = min(max(l.value, l.lowWater), float64(l.opts.Max))
 }
 
-// Observe records a call of the given kind (0 to Kinds-1) that ended after
+// track returns the averages of a kind.
+func (l *Limit) track(kind int) *track {
+	for len(l.tracks) <= kind {
+		l.tracks = append(l.tracks, track{})
+	}
+	return &l.tracks[kind]
+}
+
+// Observe records a call of the given kind (0 to MaxKinds-1) that ended after
 // service, with running calls in the target before it ended.
 func (l *Limit) Observe(now time.Time, kind int, service time.Duration, running int, failed bool) {
-	t := &l.tracks[kind]
+	t := l.track(kind)
 	if failed && (t.count == 0 || float64(service) < t.fast) {
 		return
 	}
@@ -82,11 +90,13 @@
 
 // Mean returns the average time of a call of the given kind, 0 if unknown.
 func (l *Limit) Mean(now time.Time, kind int) time.Duration {
-	return l.tracks[kind].decayed(now, l.tracks[kind].fast)
+	t := l.track(kind)
+	return t.decayed(now, t.fast)
 }
 
 // Median returns the time that half of the calls of the given kind exceed,
 // 0 if unknown.
 func (l *Limit) Median(now time.Time, kind int) time.Duration {
-	return l.tracks[kind].decayed(now, l.tracks[kind].median)
+	t := l.track(kind)
+	return t.decayed(now, t.median)
 }
--- a/core/types/call.go
+++ b/core/types/call.go
@@ -17,6 +17,9 @@
 	Path        string
 	Class       Class
 	Deadline    time.Time
+	Goal        time.Time // when the answer loses most of its worth; zero for never
+	Kind        string    // calls of one kind take about the same time; "" for the class
+	PromptOnly  bool      // refuse it rather than let it wait beyond its goal
 	Worth       float64
 	Depth       int
 	Key         string
@@ -63,6 +66,16 @@
 // Deadline returns when the answer is due, on the local clock.
 func (c Call) Deadline() time.Time { return c.spec.Deadline }
 
+// Goal returns when the answer loses most of its worth, zero for never.
+func (c Call) Goal() time.Time { return c.spec.Goal }
+
+// Kind names the calls that take about the same time, "" for the class.
+func (c Call) Kind() string { return c.spec.Kind }
+
+// PromptOnly reports whether the call is to be refused rather than wait beyond
+// its goal: another target may have room.
+func (c Call) PromptOnly() bool { return c.spec.PromptOnly }
+
 // Worth returns the value of an answer, in the operator's unit.
 func (c Call) Worth() float64 { return c.spec.Worth }
 
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -50,12 +50,19 @@
 		ID: q.ask.ID, Service: string(q.service), Target: string(t.ID()), Caller: string(caller),
 		Method: q.req.Method, Path: q.req.Target, Header: q.req.Header.EndToEnd(), Body: q.req.Body,
 		RemainingMs: q.deadline.Sub(now).Milliseconds(), GoalMs: q.goal.Sub(now).Milliseconds(),
-		Rank: q.route.Rank(), Worth: worth(q.route.Rank()),
+		Rank: q.route.Rank(), Route: q.route.Name(), Worth: worth(q.route.Rank()),
 		AtMostOnce: q.route.Runs() == types.AtMostOnce, Config: q.config,
 	}
 }
 
-// callOf returns the call as the gate sees it.
+// end returns when the time for a call is over at the agent that serves it.
+func end(now time.Time, head *mesh.CallHead) time.Time {
+	return now.Add(time.Duration(head.RemainingMs) * time.Millisecond)
+}
+
+// callOf returns the call as the gate sees it. The order of calls comes from
+// their worth alone: an urgent class of its own would have the gate reserve
+// places for it.
 func callOf(now time.Time, head *mesh.CallHead) (types.Call, error) {
 	runs := types.Idempotent
 	if head.AtMostOnce {
@@ -63,7 +70,7 @@
 	}
 	return types.NewCall(types.CallSpec{
 		ID: head.ID, Service: types.ServiceName(head.Service), Method: head.Method, Path: head.Path,
-		Class:    types.NewClass(head.Rank == 0, runs),
-		Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond), Worth: head.Worth,
+		Class: types.NewClass(false, runs), Kind: head.Route, PromptOnly: head.Prompt,
+		Deadline: end(now, head), Goal: now.Add(time.Duration(head.GoalMs) * time.Millisecond), Worth: head.Worth,
 	})
 }
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -19,6 +19,9 @@
 const (
 	// maxMoves bounds the targets whose gates refuse one request.
 	maxMoves = 3
+	// promptMoves is the number of gates that are asked for an answer within
+	// the goal; the next one may let the request wait longer.
+	promptMoves = 2
 	// startRetry is when a caller may come again while no configuration or no
 	// target is known.
 	startRetry = 300 * time.Millisecond
@@ -91,6 +94,7 @@
 		}
 		r.tried = append(r.tried, t.ID())
 		head := r.q.head(r.e.clock.Now(), t, r.e.caller())
+		head.Prompt = r.moves < promptMoves
 		sent := r.e.clock.Now()
 		ans, err := r.e.send(ctx, t, head)
 		r.e.places.finish(r.q.service, tok, r.result(ctx, ans, err, r.e.clock.Since(sent)))
--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -55,6 +55,7 @@
 	stopping bool      // this agent is stopping
 	downTill time.Time // the target accepted no connection
 	pace     float64   // how long work takes now, 1 as usual, 0 if not told
+	usual    float64   // average pace
 	told     float64   // pace that the other agents were told last
 	toldAt   time.Time
 }
@@ -123,7 +124,8 @@
 
 // replaced forgets what belonged to the previous target, with the lock held.
 func (o *own) replaced(cur beat.Announcement) {
-	o.pace = 0
+	o.pace, o.usual = 0, 0
+	o.gate.SetPace(1)
 	o.downTill = time.Time{}
 	if cur.Address != "" {
 		o.client.SetAddr(cur.Address)
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -18,6 +18,8 @@
 	RemainingMs int64   // time left until the call's deadline
 	GoalMs      int64   // time left in which the answer has its full worth
 	Rank        int     // 0 is the most urgent
+	Route       string  // calls of one route take about the same time
+	Prompt      bool    // refuse it rather than answer after the goal
 	Worth       float64 // value of the answer
 	AtMostOnce  bool
 	Config      int64 // configuration version by which the call was routed
