io/agent: send a second attempt of slow idempotent requests

Change: when the first attempt has taken longer than nine in ten of its route, a second one goes to another target, at most for one request in ten and within the retry budget; the loser is canceled.

--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -63,51 +63,114 @@
 	q := newRequest(now, ask, req, t, r, xxhash.Sum64String(ask.ID))
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	e.places.began(q.service)
+	e.places.began(q.service, r.Name())
 	run := &run{e: e, q: q}
 	resp := run.do(ctx)
+	if resp.Status < http.StatusInternalServerError {
+		e.places.answered(q.service, r.Name(), e.clock.Since(now))
+	}
 	e.finish(q, run, resp)
 	return resp
 }
 
 // run is the way of one request over its targets.
 type run struct {
-	e       *entry
-	q       *request
-	tried   []types.TargetID
-	reached int           // attempts that may have reached a target
-	ran     bool          // an attempt may have run
-	moves   int           // attempts refused before the target
-	retry   time.Duration // shortest hint of a gate
-	failure *httpw.Response
-	reason  string // of the last attempt that failed
-	waits   bool   // an attempt is cut short by the deadline
+	e        *entry
+	q        *request
+	results  chan result
+	inFlight int
+	tried    []types.TargetID
+	reached  int           // attempts that may have reached a target
+	ran      bool          // an attempt may have run
+	moves    int           // attempts refused before the target
+	hedged   bool          // a second attempt was sent while the first was open
+	retry    time.Duration // shortest hint of a gate
+	failure  *httpw.Response
+	reason   string // of the last attempt that failed
+	waits    bool   // an attempt is cut short by the deadline
+}
+
+// result is the end of one attempt.
+type result struct {
+	ans *mesh.Answer
+	err error
 }
 
-// do sends the request until it has an answer that stands.
+// do sends the request until it has an answer that stands. Attempts that are
+// still open then are canceled.
 func (r *run) do(ctx context.Context) *httpw.Response {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.results = make(chan result, maxOpen)
+	hedge := r.hedgeTimer()
+	if !r.launch(ctx) {
+		return r.end()
+	}
 	for {
-		t, tok, ok := r.e.places.pick(r.q.service, r.tried)
-		if !ok {
-			r.because("no target left")
-			return r.end()
+		select {
+		case res := <-r.results:
+			r.inFlight--
+			if resp := r.judge(ctx, res.ans, res.err); resp != nil {
+				return resp
+			}
+			if r.inFlight > 0 {
+				continue
+			}
+			if !r.again(ctx) || !r.launch(ctx) {
+				return r.end()
+			}
+		case <-hedge:
+			hedge = nil
+			r.hedge(ctx)
 		}
-		r.tried = append(r.tried, t.ID())
-		head := r.q.head(r.e.clock.Now(), t, r.e.caller())
-		head.Prompt = r.moves < promptMoves
-		sent := r.e.clock.Now()
+	}
+}
+
+// maxOpen is the number of attempts that may be open at a time.
+const maxOpen = 2
+
+// launch sends the request to the next target; false if there is none.
+func (r *run) launch(ctx context.Context) bool {
+	t, tok, ok := r.e.places.pick(r.q.service, r.tried)
+	if !ok {
+		r.because("no target left")
+		return false
+	}
+	r.tried = append(r.tried, t.ID())
+	r.inFlight++
+	sent := r.e.clock.Now()
+	head := r.q.head(sent, t, r.e.caller())
+	head.Prompt = r.moves < promptMoves
+	go func() {
 		ans, err := r.e.send(ctx, t, head)
-		r.e.places.finish(r.q.service, tok, r.result(ctx, ans, err, r.e.clock.Since(sent)))
+		r.e.places.finish(r.q.service, tok, learned(ctx, ans, err, r.e.clock.Since(sent)))
 		if ans != nil {
 			r.e.newer(ans.Config)
 		}
-		if resp := r.judge(ctx, ans, err); resp != nil {
-			return resp
-		}
-		if !r.again(ctx) {
-			return r.end()
-		}
+		r.results <- result{ans: ans, err: err}
+	}()
+	return true
+}
+
+// hedgeTimer fires when the first attempt has taken longer than most requests
+// of its route; never for requests that may not run twice.
+func (r *run) hedgeTimer() <-chan time.Time {
+	if !r.mayRepeat() || r.q.route.Attempts() < maxOpen {
+		return nil
+	}
+	delay, ok := r.e.places.hedgeDelay(r.q.service, r.q.route.Name())
+	if !ok || r.q.began.Add(delay).After(r.q.deadline) {
+		return nil
+	}
+	return r.e.clock.After(delay)
+}
+
+// hedge sends the request to a second target while the first works on it.
+func (r *run) hedge(ctx context.Context) {
+	if r.inFlight != 1 || r.reached+maxOpen > r.q.route.Attempts() || !r.e.places.takeHedge(r.q.service, r.q.route.Name()) {
+		return
 	}
+	r.hedged = r.launch(ctx)
 }
 
 // judge takes over what an attempt has shown and returns the response if it is
@@ -195,8 +258,8 @@
 	return startRetry
 }
 
-// result is what the placing learns from an attempt.
-func (r *run) result(ctx context.Context, ans *mesh.Answer, err error, took time.Duration) route.Result {
+// learned is what the placing learns from an attempt.
+func learned(ctx context.Context, ans *mesh.Answer, err error, took time.Duration) route.Result {
 	res := route.Result{Latency: took}
 	switch {
 	case ans != nil:
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -44,6 +44,27 @@
 	picker *route.Picker
 	budget *retry.Budget
 	agents int // number of agents the budget is for
+	// hedgers know the usual time of each route.
+	hedgers map[string]*retry.Hedger
+}
+
+// hedgeOptions allow a second attempt for the slowest requests of a route.
+var hedgeOptions = retry.HedgerOptions{Quantile: 0.9, Share: 0.1}
+
+// maxHedgers bounds the routes with a hedger.
+const maxHedgers = 1024
+
+// hedger returns the hedger of a route.
+func (pl *place) hedger(route string) *retry.Hedger {
+	h := pl.hedgers[route]
+	if h == nil {
+		if pl.hedgers == nil || len(pl.hedgers) >= maxHedgers {
+			pl.hedgers = make(map[string]*retry.Hedger)
+		}
+		h = retry.NewHedger(hedgeOptions)
+		pl.hedgers[route] = h
+	}
+	return h
 }
 
 func newPlaces(set Settings, clock clockwork.Clock, seed uint64) *places {
@@ -132,11 +153,35 @@
 	}
 }
 
-// began counts a request of a caller, which adds to the retry budget.
-func (p *places) began(name types.ServiceName) {
+// began counts a request of a caller, which adds to the budgets.
+func (p *places) began(name types.ServiceName, route string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := p.place(name)
+	pl.budget.Call(p.clock.Now())
+	pl.hedger(route).Call()
+}
+
+// hedgeDelay returns when a second attempt of a request may start.
+func (p *places) hedgeDelay(name types.ServiceName, route string) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.place(name).hedger(route).Delay(p.clock.Now())
+}
+
+// takeHedge uses one second attempt, of both budgets.
+func (p *places) takeHedge(name types.ServiceName, route string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := p.place(name)
+	return pl.hedger(route).Available() && pl.budget.Take(p.clock.Now()) && pl.hedger(route).Take()
+}
+
+// answered counts the time of a whole answer.
+func (p *places) answered(name types.ServiceName, route string, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.place(name).budget.Call(p.clock.Now())
+	p.place(name).hedger(route).Record(p.clock.Now(), took)
 }
 
 // takeRetry uses one retry of the budget, if there is one.
