--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -64,6 +64,19 @@
 	return p.subset[i].target, true
 }
 
+// Usable returns the number of targets that take calls, suspended ones
+// excluded.
+func (p *Picker) Usable(now time.Time) int {
+	at := p.since(now)
+	n := 0
+	for _, m := range p.subset {
+		if m.isUsable(at) && !m.suspended {
+			n++
+		}
+	}
+	return n
+}
+
 // PickFor selects the target with the highest rendezvous hash of the
 // fingerprint among all that are up. Daemons with the same membership select
 // the same target.
--- a/io/agent/note.go
+++ b/io/agent/note.go
@@ -28,7 +28,7 @@
 func (e *entry) finish(q *request, r *run, resp *httpw.Response) {
 	took := e.clock.Since(q.began)
 	e.count.answered(resp.Status, took)
-	if resp.Status < 400 && len(r.tried) == 1 && !e.now(q).After(q.goal) {
+	if resp.Status < 400 && len(r.tried) == 1 && !e.clock.Now().After(q.goal) {
 		return // the counters have it; lines are for what needs explaining
 	}
 	names := make([]string, len(r.tried))
@@ -37,14 +37,12 @@
 	}
 	e.log.WithFields(log.Fields{
 		"request": q.ask.ID, "route": q.route.Name(), "service": string(q.service), "rank": q.route.Rank(),
-		"config": q.config, "status": resp.Status, "reason": r.reason, "targets": strings.Join(names, ","),
-		"reached": r.reached, "moves": r.moves, "hedged": r.hedged, "tookMs": took.Milliseconds(),
+		"config": q.config, "status": resp.Status, "reason": r.tries.Reason(), "targets": strings.Join(names, ","),
+		"reached": r.tries.Reached(), "moves": r.tries.Moves(), "hedged": r.hedged, "tookMs": took.Milliseconds(),
 		"leftMs": q.deadline.Sub(e.clock.Now()).Milliseconds(),
 	}).Info("request ended")
 }
 
-func (e *entry) now(*request) time.Time { return e.clock.Now() }
-
 // note logs a call that the target on this VM did not answer.
 func (o *own) note(head *mesh.CallHead, ans *mesh.Answer, took time.Duration) {
 	o.count.served(resultNames[ans.Result], took)
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -191,16 +191,16 @@
 	return p.place(name).budget.Take(p.clock.Now())
 }
 
-// pick chooses a target and counts the call as begun.
-func (p *places) pick(name types.ServiceName, tried []types.TargetID) (types.Target, route.Token, bool) {
+// pick chooses a target and counts the call as begun. Others tells whether
+// there are further ones.
+func (p *places) pick(name types.ServiceName, tried []types.TargetID) (t types.Target, tok route.Token, others, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pl, now := p.place(name), p.clock.Now()
-	t, ok := pl.picker.Pick(now, tried)
-	if !ok {
-		return t, route.Token{}, false
+	if t, ok = pl.picker.Pick(now, tried); !ok {
+		return t, tok, false, false
 	}
-	return t, pl.picker.Start(now, t.ID()), true
+	return t, pl.picker.Start(now, t.ID()), pl.picker.Usable(now) > len(tried)+1, true
 }
 
 // finish records the result of a call.
