io: test the data path of the agent

Each test says which failure it guards against: smuggled requests, cut and extra responses, order and cancellation of pipelined requests, silent connections, early answers to long bodies.

--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,192 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"trefoilthread/io/front"
+	"trefoilthread/io/httpw"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds what a test waits for.
+const patience = 5 * time.Second
+
+func serve(t *testing.T, handle func(context.Context, *httpw.Request) *httpw.Response) (*front.Server, net.Conn) {
+	t.Helper()
+	s := front.New(front.Options{
+		Handle: handle, Clock: clockwork.NewRealClock(),
+		Refuse: func(status int) *httpw.Response { return &httpw.Response{Status: status} },
+		Failed: func(err error) { t.Error(err) },
+		Bounds: func() front.Bounds {
+			return front.Bounds{Message: httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024}, Header: patience, Idle: patience}
+		},
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	c := dial(t, ln.Addr().String())
+	t.Cleanup(func() {
+		_ = c.Close()
+		s.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if err := s.Wait(ctx); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, c
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func read(t *testing.T, br *bufio.Reader) *httpw.Response {
+	t.Helper()
+	resp, err := httpw.ReadResponse(br, "GET", httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+// Guards against pipelined requests that run one after the other, and against
+// responses in another order than the requests: the second request ends first,
+// and the first one ends only after it.
+func TestPipelinedRequestsRunTogetherAndAreAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	_, c := serve(t, func(_ context.Context, r *httpw.Request) *httpw.Response {
+		if r.Target == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return &httpw.Response{Status: 200, Body: []byte(r.Target)}
+	})
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	br := bufio.NewReader(c)
+	is.Equal(string(read(t, br).Body), "/1")
+	is.Equal(string(read(t, br).Body), "/2")
+}
+
+// Guards against work that goes on after its caller has closed the connection,
+// also when a further request waits behind it.
+func TestCloseOfTheCallerCancels(t *testing.T) {
+	is := is.New(t)
+	started, canceled := make(chan struct{}, 2), make(chan struct{}, 2)
+	_, c := serve(t, func(ctx context.Context, _ *httpw.Request) *httpw.Response {
+		started <- struct{}{}
+		<-ctx.Done()
+		canceled <- struct{}{}
+		return &httpw.Response{Status: 504}
+	})
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	<-started
+	is.NoErr(c.Close())
+	<-canceled
+	<-canceled
+}
+
+// Guards against a response that closes the connection and is followed by
+// another, which its caller has sent again elsewhere.
+func TestNothingFollowsAClosingResponse(t *testing.T) {
+	is := is.New(t)
+	s, c := serve(t, func(_ context.Context, r *httpw.Request) *httpw.Response {
+		return &httpw.Response{Status: 200, Body: []byte(r.Target)}
+	})
+	s.Drain()
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	br := bufio.NewReader(c)
+	resp := read(t, br)
+	is.True(resp.Close)
+	is.Equal(string(resp.Body), "/1")
+	_, err = br.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// Guards against an idle connection that keeps a server from ending, and
+// against a stop that cuts a request off.
+func TestCloseWaitsForRequests(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s, c := serve(t, func(context.Context, *httpw.Request) *httpw.Response {
+		close(started)
+		<-release
+		return &httpw.Response{Status: 200}
+	})
+	idle := dial(t, c.RemoteAddr().String())
+	defer func() { _ = idle.Close() }()
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	s.Close()
+	// The idle connection may be refused or closed, but it ends.
+	_, err = io.Copy(io.Discard, idle)
+	is.NoErr(err)
+	close(release)
+	is.Equal(read(t, bufio.NewReader(c)).Status, 200)
+}
+
+// Guards against bytes that are no request and get no answer, or are taken for
+// a further one.
+func TestBadRequestsAreAnsweredAndClosed(t *testing.T) {
+	is := is.New(t)
+	_, c := serve(t, func(context.Context, *httpw.Request) *httpw.Response { return &httpw.Response{Status: 200} })
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\nBAD\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	br := bufio.NewReader(c)
+	is.Equal(read(t, br).Status, 200)
+	bad := read(t, br)
+	is.Equal(bad.Status, 400)
+	is.True(bad.Close)
+	_, err = br.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// Guards against a body over the limit that reaches a target in part: whether
+// its length is known or not, it is refused before the request is handed over.
+func TestLongBodyIsRefusedBeforeItIsHandedOver(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 2000", "Transfer-Encoding: chunked"} {
+		t.Run(framing, func(t *testing.T) {
+			is := is.New(t)
+			_, c := serve(t, func(context.Context, *httpw.Request) *httpw.Response {
+				t.Error("request was handed over")
+				return &httpw.Response{Status: 200}
+			})
+			_, err := fmt.Fprintf(c, "POST /1 HTTP/1.1\r\n%s\r\n\r\n7d0\r\n%s", framing, strings.Repeat("x", 100))
+			is.NoErr(err)
+			is.Equal(read(t, bufio.NewReader(c)).Status, 413)
+		})
+	}
+}
--- /dev/null
+++ b/io/mesh/mesh_test.go
@@ -0,0 +1,176 @@
+package mesh_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"trefoilthread/io/mesh"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 5 * time.Second
+
+func serve(t *testing.T, f func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer) (*mesh.Server, string) {
+	t.Helper()
+	s := mesh.NewServer(mesh.ServerOptions{
+		Serve: f, Notice: func(*mesh.Notice) {}, Failed: func(string, error) {}, Clock: clockwork.NewRealClock(),
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, ln.Addr().String()
+}
+
+func client(t *testing.T, o mesh.ClientOptions) *mesh.Client {
+	t.Helper()
+	o.Clock = clockwork.NewRealClock()
+	o.Hello = mesh.Hello{Node: "a", Boot: 7}
+	c := mesh.NewClient(o)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func bounded(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against answers that reach another call of the same connection.
+func TestCallsShareAConnection(t *testing.T) {
+	is := is.New(t)
+	both := make(chan struct{}, 2)
+	_, addr := serve(t, func(_ context.Context, from mesh.Hello, c *mesh.CallHead) *mesh.Answer {
+		both <- struct{}{}
+		for len(both) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		return &mesh.Answer{Body: []byte(from.Node + " " + c.ID), Load: mesh.Load{Pace: 2.5}}
+	})
+	c := client(t, mesh.ClientOptions{})
+	errs := make(chan error, 2)
+	for _, id := range []string{"1", "2"} {
+		go func() {
+			ans, err := c.Call(bounded(t), addr, &mesh.CallHead{ID: id})
+			if err == nil && (string(ans.Body) != "a "+id || ans.Load.Pace != 2.5) {
+				err = errors.New("answer to another call: " + string(ans.Body))
+			}
+			errs <- err
+		}()
+	}
+	is.NoErr(<-errs)
+	is.NoErr(<-errs)
+}
+
+// Guards against a call that goes on after its caller gave it up.
+func TestCancelReachesThePeer(t *testing.T) {
+	is := is.New(t)
+	started, canceled := make(chan struct{}), make(chan struct{})
+	_, addr := serve(t, func(ctx context.Context, _ mesh.Hello, _ *mesh.CallHead) *mesh.Answer {
+		close(started)
+		<-ctx.Done()
+		close(canceled)
+		return &mesh.Answer{}
+	})
+	ctx, cancel := context.WithCancel(bounded(t))
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := client(t, mesh.ClientOptions{}).Call(ctx, addr, &mesh.CallHead{ID: "1"})
+	is.True(errors.Is(err, context.Canceled))
+	<-canceled
+}
+
+// Guards against a call that was sent and is reported as not sent, or the
+// reverse: the first may have run.
+func TestErrorsTellWhetherTheCallWasSent(t *testing.T) {
+	is := is.New(t)
+	var s *mesh.Server
+	s, addr := serve(t, func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer {
+		go s.Close()
+		time.Sleep(50 * time.Millisecond)
+		return &mesh.Answer{}
+	})
+	c := client(t, mesh.ClientOptions{})
+	_, err := c.Call(bounded(t), addr, &mesh.CallHead{ID: "1"})
+	is.True(errors.Is(err, mesh.ErrBroken))
+	_, err = c.Call(bounded(t), addr, &mesh.CallHead{ID: "2"})
+	is.True(errors.Is(err, mesh.ErrUnreachable))
+}
+
+// Guards against a connection that has gone silent for good and holds its calls
+// until their deadlines.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	var taken atomic.Int32
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			taken.Add(1)
+			go func() { _, _ = io.Copy(io.Discard, nc) }()
+		}
+	}()
+	c := client(t, mesh.ClientOptions{Silence: 20 * time.Millisecond})
+	_, err = c.Call(bounded(t), ln.Addr().String(), &mesh.CallHead{ID: "1"})
+	is.True(errors.Is(err, mesh.ErrBroken))
+	_, err = c.Call(bounded(t), ln.Addr().String(), &mesh.CallHead{ID: "2"})
+	is.True(errors.Is(err, mesh.ErrBroken))
+	is.Equal(taken.Load(), int32(2))
+}
+
+// Guards against a slow call on a well connection that is taken for a silent
+// one: the peer answers pings meanwhile.
+func TestSlowCallOnAWellConnection(t *testing.T) {
+	is := is.New(t)
+	_, addr := serve(t, func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer {
+		time.Sleep(300 * time.Millisecond)
+		return &mesh.Answer{Status: 200}
+	})
+	ans, err := client(t, mesh.ClientOptions{Silence: 50 * time.Millisecond}).Call(bounded(t), addr, &mesh.CallHead{ID: "1"})
+	is.NoErr(err)
+	is.Equal(ans.Status, 200)
+}
+
+// Guards against a load that is told to agents that don't use the target, which
+// would grow with the square of their number.
+func TestPublishReachesRecentCallersOnly(t *testing.T) {
+	is := is.New(t)
+	s, addr := serve(t, func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer { return &mesh.Answer{} })
+	got := make(chan *mesh.Notice, 10)
+	c := client(t, mesh.ClientOptions{Notice: func(n *mesh.Notice) { got <- n }})
+	is.NoErr(c.Notify(bounded(t), addr, &mesh.Notice{Node: "a"}))
+	s.Publish(&mesh.Notice{Node: "early"}, time.Hour)
+	_, err := c.Call(bounded(t), addr, &mesh.CallHead{ID: "1"})
+	is.NoErr(err)
+	s.Publish(&mesh.Notice{Node: "late", Load: mesh.Load{Pace: 4}}, time.Hour)
+	n := <-got
+	is.Equal(n.Node, "late")
+	is.Equal(n.Load.Pace, 4.0)
+}
