io/agent: refuse requests that have crashed two targets

The rule and its table are core/poison's; the agent holds the death of its target, seen as broken answers and then a refused connection, against what was running, and tells all agents. A good answer clears a request.

--- /dev/null
+++ b/core/vhost/vhost_test.go
@@ -0,0 +1,79 @@
+package vhost_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"trefoilthread/core/types"
+	"trefoilthread/core/vhost"
+)
+
+func route(name, prefix string, parts ...vhost.Part) vhost.RouteSpec {
+	return vhost.RouteSpec{Name: name, Prefix: prefix, Attempts: 2, Timeout: time.Second, Goal: time.Second, Parts: parts}
+}
+
+func table(t *testing.T, routes ...vhost.RouteSpec) *vhost.Table {
+	t.Helper()
+	tb, err := vhost.New(vhost.TableSpec{
+		Version: 7, Hosts: map[string][]vhost.RouteSpec{"A.example": routes},
+		Services: []vhost.ServiceSpec{{Name: "bookings"}, {Name: "stockroom"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tb
+}
+
+// Guards against a request that goes to a shorter prefix than the longest one,
+// to another host's route, or to one that its path only resembles.
+func TestLookup(t *testing.T) {
+	is := is.New(t)
+	p := vhost.Part{Service: "bookings", Weight: 1}
+	tb := table(t, route("all", "/", p), route("a", "/a/", p), route("ab", "/a/b/", p))
+	for target, want := range map[string]string{
+		"/": "all", "/a": "all", "/a/": "a", "/a/b": "a", "/a/b/": "ab", "/a/b/c?x=/": "ab", "/?/a/": "all", "/A/": "all",
+	} {
+		r, ok := tb.Lookup("a.EXAMPLE:81", target)
+		is.True(ok)
+		is.Equal(r.Name(), want)
+	}
+	for _, host := range []string{"", "b.example", "x.a.example"} {
+		_, ok := tb.Lookup(host, "/a/")
+		is.True(!ok)
+	}
+}
+
+// Guards against parts of a route whose share is not that of their weight, and
+// against a request that changes its part while it is retried.
+func TestServiceFollowsTheWeights(t *testing.T) {
+	is := is.New(t)
+	tb := table(t, route("r", "/", vhost.Part{Service: "bookings", Weight: 90}, vhost.Part{Service: "stockroom", Weight: 10}))
+	r, _ := tb.Lookup("a.example", "/")
+	n := 0
+	for i := range 10_000 {
+		h := xxhash.Sum64([]byte{byte(i), byte(i >> 8)})
+		is.Equal(r.Service(h), r.Service(h))
+		if r.Service(h) == types.ServiceName("stockroom") {
+			n++
+		}
+	}
+	is.True(n > 900 && n < 1100)
+}
+
+// Guards against a document with faults that is taken over in part.
+func TestFaultsAreReportedTogether(t *testing.T) {
+	is := is.New(t)
+	_, err := vhost.New(vhost.TableSpec{Hosts: map[string][]vhost.RouteSpec{"a": {
+		route("noSlash", "/a", vhost.Part{Service: "bookings", Weight: 1}),
+		route("noWeight", "/b/", vhost.Part{Service: "bookings"}),
+		route("noService", "/c/", vhost.Part{Service: "other", Weight: 1}),
+	}}, Services: []vhost.ServiceSpec{{Name: "bookings"}}})
+	is.True(err != nil)
+	for _, want := range []string{"version 0", "noSlash", "noWeight", "noService"} {
+		is.True(strings.Contains(err.Error(), want))
+	}
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -53,6 +53,7 @@
 	places   *places
 	own      *own
 	register *register
+	suspects *suspects
 	client   *mesh.Client
 	server   *mesh.Server
 	front    *front.Server
@@ -75,8 +76,10 @@
 	a.SetService(o.Settings.Service)
 	a.tables = &tables{log: o.Log}
 	a.places = newPlaces(o.Settings, o.Clock, a.boot)
+	a.suspects = newSuspects(o.Settings.Node, a.boot, o.Clock, o.Log, a.tellAll)
 	a.own = newOwn(ownOptions{
 		clock: o.Clock, log: o.Log, count: a.count, wire: o.Wire, changed: a.targetChanged, paceChanged: a.publishLoad,
+		suspects: a.suspects,
 		client: local.New(o.Settings.TargetAddr, local.Options{
 			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits,
 		}),
@@ -94,6 +97,7 @@
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, count: a.count, tables: a.tables, places: a.places,
 		caller: func() types.ServiceName { return *a.service.Load() }, send: a.send, newer: a.heardVersion,
+		suspects: a.suspects,
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
@@ -249,6 +253,7 @@
 // notice takes what another agent says of itself.
 func (a *Agent) notice(n *mesh.Notice) {
 	a.heardVersion(n.Config)
+	a.suspects.learn(n.Suspects)
 	now := a.clock.Now()
 	a.places.update(func(r *roster.Roster) bool {
 		r.Heard(now, n.Node)
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -30,7 +30,8 @@
 	// send hands a call to the agent beside a target and returns its answer.
 	send func(ctx context.Context, t types.Target, head *mesh.CallHead) (*mesh.Answer, error)
 	// newer is told of a configuration version that another agent has.
-	newer func(version int64)
+	newer    func(version int64)
+	suspects *suspects
 }
 
 // handle answers one request.
@@ -52,6 +53,10 @@
 		return plain(http.StatusNotFound, "no such route")
 	}
 	q := newRequest(now, ask, req, t, r, xxhash.Sum64String(ask.ID))
+	if e.suspects.isQuarantined(fingerprint(string(q.service), req.Method, req.Target, req.Body)) {
+		e.note(ask, string(q.service), http.StatusServiceUnavailable, "request has crashed targets")
+		return e.wire.Refusal("request has crashed targets", suspectExpiry)
+	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	e.places.began(q.service, r.Name())
--- /dev/null
+++ b/io/agent/export_test.go
@@ -0,0 +1,30 @@
+package agent
+
+import "trefoilthread/core/types"
+
+// Names for the tests of package agent_test.
+var (
+	NewSuspects = newSuspects
+	Fingerprint = fingerprint
+)
+
+// SuspectExpiry is suspectExpiry.
+const SuspectExpiry = suspectExpiry
+
+// Begin is begin.
+func (s *suspects) Begin(fp types.Fingerprint) { s.begin(fp) }
+
+// Learn is learn.
+var Learn = (*suspects).learn
+
+// End is end.
+var End = (*suspects).end
+
+// TargetDied is targetDied.
+func (s *suspects) TargetDied() { s.targetDied() }
+
+// IsQuarantined is isQuarantined.
+func (s *suspects) IsQuarantined(fp types.Fingerprint) bool { return s.isQuarantined(fp) }
+
+// Suspects is suspects.
+type Suspects = suspects
--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -41,6 +41,7 @@
 	changed func()
 	// paceChanged is told when work takes longer or shorter than was last told.
 	paceChanged func(cur beat.Announcement, l mesh.Load)
+	suspects    *suspects
 }
 
 // own is the target on this VM.
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -39,8 +39,11 @@
 	start := o.clock.Now()
 	left := call.Remaining(start)
 	req := o.wire.TargetRequest(head, left)
+	fp := fingerprintOf(head)
+	o.suspects.begin(fp)
 	resp, err := o.client.Do(ctx, req)
 	ans, failed := o.judge(ctx, resp, err)
+	o.suspects.end(fp, ans.Result)
 	o.mu.Lock()
 	events := o.gate.Done(o.clock.Now(), ticket, o.clock.Since(start), failed)
 	o.mu.Unlock()
@@ -60,7 +63,11 @@
 // enter passes the gate, or returns the refusal.
 func (o *own) enter(ctx context.Context, now time.Time, call types.Call, head *mesh.CallHead) (admit.Ticket, *mesh.Answer) {
 	o.mu.Lock()
-	if reason := o.mismatch(now, head); reason != "" {
+	reason := o.mismatch(now, head)
+	if reason == "" && o.suspects.isQuarantined(fingerprintOf(head)) {
+		reason = "request has crashed targets"
+	}
+	if reason != "" {
 		o.mu.Unlock()
 		return admit.Ticket{}, refused(reason, 0)
 	}
@@ -161,11 +168,17 @@
 	}, v.Failed
 }
 
+// markDown leaves a target that accepts no connection alone for a while.
 func (o *own) markDown() {
 	o.mu.Lock()
-	o.downTill = o.clock.Now().Add(downPause)
+	now := o.clock.Now()
+	isNews := now.After(o.downTill)
+	o.downTill = now.Add(downPause)
 	o.mu.Unlock()
 	o.client.Flush()
+	if isNews {
+		o.suspects.targetDied()
+	}
 }
 
 const (
--- /dev/null
+++ b/io/agent/suspects.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/core/poison"
+	"trefoilthread/core/roster"
+	"trefoilthread/core/types"
+	"trefoilthread/io/mesh"
+)
+
+const (
+	// suspectExpiry is how long a death is held against a request. Callers send
+	// a request again within seconds, and different requests may look alike.
+	suspectExpiry = 30 * time.Second
+	// tellTime bounds the time to tell one agent of suspects.
+	tellTime = time.Second
+)
+
+// suspects keeps the requests that may crash targets. A request that was
+// running at two deaths without a good answer since is refused.
+type suspects struct {
+	clock clockwork.Clock
+	log   log.Interface
+	// tell sends a notice to all other agents.
+	tell func(n *mesh.Notice)
+
+	mu    sync.Mutex
+	table *poison.Table
+}
+
+func newSuspects(node string, boot uint64, clock clockwork.Clock, l log.Interface, tell func(n *mesh.Notice)) *suspects {
+	return &suspects{
+		clock: clock, log: l, tell: tell,
+		table: poison.New(poison.Options{Target: types.TargetID(node), Incarnation: boot, Expiry: suspectExpiry}),
+	}
+}
+
+// fingerprint identifies the content of a request.
+func fingerprint(service, method, path string, body []byte) types.Fingerprint {
+	h := xxhash.New()
+	for _, s := range []string{service, method, path} {
+		_, _ = h.WriteString(s) // a hash takes all bytes
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return types.Fingerprint(h.Sum64())
+}
+
+func fingerprintOf(head *mesh.CallHead) types.Fingerprint {
+	return fingerprint(head.Service, head.Method, head.Path, head.Body)
+}
+
+// isQuarantined reports whether a request is refused because it has crashed
+// targets.
+func (s *suspects) isQuarantined(fp types.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Check(s.clock.Now(), fp) == poison.Quarantined
+}
+
+// begin notes that a request starts at the target on this VM.
+func (s *suspects) begin(fp types.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Begin(s.clock.Now(), fp)
+}
+
+// end notes how it ended. A good answer clears a suspect everywhere.
+func (s *suspects) end(fp types.Fingerprint, r mesh.Result) {
+	s.mu.Lock()
+	now := s.clock.Now()
+	wasSuspect := false
+	if r == mesh.Expired {
+		s.table.Cancel(now, fp)
+	} else {
+		s.table.End(now, fp, r == mesh.Answered)
+		wasSuspect = r == mesh.Answered && s.table.Check(now, fp) == poison.Suspect && s.table.Clear(fp)
+	}
+	var entries []poison.Entry
+	if wasSuspect {
+		entries = s.table.Entries(now, []types.Fingerprint{fp})
+	}
+	s.mu.Unlock()
+	s.spread(entries)
+}
+
+// targetDied holds the death of the target against what was running.
+func (s *suspects) targetDied() {
+	s.mu.Lock()
+	now := s.clock.Now()
+	var entries []poison.Entry
+	if fps := s.table.TargetDied(now); len(fps) > 0 {
+		entries = s.table.Entries(now, fps)
+	}
+	s.mu.Unlock()
+	if len(entries) > 0 {
+		s.log.WithField("requests", len(entries)).Warn("target died, its requests are suspects")
+	}
+	s.spread(entries)
+}
+
+// learn takes over what another agent tells.
+func (s *suspects) learn(list []mesh.Suspect) {
+	if len(list) == 0 {
+		return
+	}
+	entries := make([]poison.Entry, len(list))
+	for i, x := range list {
+		entries[i].Fingerprint = types.Fingerprint(x.Fingerprint)
+		for _, d := range x.Deaths {
+			entries[i].Deaths = append(entries[i].Deaths, poison.Death{
+				ID:  poison.DeathID{Target: types.TargetID(d.Target), Incarnation: d.Boot, Number: d.Number},
+				Age: time.Duration(d.AgeMs) * time.Millisecond, Cleared: d.Cleared,
+			})
+		}
+	}
+	s.mu.Lock()
+	s.table.Learn(s.clock.Now(), entries)
+	s.mu.Unlock()
+}
+
+func (s *suspects) spread(entries []poison.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	n := &mesh.Notice{}
+	for _, e := range entries {
+		x := mesh.Suspect{Fingerprint: uint64(e.Fingerprint)}
+		for _, d := range e.Deaths {
+			x.Deaths = append(x.Deaths, mesh.Death{
+				Target: string(d.ID.Target), Boot: d.ID.Incarnation, Number: d.ID.Number,
+				AgeMs: d.Age.Milliseconds(), Cleared: d.Cleared,
+			})
+		}
+		n.Suspects = append(n.Suspects, x)
+	}
+	s.tell(n)
+}
+
+// tellAll sends a notice to all known agents.
+func (a *Agent) tellAll(n *mesh.Notice) {
+	n.Node, n.Boot, n.Config = a.opts.Settings.Node, a.boot, a.tables.version()
+	var addrs []string
+	a.places.update(func(r *roster.Roster) bool {
+		for _, rec := range r.Records() {
+			addrs = append(addrs, rec.Address)
+		}
+		return false
+	})
+	for _, addr := range addrs {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), tellTime)
+			defer cancel()
+			if err := a.client.Notify(ctx, addr, n); err != nil {
+				a.log.WithError(err).WithField("address", addr).Info("agent not told of suspects")
+			}
+		}()
+	}
+}
