io/agent: spend fewer store calls and less memory

Change: changes within 250 ms share a call, a broken watch pauses up to a second, the collector keeps the heap at half its usual growth.

--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -24,12 +25,16 @@
 // without a signal.
 const reloadInterval = 2 * time.Second
 
+// gcPercent keeps the heap small: memory costs more here than processor time.
+const gcPercent = 50
+
 // Run runs the daemon until SIGTERM or an interrupt, then stops gracefully.
 func (c *runCmd) Run() error {
 	p, err := prefs.Load(c.File)
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	clock := clockwork.NewRealClock()
 	out := logs.NewBounded(logs.BoundedOptions{Out: os.Stdout, PerSecond: p.LogRate(), Clock: clock})
 	defer out.Flush()
@@ -42,6 +47,7 @@
 	var a *agent.Agent
 	st := platform.NewStore(p.StoreAddress(), platform.StoreOptions{
 		Clock: clock, WatchTime: func(prefix string) time.Duration { return a.WatchTime(prefix) },
+		WatchGap: func(prefix string) time.Duration { return a.WatchGap(prefix) },
 	})
 	a, err = agent.New(agent.Options{
 		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: st,
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// watchPause is the mean pause after a watch that broke.
-	watchPause = 250 * time.Millisecond
+	// watchPause is the mean pause after a watch that broke; it doubles up to
+	// maxWatchPause while the store gives no answer.
+	watchPause    = 250 * time.Millisecond
+	maxWatchPause = time.Second
 	// fetchPause is the time that the watch is left to bring a version that
 	// another agent has in force.
 	fetchPause = 100 * time.Millisecond
@@ -30,8 +32,21 @@
 	nodeWatchPerAgent = 1200 * time.Millisecond
 	minWatchTime      = 2 * time.Second
 	maxWatchTime      = 25 * time.Second
+	// tableWatchGap and nodeWatchGap let changes in quick succession share a
+	// call. A new target can wait; one that leaves is told by its agent.
+	tableWatchGap = 250 * time.Millisecond
+	nodeWatchGap  = 250 * time.Millisecond
 )
 
+// WatchGap returns the shortest time between two calls to the store that wait
+// for changes below a prefix.
+func (a *Agent) WatchGap(prefix string) time.Duration {
+	if prefix == a.opts.Wire.TableKey {
+		return tableWatchGap
+	}
+	return nodeWatchGap
+}
+
 // WatchTime returns how long a call to the store waits for changes below a
 // prefix. It is random so that the agents' calls spread over the time.
 func (a *Agent) WatchTime(prefix string) time.Duration {
@@ -183,12 +198,13 @@
 // follow keeps a watch until ctx ends. Each begin is called before a listing
 // starts.
 func (a *Agent) follow(ctx context.Context, prefix string, take func(store.Event), begin ...func()) {
-	lost := false
+	lost, pause := false, watchPause
 	for ctx.Err() == nil {
 		for _, f := range begin {
 			f()
 		}
 		err := a.store.Watch(ctx, prefix, func(ev store.Event) {
+			pause = watchPause
 			if lost {
 				lost = false
 				a.log.WithField("prefix", prefix).Info("store watch regained")
@@ -203,7 +219,8 @@
 			a.count.event("watch_lost")
 			a.log.WithError(err).WithField("prefix", prefix).Warn("store watch lost")
 		}
-		a.sleep(ctx, watchPause/2+rand.N(watchPause))
+		a.sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, maxWatchPause)
 	}
 }
 
