--- a/core/admit/goal_test.go
+++ b/core/admit/goal_test.go
@@ -33,8 +33,7 @@
 	calls := make(map[admit.Ticket]*call)
 	running := make(map[admit.Ticket]time.Time)
 	var out outcome
-	var take func(now time.Time, events []admit.Event)
-	take = func(now time.Time, events []admit.Event) {
+	take := func(now time.Time, events []admit.Event) {
 		for _, ev := range events {
 			if ev.Verdict == admit.Run {
 				calls[ev.Ticket].started = now
