--- a/io/agent/counts.go
+++ b/io/agent/counts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 )
 
 // counts are the metrics of an agent.
@@ -12,6 +13,21 @@
 	scope   tally.Scope
 	latency tally.Histogram // of callers' requests
 	targets tally.Histogram // of calls at the target on this VM
+	routine *rate.Limiter   // of log lines about what went as usual
+}
+
+// routineLines is the number of lines a second about requests that went as
+// usual; those that need explaining must not be left out for them.
+const routineLines = 40
+
+// mayLogRoutine reports whether a request that went as usual gets a line. The
+// others are counted.
+func (c *counts) mayLogRoutine(now time.Time) bool {
+	if c.routine.AllowN(now, 1) {
+		return true
+	}
+	c.event("routine_lines_left_out")
+	return false
 }
 
 // latencyBuckets cover the deadlines of callers.
@@ -26,6 +42,7 @@
 		scope:   scope,
 		latency: scope.Histogram("request_latency", latencyBuckets),
 		targets: scope.Histogram("target_latency", latencyBuckets),
+		routine: rate.NewLimiter(routineLines, routineLines),
 	}
 }
 
--- a/io/agent/note.go
+++ b/io/agent/note.go
@@ -28,8 +28,9 @@
 func (e *entry) finish(q *request, r *run, resp *httpw.Response) {
 	took := e.clock.Since(q.began)
 	e.count.answered(resp.Status, took)
-	if resp.Status < 400 && len(r.tried) == 1 && !e.clock.Now().After(q.goal) {
-		return // the counters have it; lines are for what needs explaining
+	isRoutine := resp.Status < 400 && len(r.tried) == 1 && !e.clock.Now().After(q.goal)
+	if isRoutine && !e.count.mayLogRoutine(e.clock.Now()) {
+		return
 	}
 	names := make([]string, len(r.tried))
 	for i, id := range r.tried {
@@ -43,14 +44,14 @@
 	}).Info("request ended")
 }
 
-// note logs a call that the target on this VM did not answer.
+// note logs a call at the target on this VM, with what its gate knew.
 func (o *own) note(head *mesh.CallHead, ans *mesh.Answer, took time.Duration) {
 	o.count.served(resultNames[ans.Result], took)
-	if ans.Result == mesh.Answered {
+	if ans.Result == mesh.Answered && !o.count.mayLogRoutine(o.clock.Now()) {
 		return
 	}
 	o.log.WithFields(log.Fields{
-		"request": head.ID, "service": head.Service, "target": head.Target, "result": resultNames[ans.Result],
+		"request": head.ID, "service": head.Service, "route": head.Route, "target": head.Target, "result": resultNames[ans.Result],
 		"reason": ans.Reason, "tookMs": took.Milliseconds(), "leftMs": head.RemainingMs - took.Milliseconds(),
 		"running": ans.Load.InFlight, "waiting": ans.Load.Queued, "limit": ans.Load.Limit,
 		"latencyMs": ans.Load.LatencyUs / 1000, "config": head.Config,
--- a/io/agent/stop.go
+++ b/io/agent/stop.go
@@ -11,12 +11,15 @@
 	// quietTime is how long callers are still accepted after the readiness
 	// check has begun to fail: two misses a second apart.
 	quietTime = 2300 * time.Millisecond
+	// targetTime is how long the target still gets calls in that time: it has
+	// nothing to do with the restart of its agent, and may be one of few.
+	targetTime = 1700 * time.Millisecond
 	// stopCheck is how often a stopping agent looks whether it is idle.
 	stopCheck = 50 * time.Millisecond
 )
 
-// Stop stops gracefully: no new work for the target, callers are sent away,
-// accepted requests are answered.
+// Stop stops gracefully: callers are sent away, then the target gets no more
+// calls, and accepted requests are answered.
 func (a *Agent) Stop() {
 	began := a.clock.Now()
 	bound := a.opts.Settings.StopTime - exitMargin
@@ -24,9 +27,11 @@
 	defer cancel()
 	a.stopping.Store(true)
 	a.log.Info("agent stopping")
-	a.own.stop()
 	a.front.Drain()
-	a.sleep(ctx, min(quietTime, bound/2))
+	quiet := min(quietTime, bound/2)
+	a.sleep(ctx, min(targetTime, quiet))
+	a.own.stop()
+	a.sleep(ctx, quiet-min(targetTime, quiet))
 	a.front.Close()
 	err := a.front.Wait(ctx)
 	for !a.own.isIdle() && ctx.Err() == nil {
