--- a/io/agent/register.go
+++ b/io/agent/register.go
@@ -61,6 +61,19 @@
 	ttl     time.Duration
 	rev     int64
 	known   bool // rev is what the store has, as far as is known
+	failing bool // the latest call failed
+}
+
+// note logs when calls to the store begin to fail and when they succeed again,
+// not each of them.
+func (r *register) note(err error) {
+	switch {
+	case err != nil && !r.failing:
+		r.log.WithError(err).WithField("key", r.key).Warn("store lost for the own record")
+	case err == nil && r.failing:
+		r.log.WithField("key", r.key).Info("store regained for the own record")
+	}
+	r.failing = err != nil
 }
 
 func newRegister(o registerOptions) *register {
@@ -113,8 +126,9 @@
 			continue
 		}
 		first = false
-		if err := r.write(ctx); err != nil {
-			r.log.WithError(err).WithField("key", r.key).Warn("record not written")
+		err := r.write(ctx)
+		r.note(err)
+		if err != nil {
 			r.pause(ctx, storePause)
 			continue
 		}
@@ -133,7 +147,7 @@
 		r.seen(nil)
 		return true
 	case err != nil:
-		r.log.WithError(err).WithField("key", r.key).Warn("own record not read")
+		r.note(err)
 		return false
 	}
 	r.rev, r.known = it.Revision, true
@@ -249,6 +263,7 @@
 	ttl, err := r.store.Renew(bounded, r.lease)
 	switch {
 	case err == nil:
+		r.note(nil)
 		r.renewed, r.ttl = sent, ttl
 		return true
 	case errors.Is(err, store.ErrLeaseGone):
@@ -259,7 +274,7 @@
 		r.mu.Unlock()
 		return false
 	}
-	r.log.WithError(err).Warn("lease of the record not renewed")
+	r.note(err)
 	r.renewed = sent.Add(storePause - r.ttl/renewals) // due again after the pause
 	return true
 }
