--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -32,10 +32,15 @@
 	nodeWatchPerAgent = 1200 * time.Millisecond
 	minWatchTime      = 2 * time.Second
 	maxWatchTime      = 25 * time.Second
-	// tableWatchGap and nodeWatchGap let changes in quick succession share a
-	// call. A new target can wait; one that leaves is told by its agent.
-	tableWatchGap = 250 * time.Millisecond
-	nodeWatchGap  = 250 * time.Millisecond
+	// tableWatchGap and minNodeWatchGap let changes in quick succession share a
+	// call.
+	tableWatchGap   = 250 * time.Millisecond
+	minNodeWatchGap = 250 * time.Millisecond
+	// nodeGapPerAgent and maxNodeWatchGap let the calls for a wave of records
+	// grow more slowly than the square of the number of agents. A new target
+	// can wait; one that leaves is told by its agent.
+	nodeGapPerAgent = 12 * time.Millisecond
+	maxNodeWatchGap = 2 * time.Second
 )
 
 // WatchGap returns the shortest time between two calls to the store that wait
@@ -44,7 +49,8 @@
 	if prefix == a.opts.Wire.TableKey {
 		return tableWatchGap
 	}
-	return nodeWatchGap
+	d := time.Duration(a.places.size()) * nodeGapPerAgent
+	return max(minNodeWatchGap, min(d, maxNodeWatchGap))
 }
 
 // WatchTime returns how long a call to the store waits for changes below a
--- a/io/agent/register.go
+++ b/io/agent/register.go
@@ -126,6 +126,15 @@
 			continue
 		}
 		first = false
+		if r.value().Target == "" {
+			// Nobody needs a record that names no target, and each one wakes
+			// the watches of all agents.
+			select {
+			case <-ctx.Done():
+			case <-r.dirty:
+			}
+			continue
+		}
 		err := r.write(ctx)
 		r.note(err)
 		if err != nil {
