--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -64,6 +64,7 @@
 	stopping atomic.Bool
 	newer    chan int64
 	cancel   context.CancelFunc
+	started  time.Time
 	https    []*http.Server
 }
 
@@ -149,7 +150,7 @@
 
 // Start begins to serve. Stop ends it.
 func (a *Agent) Start() error {
-	started := a.clock.Now()
+	a.started = a.clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	if err := a.listen(); err != nil {
@@ -161,7 +162,7 @@
 	go a.register.run(ctx)
 	a.log.WithFields(log.Fields{
 		"node": a.opts.Settings.Node, "dataCentre": string(a.opts.Settings.DataCentre),
-		"service": string(a.opts.Settings.Service), "boot": a.boot, "startMs": a.clock.Since(started).Milliseconds(),
+		"service": string(a.opts.Settings.Service), "boot": a.boot, "startMs": a.clock.Since(a.started).Milliseconds(),
 	}).Info("agent started")
 	return nil
 }
@@ -269,7 +270,7 @@
 
 // recentCall is the time in which an agent has to have called to be told of a
 // change of pace.
-const recentCall = time.Second
+const recentCall = 5 * time.Second
 
 // publishLoad tells the agents that use the target of its load.
 func (a *Agent) publishLoad(cur beat.Announcement, l mesh.Load) {
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -38,9 +38,12 @@
 	minNodeWatchGap = 250 * time.Millisecond
 	// nodeGapPerAgent and maxNodeWatchGap let the calls for a wave of records
 	// grow more slowly than the square of the number of agents. A new target
-	// can wait; one that leaves is told by its agent.
-	nodeGapPerAgent = 12 * time.Millisecond
-	maxNodeWatchGap = 2 * time.Second
+	// can wait; one that leaves is told by its agent. In startTime, when all
+	// may have started together, the targets are needed sooner.
+	nodeGapPerAgent  = 30 * time.Millisecond
+	startGapPerAgent = 12 * time.Millisecond
+	maxNodeWatchGap  = 3 * time.Second
+	startTime        = 8 * time.Second
 )
 
 // WatchGap returns the shortest time between two calls to the store that wait
@@ -49,7 +52,11 @@
 	if prefix == a.opts.Wire.TableKey {
 		return tableWatchGap
 	}
-	d := time.Duration(a.places.size()) * nodeGapPerAgent
+	perAgent := nodeGapPerAgent
+	if a.clock.Since(a.started) < startTime {
+		perAgent = startGapPerAgent
+	}
+	d := time.Duration(a.places.size()) * perAgent
 	return max(minNodeWatchGap, min(d, maxNodeWatchGap))
 }
 
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -19,6 +19,10 @@
 	// the price of bytes between data centres.
 	sameRegion  = 3 * time.Millisecond
 	otherRegion = 40 * time.Millisecond
+	// subset is the number of targets of a service that an agent uses. The pace
+	// of a host changes within 300 ms and is told to recent callers only, so
+	// fewer targets that are called often are known better than many.
+	subset = 6
 	// budgetShare is the part of the permitted retries that agents use. Calls
 	// of a target that runs a retry count as retries as well, and the counts
 	// of two windows may meet in one.
@@ -91,7 +95,7 @@
 	pl := p.services[name]
 	if pl == nil {
 		pl = &place{picker: route.New(route.Options{
-			Self: types.TargetID(p.set.Node), DataCentre: p.set.DataCentre,
+			Self: types.TargetID(p.set.Node), DataCentre: p.set.DataCentre, Subset: subset,
 			Distance: p.distance, Seed: p.seed,
 		})}
 		p.services[name] = pl
