--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -29,6 +29,22 @@
 // Within a sort the order is strict: a call of little worth can wait until its
 // deadline makes it be refused.
 //
+// # Goals
+//
+// A call may carry a goal, the time at which its answer loses most of its worth.
+// A waiting call that would miss it counts a tenth of its worth in the order, so
+// that it holds up no call that can still meet its own; while more calls wait
+// that can meet theirs than a quarter of the slots, it is refused. A call that
+// asks for a prompt answer only is refused whenever it would miss its goal: its
+// entry daemon has other targets left.
+//
+// # Kinds and pace
+//
+// Calls of one kind take about the same time; each kind has its own estimates,
+// a call without a kind those of its class. SetPace tells how long work takes on
+// the target's host now, relative to the estimates. A slow pace is expected to
+// last for 150 ms.
+//
 // # Full queue
 //
 // A new call displaces the waiting call of least value if it is worth more.
--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -14,7 +14,6 @@
 	Version  string // of the target's software
 	Slots    int
 	Draining bool
-	ColdMs   int64 // how much longer the target is slow after its start
 }
 
 // Verdict is what a message changed.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -30,7 +30,7 @@
 	rec     Record
 	heard   time.Time // last direct contact
 	missing time.Time // when the record vanished, zero while it is there
-	leaving bool      // said so itself
+	leaving bool      // said so itself since the record
 }
 
 // New returns an empty roster.
@@ -55,9 +55,7 @@
 	if rec.Boot == n.rec.Boot && rec.Sequence <= n.rec.Sequence || rec.Sequence < n.rec.Sequence {
 		return false
 	}
-	if rec.Boot != n.rec.Boot {
-		n.leaving = false
-	}
+	n.leaving = false
 	changed := n.rec != rec
 	n.rec = rec
 	return changed
@@ -149,9 +147,6 @@
 // Len returns the number of known daemons.
 func (r *Roster) Len() int { return len(r.nodes) }
 
-// Has reports whether a daemon is known.
-func (r *Roster) Has(name string) bool { return r.nodes[name] != nil }
-
 // Records returns all records sorted by name.
 func (r *Roster) Records() []Record {
 	recs := make([]Record, 0, len(r.nodes))
@@ -173,18 +168,6 @@
 	return list
 }
 
-// Services returns the services that have targets.
-func (r *Roster) Services() []types.ServiceName {
-	var names []types.ServiceName
-	for _, n := range r.nodes {
-		if s := n.rec.Target.Service; n.rec.Target.known() && !slices.Contains(names, s) {
-			names = append(names, s)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (rec Record) target(leaving bool) types.Target {
 	state := rec.Target.State
 	if leaving {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -64,7 +64,11 @@
 	is.True(r.Leaving("a", 1))
 	is.True(!r.Leaving("a", 1))
 	is.Equal(r.Targets("bookings")[0].State(), types.Draining)
-	r.Learn(record("a", 2, 11, types.Up))
+	next := record("a", 1, 11, types.Up)
+	next.Target.ID = "t-next"
+	is.True(r.Learn(next)) // another target beside the same start of the daemon
+	is.Equal(r.Targets("bookings")[0].State(), types.Up)
+	r.Learn(record("a", 2, 12, types.Up))
 	is.Equal(r.Targets("bookings")[0].State(), types.Up)
 	is.True(!r.Leaving("a", 1))
 	is.Equal(len(r.Targets("stockroom")), 0)
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -34,6 +34,17 @@
 // excess over the service's average and the share of failures halve each
 // second, so that no target is judged by old results for ever.
 //
+// # Pace
+//
+// A report may carry the pace of the target's host: how long work takes there
+// at the moment, 1 as usual. Neighbours on the host change it several times a
+// second, which averages show too late. The score of such a target is
+//
+//	((1 + 2 x load / slots) x latency x pace + one-way latency) x penalty / warmth
+//
+// so that the call's own time counts and not only its wait. A pace fades to 1
+// with a half-life of 1 s; Report takes over one that came without an answer.
+//
 // # Suspension
 //
 // A target is suspended when its oldest call is older than three times the 95 %
--- a/core/vhost/table.go
+++ b/core/vhost/table.go
@@ -32,7 +32,6 @@
 // ServiceSpec describes a service.
 type ServiceSpec struct {
 	Name        types.ServiceName
-	HealthPath  string
 	Connections int // connections a target accepts
 }
 
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -80,14 +80,15 @@
 	a.suspects = newSuspects(o.Settings.Node, a.boot, o.Clock, o.Log, a.tellAll)
 	a.own = newOwn(ownOptions{
 		clock: o.Clock, log: o.Log, count: a.count, wire: o.Wire, changed: a.targetChanged, paceChanged: a.publishLoad,
-		suspects: a.suspects,
+		connections: a.connections,
+		suspects:    a.suspects,
 		client: local.New(o.Settings.TargetAddr, local.Options{
 			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits,
 		}),
 	})
 	a.register = newRegister(registerOptions{
 		store: o.Store, clock: o.Clock, log: o.Log, key: nodeKey(o.Settings.Node),
-		value: a.record, size: a.places.size, seen: a.recordSeen,
+		minLease: o.Settings.MinLease, value: a.record, size: a.places.size, seen: a.recordSeen,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.notice,
@@ -313,6 +314,11 @@
 	}
 	a.places.setOwn(list)
 	a.register.touch()
+	if ok && state != types.Up {
+		a.server.Publish(&mesh.Notice{
+			Node: a.opts.Settings.Node, Boot: a.boot, Config: a.tables.version(), Target: string(cur.ID), Leaving: true,
+		}, recentCall)
+	}
 }
 
 // Announce takes a message of the target and returns when others may rely on
@@ -328,6 +334,16 @@
 	return true
 }
 
+// connections returns how many connections a target of a service accepts, 0 if
+// unknown.
+func (a *Agent) connections(name types.ServiceName) int {
+	if t := a.tables.get(); t != nil {
+		s, _ := t.Service(name)
+		return s.Connections
+	}
+	return 0
+}
+
 // Rejected notes a message that names no target.
 func (a *Agent) Rejected(id string, err error) {
 	a.count.event("announcements_rejected")
--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -42,6 +42,9 @@
 	// paceChanged is told when work takes longer or shorter than was last told.
 	paceChanged func(cur beat.Announcement, l mesh.Load)
 	suspects    *suspects
+	// connections returns how many connections a target of a service accepts,
+	// 0 if unknown.
+	connections func(name types.ServiceName) int
 }
 
 // own is the target on this VM.
@@ -139,7 +142,7 @@
 		return o.gate.Drain(o.clock.Now())
 	}
 	o.gate.Resume()
-	o.gate.SetOptions(gateOptions(cur.Slots, 0))
+	o.gate.SetOptions(gateOptions(cur.Slots, o.connections(cur.Service)))
 	return o.gate.Tick(o.clock.Now())
 }
 
--- a/io/agent/register.go
+++ b/io/agent/register.go
@@ -38,6 +38,8 @@
 	key   string
 	// value returns the record as it should be.
 	value func() storedRecord
+	// minLease is the shortest lease that the store grants.
+	minLease time.Duration
 	// size returns the number of agents.
 	size func() int
 	// seen is told of an earlier record of this agent, once, and of none.
@@ -196,7 +198,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
 	defer cancel()
-	r.ttl = max(minLeaseTime, time.Duration(r.size())*leasePerAgent*renewals)
+	r.ttl = max(r.minLease, minLeaseTime, time.Duration(r.size())*leasePerAgent*renewals)
 	id, err := r.store.Grant(ctx, r.ttl)
 	if err != nil {
 		return errors.Wrap(err, "lease for the record")
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -24,6 +24,5 @@
 	RetryShare  float64       // retries of all agents per request of a service
 	RetryExtra  int           // retries beyond the share in RetryWindow, all agents together
 	RetryWindow time.Duration
-	Announce    time.Duration // interval of the target's announcements
 	MinLease    time.Duration // shortest lease of the store
 }
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
@@ -20,9 +19,6 @@
 type Verdict struct {
 	// NotRun means that the target states that it did not run the request.
 	NotRun bool
-	// Leaving means that another target has the address, or that the target
-	// takes no work.
-	Leaving bool
 	// Valid means that the response is the target's own and whole. Others must
 	// not reach the caller.
 	Valid bool
@@ -51,9 +47,3 @@
 	// TableKey is the store's key of that document.
 	TableKey string
 }
-
-// TargetInfo is what the agent tells of its target to whoever asks.
-type TargetInfo struct {
-	ID    types.TargetID
-	State types.TargetState
-}
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -83,16 +83,6 @@
 	return l.out.send(kindNotice, 0, n)
 }
 
-// Drop closes the connection to a daemon that has gone.
-func (c *Client) Drop(addr string) {
-	c.mu.Lock()
-	l := c.links[addr]
-	c.mu.Unlock()
-	if l != nil {
-		l.drop()
-	}
-}
-
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/io/prefs/keys.go
+++ b/io/prefs/keys.go
@@ -46,7 +46,6 @@
 	{"bounds", "retryShare", "0.2", false, "0 to 1", "retries of all agents per request of a service", number(0, 1, func(p *Prefs) *float64 { return &p.agent.RetryShare })},
 	{"bounds", "retryExtra", "0", false, "0 to 1000000", "retries beyond the share in each retryWindow, all agents together", integer(0, 1_000_000, func(p *Prefs) *int { return &p.agent.RetryExtra })},
 	{"bounds", "retryWindow", "10s", false, "1s to 10m", "time over which retries are counted", duration(time.Second, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.RetryWindow })},
-	{"bounds", "announceInterval", "1500ms", false, "10ms to 10m", "time between two announcements of a target", duration(10*time.Millisecond, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.Announce })},
 
 	{"log", "level", "info", false, "debug, info, warn, error", "lowest level that is logged", oneOf([]string{"debug", "info", "warn", "error"}, func(p *Prefs) *string { return &p.logLevel })},
 	{"log", "format", "logfmt", false, "logfmt, json", "format of log lines", oneOf([]string{"logfmt", "json"}, func(p *Prefs) *string { return &p.logFormat })},
