--- a/cmd/trefoild/main.go
+++ b/cmd/trefoild/main.go
@@ -11,8 +11,7 @@
 	"fmt"
 	"os"
 
-	"github.com/alecthomas/kong"
-
+	"trefoilthread/io/cmdln"
 	"trefoilthread/io/prefs"
 )
 
@@ -41,24 +40,6 @@
 	return err
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
-
-// run is main without the exit, so that golden sessions can call it.
-func run(args []string) int {
-	var c cli
-	parser, err := kong.New(&c, kong.Name("trefoild"),
-		kong.Description("The daemon of trefoilthread on the users' platform."), kong.UsageOnError())
-	if err != nil {
-		panic(err)
-	}
-	ctx, err := parser.Parse(args)
-	if err != nil {
-		parser.Errorf("%s", err)
-		return 2
-	}
-	if err := ctx.Run(); err != nil {
-		parser.Errorf("%s", err)
-		return 1
-	}
-	return 0
+func main() {
+	os.Exit(cmdln.Run(&cli{}, "trefoild", "The daemon of trefoilthread on the users' platform.", os.Args[1:]))
 }
--- a/cmd/trefoilthread/main.go
+++ b/cmd/trefoilthread/main.go
@@ -18,7 +18,7 @@
 import (
 	"os"
 
-	"github.com/alecthomas/kong"
+	"trefoilthread/io/cmdln"
 )
 
 // cli lists the subcommands; each stands in a file of its own.
@@ -39,21 +39,5 @@
 
 // run is main without the exit, so that golden sessions can call it.
 func run(args []string) int {
-	var c cli
-	parser, err := kong.New(&c, kong.Name("trefoilthread"),
-		kong.Description("A load balancer for servers whose load shifts in milliseconds."),
-		kong.UsageOnError())
-	if err != nil {
-		panic(err)
-	}
-	ctx, err := parser.Parse(args)
-	if err != nil {
-		parser.Errorf("%s", err)
-		return 2
-	}
-	if err := ctx.Run(); err != nil {
-		parser.Errorf("%s", err)
-		return 1
-	}
-	return 0
+	return cmdln.Run(&cli{}, "trefoilthread", "A load balancer for servers whose load shifts in milliseconds.", args)
 }
