--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -9,21 +9,13 @@
 
 	"trefoilthread/core/admit"
 	"trefoilthread/core/beat"
+	"trefoilthread/core/pace"
 	"trefoilthread/core/types"
 	"trefoilthread/io/local"
 	"trefoilthread/io/mesh"
 )
 
 const (
-	// busyShare is the part of a target's slots that are used: targets slow
-	// down when they are nearly full, and then finish less in all.
-	busyShare = 0.8
-	// queueRounds is the number of calls that may wait for each slot.
-	queueRounds = 3
-	// minShare is the lowest part of the used slots that the adaptive limit
-	// goes down to. Neighbours on the host come and go within fractions of a
-	// second; fewer calls at a time would not make them finish sooner.
-	minShare = 0.75
 	// checkInterval is how often calls that wait are looked at.
 	checkInterval = 20 * time.Millisecond
 	// downPause is how long a target that accepts no connection is left alone.
@@ -58,30 +50,16 @@
 	ticking  bool
 	stopping bool      // this agent is stopping
 	downTill time.Time // the target accepted no connection
-	pace     float64   // how long work takes now, 1 as usual, 0 if not told
-	usual    float64   // average pace
-	told     float64   // pace that the other agents were told last
-	toldAt   time.Time
+	pace     pace.Tracker
 }
 
 func newOwn(opts ownOptions) *own {
 	return &own{
-		ownOptions: opts, beat: beat.New(), gate: admit.New(gateOptions(0, 0)),
+		ownOptions: opts, beat: beat.New(), gate: admit.New(admit.OptionsFor(0, 0)),
 		waiters: make(map[admit.Ticket]chan admit.Event),
 	}
 }
 
-// gateOptions returns the gate of a target with the given slots, which loads
-// up to the knee at which targets slow down.
-func gateOptions(slots, connections int) admit.Options {
-	used := max(1, int(float64(slots)*busyShare))
-	// No slots are reserved for urgent calls: a service may have none, and its
-	// slots would stay empty.
-	return admit.Options{
-		Slots: used, Connections: connections, Queue: queueRounds * used, MinShare: minShare, UrgentShare: -1,
-	}
-}
-
 // announce takes a message of the target. Draining is in force when it
 // returns.
 func (o *own) announce(a beat.Announcement) beat.Verdict {
@@ -128,8 +106,8 @@
 
 // replaced forgets what belonged to the previous target, with the lock held.
 func (o *own) replaced(cur beat.Announcement) {
-	o.pace, o.usual = 0, 0
-	o.gate.SetPace(1)
+	o.pace = pace.Tracker{}
+	o.gate.SetPace(o.pace.Relative())
 	o.downTill = time.Time{}
 	if cur.Address != "" {
 		o.client.SetAddr(cur.Address)
@@ -142,7 +120,7 @@
 		return o.gate.Drain(o.clock.Now())
 	}
 	o.gate.Resume()
-	o.gate.SetOptions(gateOptions(cur.Slots, o.connections(cur.Service)))
+	o.gate.SetOptions(admit.OptionsFor(cur.Slots, o.connections(cur.Service)))
 	return o.gate.Tick(o.clock.Now())
 }
 
@@ -181,7 +159,7 @@
 	cur, _ := o.beat.Current()
 	return mesh.Load{
 		InFlight: r.InFlight, Queued: r.Queued, Limit: r.Limit,
-		LatencyUs: r.Latency.Microseconds(), Draining: r.Draining, Born: cur.Born, Pace: o.pace,
+		LatencyUs: r.Latency.Microseconds(), Draining: r.Draining, Born: cur.Born, Pace: o.pace.Current(),
 	}
 }
 
--- /dev/null
+++ b/io/agent/peers.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"trefoilthread/core/beat"
+	"trefoilthread/core/roster"
+	"trefoilthread/core/types"
+	"trefoilthread/io/mesh"
+)
+
+// serve runs a call of another agent.
+func (a *Agent) serve(ctx context.Context, from mesh.Hello, head *mesh.CallHead) *mesh.Answer {
+	if from.Node != "" {
+		now := a.clock.Now()
+		a.places.update(func(r *roster.Roster) bool {
+			r.Heard(now, from.Node)
+			return false
+		})
+	}
+	a.heardVersion(head.Config)
+	ans := a.own.serve(ctx, head)
+	ans.Config = a.tables.version()
+	return ans
+}
+
+// send hands a call to the agent beside its target.
+func (a *Agent) send(ctx context.Context, t types.Target, head *mesh.CallHead) (*mesh.Answer, error) {
+	if t.Address() == a.opts.Settings.Mesh {
+		return a.own.serve(ctx, head), nil
+	}
+	ans, err := a.client.Call(ctx, t.Address(), head)
+	if err == nil {
+		a.heard(t)
+	}
+	return ans, err
+}
+
+// heard notes direct contact with the agent beside a target.
+func (a *Agent) heard(t types.Target) {
+	now := a.clock.Now()
+	a.places.update(func(r *roster.Roster) bool {
+		r.HeardAt(now, t.Address())
+		return false
+	})
+}
+
+// notice takes what another agent says of itself.
+func (a *Agent) notice(n *mesh.Notice) {
+	a.heardVersion(n.Config)
+	a.suspects.learn(n.Suspects)
+	now := a.clock.Now()
+	a.places.update(func(r *roster.Roster) bool {
+		r.Heard(now, n.Node)
+		return n.Leaving && r.Leaving(n.Node, n.Boot)
+	})
+	if n.HasLoad {
+		a.places.report(types.ServiceName(n.Service), types.TargetID(n.Target), n.Load)
+	}
+	if n.Leaving {
+		a.log.WithField("node", n.Node).WithField("target", n.Target).Info("target is leaving, told by its agent")
+	}
+}
+
+// recentCall is the time in which an agent has to have called to be told of a
+// change of pace.
+const recentCall = 5 * time.Second
+
+// publishLoad tells the agents that use the target of its load.
+func (a *Agent) publishLoad(cur beat.Announcement, l mesh.Load) {
+	a.places.report(cur.Service, cur.ID, l)
+	a.server.Publish(&mesh.Notice{
+		Node: a.opts.Settings.Node, Boot: a.boot, Config: a.tables.version(),
+		Target: string(cur.ID), Service: string(cur.Service), HasLoad: true, Load: l,
+	}, recentCall)
+}
+
+// linkEnded logs lost connections to other agents.
+func (a *Agent) linkEnded(addr string, err error) {
+	if a.stopping.Load() {
+		return
+	}
+	a.count.event("links_lost")
+	a.log.WithError(err).WithField("address", addr).Info("connection to an agent lost")
+}
+
+// tellTime bounds the time to tell one agent of suspects.
+const tellTime = time.Second
+
+// tellAll sends a notice to all known agents.
+func (a *Agent) tellAll(n *mesh.Notice) {
+	n.Node, n.Boot, n.Config = a.opts.Settings.Node, a.boot, a.tables.version()
+	var addrs []string
+	a.places.update(func(r *roster.Roster) bool {
+		for _, rec := range r.Records() {
+			addrs = append(addrs, rec.Address)
+		}
+		return false
+	})
+	for _, addr := range addrs {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), tellTime)
+			defer cancel()
+			if err := a.client.Notify(ctx, addr, n); err != nil {
+				a.log.WithError(err).WithField("address", addr).Info("agent not told of suspects")
+			}
+		}()
+	}
+}
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -181,34 +181,12 @@
 	}
 }
 
-const (
-	// paceStep is the change of the pace, as a factor, that other agents are
-	// told of at once.
-	paceStep = 1.3
-	// paceGap is the shortest time between two such messages.
-	paceGap = 20 * time.Millisecond
-	// paceAlpha weighs a new pace in the average.
-	paceAlpha = 0.02
-)
-
 // setPace takes over how long work takes on this VM now, and tells the other
 // agents if that is news.
-func (o *own) setPace(pace float64) {
-	if pace <= 0 {
-		return
-	}
+func (o *own) setPace(now float64) {
 	o.mu.Lock()
-	now := o.clock.Now()
-	o.pace = pace
-	if o.usual == 0 {
-		o.usual = pace
-	}
-	o.usual += (pace - o.usual) * paceAlpha
-	o.gate.SetPace(pace / o.usual)
-	isNews := (o.told == 0 || pace > o.told*paceStep || pace < o.told/paceStep) && now.Sub(o.toldAt) >= paceGap
-	if isNews {
-		o.told, o.toldAt = pace, now
-	}
+	isNews := o.pace.Observe(o.clock.Now(), now)
+	o.gate.SetPace(o.pace.Relative())
 	l := o.load()
 	cur, _ := o.beat.Current()
 	o.mu.Unlock()
--- a/io/agent/suspects.go
+++ b/io/agent/suspects.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -10,18 +9,13 @@
 	"github.com/jonboulle/clockwork"
 
 	"trefoilthread/core/poison"
-	"trefoilthread/core/roster"
 	"trefoilthread/core/types"
 	"trefoilthread/io/mesh"
 )
 
-const (
-	// suspectExpiry is how long a death is held against a request. Callers send
-	// a request again within seconds, and different requests may look alike.
-	suspectExpiry = 30 * time.Second
-	// tellTime bounds the time to tell one agent of suspects.
-	tellTime = time.Second
-)
+// suspectExpiry is how long a death is held against a request. Callers send a
+// request again within seconds, and different requests may look alike.
+const suspectExpiry = 30 * time.Second
 
 // suspects keeps the requests that may crash targets. A request that was
 // running at two deaths without a good answer since is refused.
@@ -143,24 +137,3 @@
 	}
 	s.tell(n)
 }
-
-// tellAll sends a notice to all known agents.
-func (a *Agent) tellAll(n *mesh.Notice) {
-	n.Node, n.Boot, n.Config = a.opts.Settings.Node, a.boot, a.tables.version()
-	var addrs []string
-	a.places.update(func(r *roster.Roster) bool {
-		for _, rec := range r.Records() {
-			addrs = append(addrs, rec.Address)
-		}
-		return false
-	})
-	for _, addr := range addrs {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), tellTime)
-			defer cancel()
-			if err := a.client.Notify(ctx, addr, n); err != nil {
-				a.log.WithError(err).WithField("address", addr).Info("agent not told of suspects")
-			}
-		}()
-	}
-}
