--- a/core/vhost/table.go
+++ b/core/vhost/table.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -127,8 +126,8 @@
 
 // hostName returns the lower-case name without port.
 func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
 	}
 	return strings.ToLower(host)
 }
