--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -99,7 +99,7 @@
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
-		Refuse: func(status int) *httpw.Response { return plain(status, "request not understood") },
+		Refuse: e.refuse,
 		Failed: func(err error) { o.Log.WithError(err).Warn("connection not accepted") },
 	})
 	return a, nil
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -69,6 +69,13 @@
 	return resp
 }
 
+// refuse answers bytes that are no valid request.
+func (e *entry) refuse(status int) *httpw.Response {
+	const reason = "request not understood, or longer than allowed"
+	e.note(Ask{}, "", status, reason)
+	return plain(status, reason)
+}
+
 // plain returns a response of the agent's own with a line for people.
 func plain(status int, reason string) *httpw.Response {
 	return &httpw.Response{
