--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -69,7 +69,7 @@
 	}
 	ticker := clock.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	r := reloader{file: c.File, log: l, agent: a, service: p.Agent().Service}
+	r := reloader{file: c.File, log: l, agent: a}
 	for {
 		select {
 		case <-stop:
@@ -89,7 +89,6 @@
 	file    string
 	log     log.Interface
 	agent   *agent.Agent
-	service any
 	changed time.Time
 }
 
--- a/io/agent/announce.go
+++ b/io/agent/announce.go
@@ -75,9 +75,9 @@
 	}
 }
 
-// spread tells the others that the target takes no new calls and waits a
-// bounded time for the store to have it. The gate refuses calls already, so
-// the acknowledgement holds without either.
+// spread waits a bounded time for the store to have the record of a target that
+// takes no new calls. The gate refuses calls already, so the acknowledgement
+// holds without it.
 func (a *Agent) spread(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, spreadTime)
 	defer cancel()
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -55,11 +55,6 @@
 	}
 }
 
-// end returns when the time for a call is over at the agent that serves it.
-func end(now time.Time, head *mesh.CallHead) time.Time {
-	return now.Add(time.Duration(head.RemainingMs) * time.Millisecond)
-}
-
 // callOf returns the call as the gate sees it. The order of calls comes from
 // their worth alone: an urgent class of its own would have the gate reserve
 // places for it.
@@ -71,6 +66,7 @@
 	return types.NewCall(types.CallSpec{
 		ID: head.ID, Service: types.ServiceName(head.Service), Method: head.Method, Path: head.Path,
 		Class: types.NewClass(false, runs), Kind: head.Route, PromptOnly: head.Prompt,
-		Deadline: end(now, head), Goal: now.Add(time.Duration(head.GoalMs) * time.Millisecond), Worth: head.Worth,
+		Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
+		Goal:     now.Add(time.Duration(head.GoalMs) * time.Millisecond), Worth: head.Worth,
 	})
 }
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -137,9 +137,6 @@
 		case ev.Deleted:
 			a.nodeMissing(name)
 		default:
-			if listed == nil && !a.synced.Load() {
-				listed = make(map[string]bool)
-			}
 			if listed != nil {
 				listed[name] = true
 			}
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -30,7 +30,8 @@
 	if err != nil {
 		return refused("call not understood: "+err.Error(), 0)
 	}
-	ticket, refusal := o.enter(ctx, now, call, head)
+	fp := fingerprintOf(head)
+	ticket, refusal := o.enter(ctx, now, call, head, fp)
 	if refusal != nil {
 		return refusal
 	}
@@ -39,7 +40,6 @@
 	start := o.clock.Now()
 	left := call.Remaining(start)
 	req := o.wire.TargetRequest(head, left)
-	fp := fingerprintOf(head)
 	o.suspects.begin(fp)
 	resp, err := o.client.Do(ctx, req)
 	ans, failed := o.judge(ctx, resp, err)
@@ -61,10 +61,12 @@
 }
 
 // enter passes the gate, or returns the refusal.
-func (o *own) enter(ctx context.Context, now time.Time, call types.Call, head *mesh.CallHead) (admit.Ticket, *mesh.Answer) {
+func (o *own) enter(
+	ctx context.Context, now time.Time, call types.Call, head *mesh.CallHead, fp types.Fingerprint,
+) (admit.Ticket, *mesh.Answer) {
 	o.mu.Lock()
 	reason := o.mismatch(now, head)
-	if reason == "" && o.suspects.isQuarantined(fingerprintOf(head)) {
+	if reason == "" && o.suspects.isQuarantined(fp) {
 		reason = "request has crashed targets"
 	}
 	if reason != "" {
@@ -187,12 +189,14 @@
 	o.mu.Lock()
 	isNews := o.pace.Observe(o.clock.Now(), now)
 	o.gate.SetPace(o.pace.Relative())
+	if !isNews {
+		o.mu.Unlock()
+		return
+	}
 	l := o.load()
 	cur, _ := o.beat.Current()
 	o.mu.Unlock()
-	if isNews {
-		o.paceChanged(cur, l)
-	}
+	o.paceChanged(cur, l)
 }
 
 func refused(reason string, retry time.Duration) *mesh.Answer {
