io/agent: serve sockets that a test holds open

The test found ports free, closed them and let the agent open them later; tests of other packages that run at the same time took one meanwhile. Ruled out: an agent of an earlier test that kept its port; each test has ports of its own, found anew.

Before: failed once in a landing, on a busy machine.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,7 @@
 	"trefoilthread/io/store"
 )
 
-// Options configure an Agent. All fields but Metrics are required.
+// Options configure an Agent. All fields but Metrics and Listen are required.
 type Options struct {
 	Settings Settings
 	Wire     Wire
@@ -34,6 +35,9 @@
 	// target's announcements.
 	ReadyHandler   func(a *Agent) http.Handler
 	ControlHandler func(a *Agent) http.Handler
+	// Listen opens the addresses of Settings; default TCP over IPv4. Tests pass
+	// sockets that are open already, whose ports no other process can take.
+	Listen func(addr string) (net.Listener, error)
 }
 
 // Agent is one daemon.
--- a/io/agent/listen.go
+++ b/io/agent/listen.go
@@ -11,11 +11,11 @@
 // listen opens all sockets and serves them.
 func (a *Agent) listen() error {
 	set := a.opts.Settings
-	callers, err := net.Listen("tcp4", set.Callers)
+	callers, err := a.open(set.Callers)
 	if err != nil {
 		return errors.Wrap(err, "address for callers")
 	}
-	links, err := net.Listen("tcp4", set.Mesh)
+	links, err := a.open(set.Mesh)
 	if err != nil {
 		return errors.Wrap(err, "address for other agents")
 	}
@@ -34,8 +34,16 @@
 	return nil
 }
 
+// open listens at one address of the settings.
+func (a *Agent) open(addr string) (net.Listener, error) {
+	if a.opts.Listen != nil {
+		return a.opts.Listen(addr)
+	}
+	return net.Listen("tcp4", addr)
+}
+
 func (a *Agent) serveHTTP(addr string, h http.Handler) error {
-	ln, err := net.Listen("tcp4", addr)
+	ln, err := a.open(addr)
 	if err != nil {
 		return errors.Wrapf(err, "address %s", addr)
 	}
