core/route: let early answers count alike in the service's average

Cause: session operators (KNOWN-RED) waited for a target that had come back into service and got none of 28 calls. The service's average stands for targets without calls of their own. It moved by 1/64 an answer from the first one on, which was slow (cold connection), while the called target's own average moved by 1/10. So the uncalled target looked slower for over 60 calls, though the two were equal.

Ruled out: a drain known from a report that lasts 30 s (both usable), an old view of the members (state up, sequence 3), failures or an old call (both 0).

Change: the first 64 answers count alike. Test without a session, seen to fail before.

--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -150,3 +150,33 @@
 		is.Equal(status(p, start, place(p, start).ID()).InFlight(), 1+i/4)
 	}
 }
+
+// Guards against a near target that is never called because the first, slow
+// answer of a far one stays in the average that stands for targets without
+// calls of their own: a target that came back into service got none of 28
+// calls, one after the other (session operators).
+func TestTargetWithoutCallsIsTried(t *testing.T) {
+	is := is.New(t)
+	near, far := target(0, "a"), target(1, "b")
+	p := picker([]types.Target{near.WithState(types.Draining), far}, route.Options{
+		DataCentre: "a",
+		Distance: func(from, to types.DataCentre) time.Duration {
+			if from == to {
+				return 0
+			}
+			return 10 * time.Microsecond
+		},
+	})
+	call(p, start, far.ID(), route.Result{Latency: ms(60)})
+	call(p, start, far.ID(), route.Result{Latency: ms(14)})
+	p.Update(start, []types.Target{near.WithState(types.Draining).WithState(types.Up), far})
+	now, got := start, types.TargetID("")
+	for i := 0; i < 20 && got != near.ID(); i++ {
+		now = now.Add(time.Second)
+		picked, ok := p.Pick(now, nil)
+		is.True(ok)
+		got = picked.ID()
+		call(p, now, got, route.Result{Latency: ms(14)})
+	}
+	is.Equal(got, near.ID())
+}
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -127,7 +127,7 @@
 	m.observe(at, v, x)
 	if v == succeeded {
 		p.high.observe(x)
-		p.mean.observe(min(x, p.high.value), 1.0/64)
+		p.mean.observeLong(min(x, p.high.value), 1.0/64)
 	}
 	switch {
 	case trial && m.suspended:
