io/agent: let few agents read the store and tell the others

Change: core/relay keeps a copy of the store's keys with their revisions and chooses where to learn: two agents, the first ones in an order by hash, wait at the store; the others wait at one of them. Each answer tells the age of its information. An agent whose copy is older than 1.5 s reads by itself, one that isn't reached is left out for 3 s. The first listing of a process may be stale, since the changes after it follow. io/mesh gets queries; io/store gets List and Changes, which the adapter implements instead of Watch.

--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -44,13 +44,8 @@
 	}
 	out.Notes(l)
 	m := meter.New()
-	var a *agent.Agent
-	st := platform.NewStore(p.StoreAddress(), platform.StoreOptions{
-		Clock: clock, WatchTime: func(prefix string) time.Duration { return a.WatchTime(prefix) },
-		WatchGap: func(prefix string) time.Duration { return a.WatchGap(prefix) },
-	})
-	a, err = agent.New(agent.Options{
-		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: st,
+	a, err := agent.New(agent.Options{
+		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: platform.NewStore(p.StoreAddress()),
 		Scope:          m.Scope(),
 		Metrics:        m.Handler(),
 		ReadyHandler:   platform.ReadyHandler,
--- /dev/null
+++ b/core/relay/doc.go
@@ -0,0 +1,38 @@
+// Package relay decides from where a daemon learns what the store holds, and
+// keeps its copy of it.
+//
+// The load it answers: each change in the store wakes all calls that wait for
+// changes, so with one waiting call for each daemon a wave of changes costs the
+// square of their number, and the store's calls are limited and priced. Here a
+// few daemons, the readers, wait at the store. The others wait at a reader,
+// which holds a copy with the store's revisions and answers with what is newer
+// than what the asker has.
+//
+// # Who reads
+//
+// All daemons order the known ones by a hash of their names. The first ones are
+// the readers. A daemon that can't be reached is left out of the order for a
+// while, so the next one moves up. A daemon whose copy has become too old reads
+// by itself, whatever its place: then the readers can't reach the store, or this
+// daemon can't reach the readers. Each answer tells how old its information is,
+// so a reader that was cut off from the store is noticed, and may itself learn
+// from others.
+//
+// # Usage
+//
+//	s := relay.NewSources(relay.Options{Self: "a"})
+//	s.SetNodes(now, names)
+//	switch next := s.Next(now); {
+//	case next.Store:
+//		// Wait at the store for changes after c.Revision().
+//	case next.Node != "":
+//		// Ask that daemon.
+//	default:
+//		// Nothing to ask for next.Wait.
+//	}
+//	s.Learned(now, age) // or s.Failed(now, next, reached)
+//	changed := c.Apply(items, revision)
+//
+// The package has no clock and no goroutines; neither type is safe for
+// concurrent use.
+package relay
--- /dev/null
+++ b/core/relay/sources.go
@@ -0,0 +1,187 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// defaultReaders bounds the calls that wait at the store. With two, half of
+	// the others are served without a gap when one is lost.
+	defaultReaders = 2
+	// defaultMaxAge is the age of a copy at which its daemon reads by itself. A
+	// configuration has to be in force within two seconds, and the copy of a
+	// daemon that is cut off from the readers gets no younger meanwhile.
+	defaultMaxAge = 1500 * time.Millisecond
+	// unreachedTime is how long a daemon that wasn't reached is left out.
+	unreachedTime = 3 * time.Second
+	// oldTime is how long a daemon isn't asked again whose copy was too old.
+	oldTime = time.Second
+	// minStorePause is the pause after a call to the store that failed. It
+	// doubles with each further one. Readers have to note the store's return
+	// soon; the others would only add calls.
+	minStorePause    = 250 * time.Millisecond
+	readerStorePause = 500 * time.Millisecond
+	maxStorePause    = 2 * time.Second
+)
+
+// Options configure Sources.
+type Options struct {
+	Self    string        // name of this daemon
+	Readers int           // default 2
+	MaxAge  time.Duration // default 1.5 s
+}
+
+// Source is where to learn next: the store, a daemon, or neither for Wait.
+type Source struct {
+	Store bool
+	Node  string
+	Wait  time.Duration
+}
+
+// Sources chooses the next source.
+type Sources struct {
+	opts  Options
+	nodes []node // all known daemons and this one, by weight
+
+	freshAt  time.Time // the copy is known to have been current then
+	failures int       // calls to the store that failed in a row
+	storeDue time.Time
+}
+
+// node is a daemon in the order of all.
+type node struct {
+	name     string
+	weight   uint64    // place in the order
+	affinity uint64    // with this daemon; the readers are chosen from by it
+	absent   time.Time // not reached, left out until then
+	old      time.Time // its copy was too old, not asked until then
+}
+
+// NewSources returns Sources that know no other daemon.
+func NewSources(o Options) *Sources {
+	o.Readers = cmp.Or(o.Readers, defaultReaders)
+	o.MaxAge = cmp.Or(o.MaxAge, defaultMaxAge)
+	s := &Sources{opts: o}
+	s.SetNodes(nil)
+	return s
+}
+
+// SetNodes sets the other daemons.
+func (s *Sources) SetNodes(names []string) {
+	before := make(map[string]node, len(s.nodes))
+	for _, n := range s.nodes {
+		before[n.name] = n
+	}
+	s.nodes = s.nodes[:0]
+	for _, name := range append(slices.Clone(names), s.opts.Self) {
+		n, ok := before[name]
+		if !ok {
+			n = node{
+				name: name, weight: xxhash.Sum64String(name),
+				affinity: xxhash.Sum64String(s.opts.Self + "\x00" + name),
+			}
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	slices.SortFunc(s.nodes, func(a, b node) int {
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.name, b.name))
+	})
+	s.nodes = slices.CompactFunc(s.nodes, func(a, b node) bool { return a.name == b.name })
+}
+
+// Learned notes that the copy has all that the store held before age.
+func (s *Sources) Learned(now time.Time, from Source, age time.Duration) {
+	if at := now.Add(-age); at.After(s.freshAt) {
+		s.freshAt = at
+	}
+	if from.Store {
+		s.failures, s.storeDue = 0, now
+	}
+	if n := s.node(from.Node); n != nil {
+		n.absent = time.Time{}
+		if age > s.opts.MaxAge {
+			n.old = now.Add(oldTime)
+		}
+	}
+}
+
+// Failed notes that a source gave nothing.
+func (s *Sources) Failed(now time.Time, from Source) {
+	if n := s.node(from.Node); n != nil {
+		n.absent = now.Add(unreachedTime)
+	}
+	if !from.Store {
+		return
+	}
+	limit := maxStorePause
+	if s.IsReader(now) {
+		limit = readerStorePause
+	}
+	s.storeDue = now.Add(min(minStorePause<<min(s.failures, 4), limit))
+	s.failures++
+}
+
+// Age returns the age of the copy: what the store has changed since may be
+// missing.
+func (s *Sources) Age(now time.Time) time.Duration { return now.Sub(s.freshAt) }
+
+// Next returns the source to use now.
+func (s *Sources) Next(now time.Time) Source {
+	name := s.reader(now)
+	reads := name == "" || s.IsReader(now) || s.Age(now) > s.opts.MaxAge
+	switch {
+	case reads && !now.Before(s.storeDue):
+		return Source{Store: true}
+	case name != "":
+		return Source{Node: name}
+	}
+	return Source{Wait: s.storeDue.Sub(now)}
+}
+
+// IsReader reports whether this daemon is one of those that wait at the store:
+// the first ones of the order that aren't absent.
+func (s *Sources) IsReader(now time.Time) bool {
+	before := 0
+	for _, n := range s.nodes {
+		if n.name == s.opts.Self {
+			return before < s.opts.Readers
+		}
+		if !now.Before(n.absent) {
+			before++
+		}
+	}
+	return true
+}
+
+// reader returns the daemon to ask, "" for none: of the first ones that may be
+// asked one by a hash with the own name, so that askers spread over them.
+func (s *Sources) reader(now time.Time) string {
+	var best string
+	var weight uint64
+	seen := 0
+	for _, n := range s.nodes {
+		if n.name == s.opts.Self || now.Before(n.absent) || now.Before(n.old) {
+			continue
+		}
+		if best == "" || n.affinity > weight {
+			best, weight = n.name, n.affinity
+		}
+		if seen++; seen == s.opts.Readers {
+			break
+		}
+	}
+	return best
+}
+
+func (s *Sources) node(name string) *node {
+	for i := range s.nodes {
+		if s.nodes[i].name == name && name != s.opts.Self {
+			return &s.nodes[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/relay/sources_test.go
@@ -0,0 +1,156 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilthread/core/relay"
+)
+
+var start = time.Unix(1000, 0)
+
+func names(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("n%d", i)
+	}
+	return list
+}
+
+// fleet returns the sources of n daemons that know each other and have a
+// current copy.
+func fleet(n int) map[string]*relay.Sources {
+	all := map[string]*relay.Sources{}
+	for _, name := range names(n) {
+		s := relay.NewSources(relay.Options{Self: name})
+		s.SetNodes(names(n))
+		s.Learned(start, relay.Source{Store: true}, 0)
+		all[name] = s
+	}
+	return all
+}
+
+// readers returns the names of the daemons that wait at the store.
+func readers(all map[string]*relay.Sources, now time.Time) map[string]bool {
+	got := map[string]bool{}
+	for name, s := range all {
+		if s.Next(now).Store {
+			got[name] = true
+		}
+	}
+	return got
+}
+
+// Guards against store calls that grow with the number of daemons, and against
+// askers that all ask the same reader.
+func TestFewReadersServeAll(t *testing.T) {
+	is := is.New(t)
+	all := fleet(85)
+	at := readers(all, start)
+	is.Equal(len(at), 2)
+	asked := map[string]int{}
+	for name, s := range all {
+		if at[name] {
+			continue
+		}
+		next := s.Next(start)
+		is.True(at[next.Node])
+		asked[next.Node]++
+	}
+	is.Equal(len(asked), 2)
+}
+
+// Guards against a daemon that starts alone, or is cut off from all others, and
+// learns nothing: it reads as soon as its copy is too old.
+func TestAloneOneReads(t *testing.T) {
+	is := is.New(t)
+	s := relay.NewSources(relay.Options{Self: "a"})
+	is.True(s.Next(start).Store)
+	for _, s := range fleet(20) {
+		now := start
+		for next := s.Next(now); !next.Store; next = s.Next(now) {
+			is.True(next.Node != "")
+			s.Failed(now, next)
+			now = now.Add(100 * time.Millisecond)
+		}
+		is.True(now.Sub(start) <= 1600*time.Millisecond)
+	}
+}
+
+// Guards against a daemon that trusts readers that are cut off from the store
+// themselves: the copy's age counts, not that they answer.
+func TestOldCopiesAreNotTrusted(t *testing.T) {
+	is := is.New(t)
+	all := fleet(20)
+	at := readers(all, start)
+	for name, s := range all {
+		if at[name] {
+			continue
+		}
+		first := s.Next(start)
+		now := start.Add(1600 * time.Millisecond)
+		s.Learned(now, first, 1600*time.Millisecond)
+		is.True(s.Next(now).Store)
+		// The own call fails as well: others are asked meanwhile.
+		s.Failed(now, relay.Source{Store: true})
+		next := s.Next(now)
+		is.True(next.Node != "" && next.Node != first.Node)
+		// Somebody has a current copy.
+		s.Learned(now, next, 100*time.Millisecond)
+		is.Equal(s.Next(now).Node, next.Node)
+	}
+}
+
+// Guards against readers that all daemons stop to ask when one is gone, and
+// against one that is left out for ever.
+func TestNextOneMovesUp(t *testing.T) {
+	is := is.New(t)
+	all := fleet(20)
+	at := readers(all, start)
+	var dead string
+	for name := range at {
+		dead = name
+	}
+	delete(all, dead)
+	for _, s := range all {
+		s.Failed(start, relay.Source{Node: dead})
+	}
+	now := readers(all, start)
+	is.Equal(len(now), 2)
+	later := start.Add(4 * time.Second)
+	for _, s := range all {
+		s.Learned(later, relay.Source{Node: "n0"}, 0)
+	}
+	is.Equal(len(readers(all, later)), 1) // and the one that was dead
+}
+
+// Guards against a store that is away and gets calls of all daemons all the
+// time; the readers note its return within half a second.
+func TestOutage(t *testing.T) {
+	is := is.New(t)
+	all := fleet(85)
+	first := readers(all, start)
+	down, calls := 10*time.Second, 0
+	latest := map[string]time.Time{}
+	for step := time.Duration(0); step < down; step += 10 * time.Millisecond {
+		now := start.Add(step)
+		for name, s := range all {
+			next := s.Next(now)
+			switch {
+			case next.Store:
+				calls++
+				latest[name] = now
+				s.Failed(now, next)
+			case next.Node != "":
+				s.Learned(now, next, all[next.Node].Age(now))
+			}
+		}
+	}
+	is.True(calls < 85*int(down/time.Second))
+	for name := range first {
+		is.True(start.Add(down).Sub(latest[name]) <= 510*time.Millisecond)
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -147,6 +148,17 @@
 // Len returns the number of known daemons.
 func (r *Roster) Len() int { return len(r.nodes) }
 
+// Address returns where a daemon takes calls, "" if it isn't known.
+func (r *Roster) Address(name string) string {
+	if n := r.nodes[name]; n != nil {
+		return n.rec.Address
+	}
+	return ""
+}
+
+// Names returns the names of all known daemons.
+func (r *Roster) Names() []string { return slices.Collect(maps.Keys(r.nodes)) }
+
 // Records returns all records sorted by name.
 func (r *Roster) Records() []Record {
 	recs := make([]Record, 0, len(r.nodes))
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -49,6 +49,7 @@
 	count *counts
 	boot  uint64
 
+	mirror   *mirror
 	tables   *tables
 	places   *places
 	own      *own
@@ -62,7 +63,8 @@
 	restored atomic.Bool // the record of an earlier start was read
 	synced   atomic.Bool // the records of all agents were read
 	stopping atomic.Bool
-	newer    chan int64
+	newer    chan int64    // versions that other agents have
+	unread   chan struct{} // holds one token when the configuration is to be read
 	cancel   context.CancelFunc
 	started  time.Time
 	https    []*http.Server
@@ -72,7 +74,7 @@
 func New(o Options) (*Agent, error) {
 	a := &Agent{
 		opts: o, log: o.Log, clock: o.Clock, store: o.Store, boot: rand.Uint64(),
-		count: newCounts(o.Scope), newer: make(chan int64, 1),
+		count: newCounts(o.Scope), newer: make(chan int64, 1), unread: make(chan struct{}, 1),
 	}
 	a.SetService(o.Settings.Service)
 	a.tables = &tables{log: o.Log}
@@ -90,11 +92,16 @@
 		store: o.Store, clock: o.Clock, log: o.Log, key: nodeKey(o.Settings.Node),
 		minLease: o.Settings.MinLease, value: a.record, size: a.places.size, seen: a.recordSeen,
 	})
+	a.mirror = newMirror(mirrorOptions{
+		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, wants: a.wants, ask: a.ask,
+		take: a.takeItem, listed: a.listed,
+	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
-		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.notice,
+		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.Mesh}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.notice,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
-		Serve: a.serve, Notice: a.notice, Failed: func(string, error) {}, Clock: o.Clock,
+		Serve: a.serve, Notice: a.notice, Query: a.mirror.serve, Opened: a.opened,
+		Failed: func(string, error) {}, Clock: o.Clock,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, count: a.count, tables: a.tables, places: a.places,
@@ -157,8 +164,7 @@
 	if err := a.listen(); err != nil {
 		return err
 	}
-	go a.followTable(ctx)
-	go a.followNodes(ctx)
+	go a.mirror.run(ctx)
 	go a.fetchTable(ctx)
 	go a.register.run(ctx)
 	a.log.WithFields(log.Fields{
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -3,83 +3,79 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilthread/core/relay"
 	"trefoilthread/core/roster"
-	"trefoilthread/io/store"
+	"trefoilthread/io/mesh"
 )
 
-const (
-	// watchPause is the mean pause after a watch that broke; it doubles up to
-	// maxWatchPause while the store gives no answer.
-	watchPause    = 250 * time.Millisecond
-	maxWatchPause = time.Second
-	// fetchPause is the time that the watch is left to bring a version that
-	// another agent has in force.
-	fetchPause = 100 * time.Millisecond
-)
+// fetchPause is the time that other ways are left to bring a version that
+// another agent has in force. It is random up to this so that the reads of all
+// agents spread.
+const fetchPause = 200 * time.Millisecond
+
+// takeItem takes a change of one of the store's keys over.
+func (a *Agent) takeItem(it relay.Item) {
+	name, isNode := strings.CutPrefix(it.Key, nodePrefix)
+	switch {
+	case isNode && it.Deleted:
+		a.nodeMissing(name, it.Revision)
+	case isNode:
+		a.learn(it)
+	case it.Deleted: // the operator's document stays in force
+	case it.Omitted:
+		a.requestTable()
+	default:
+		a.takeTable(it.Value, "follow")
+	}
+}
 
-const (
-	// tableWatchPerAgent makes all agents together begin about four calls a
-	// second that wait for a configuration. A store that drops its history may
-	// leave waiting calls without word of changes; the first agent that asks
-	// anew learns of them, and its calls tell the others.
-	tableWatchPerAgent = 300 * time.Millisecond
-	// nodeWatchPerAgent is longer: agents show with their answers that their
-	// targets leave, and a missed one that joins costs little.
-	nodeWatchPerAgent = 1200 * time.Millisecond
-	minWatchTime      = 2 * time.Second
-	maxWatchTime      = 25 * time.Second
-	// tableWatchGap and minNodeWatchGap let changes in quick succession share a
-	// call.
-	tableWatchGap   = 250 * time.Millisecond
-	minNodeWatchGap = 250 * time.Millisecond
-	// nodeGapPerAgent and maxNodeWatchGap let the calls for a wave of records
-	// grow more slowly than the square of the number of agents. A new target
-	// can wait; one that leaves is told by its agent. In startTime, when all
-	// may have started together, the targets are needed sooner.
-	nodeGapPerAgent  = 30 * time.Millisecond
-	startGapPerAgent = 12 * time.Millisecond
-	maxNodeWatchGap  = 3 * time.Second
-	startTime        = 8 * time.Second
-)
+// wants reports whether a key of the store is of interest.
+func (a *Agent) wants(key string) bool {
+	return key == a.opts.Wire.TableKey || strings.HasPrefix(key, nodePrefix)
+}
 
-// WatchGap returns the shortest time between two calls to the store that wait
-// for changes below a prefix.
-func (a *Agent) WatchGap(prefix string) time.Duration {
-	if prefix == a.opts.Wire.TableKey {
-		return tableWatchGap
-	}
-	perAgent := nodeGapPerAgent
-	if a.clock.Since(a.started) < startTime {
-		perAgent = startGapPerAgent
+// listed notes that all keys are known as of a revision.
+func (a *Agent) listed(rev int64, has func(key string) bool) {
+	a.synced.Store(true)
+	if !has(nodeKey(a.opts.Settings.Node)) {
+		a.register.lost(rev)
 	}
-	d := time.Duration(a.places.size()) * perAgent
-	return max(minNodeWatchGap, min(d, maxNodeWatchGap))
+	a.refreshSources()
 }
 
-// WatchTime returns how long a call to the store waits for changes below a
-// prefix. It is random so that the agents' calls spread over the time.
-func (a *Agent) WatchTime(prefix string) time.Duration {
-	d := time.Duration(a.places.size()) * nodeWatchPerAgent
-	if prefix == a.opts.Wire.TableKey {
-		d = time.Duration(a.places.size()) * tableWatchPerAgent
+// ask sends a query to the agent with a name.
+func (a *Agent) ask(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error) {
+	addr := a.places.address(node)
+	if addr == "" {
+		return nil, errors.Wrapf(mesh.ErrUnreachable, "agent %s isn't known", node)
+	}
+	news, err := a.client.Query(ctx, addr, q)
+	if err == nil {
+		now := a.clock.Now()
+		a.places.update(func(r *roster.Roster) bool {
+			r.Heard(now, node)
+			return false
+		})
 	}
-	d = max(minWatchTime, min(d, maxWatchTime))
-	return d/2 + rand.N(d/2)
+	return news, err
 }
 
-// followTable watches the configuration until ctx ends.
-func (a *Agent) followTable(ctx context.Context) {
-	a.follow(ctx, a.opts.Wire.TableKey, func(ev store.Event) {
-		if ev.Item.Key == a.opts.Wire.TableKey && !ev.Deleted && !ev.Synced {
-			a.takeTable(ev.Item.Value, "watch")
-		}
-	})
+// opened notes the agent that has opened a connection. An agent that starts
+// while the store is away learns from such ones.
+func (a *Agent) opened(from mesh.Hello) {
+	if a.places.met(from.Node, from.Address) {
+		a.refreshSources()
+	}
 }
 
+// refreshSources tells the mirror which agents there are.
+func (a *Agent) refreshSources() { a.mirror.setNodes(a.places.nodes()) }
+
 // takeTable decodes the operator's document and takes it over if it is newer.
 // A document that isn't understood leaves the version in force.
 func (a *Agent) takeTable(value []byte, source string) {
@@ -91,26 +87,46 @@
 	a.tables.offer(t, source)
 }
 
-// fetchTable reads the configuration when another agent has a newer version.
+// fetchTable reads the configuration from the store when another agent has a
+// newer version, or when it was too long to be told.
 func (a *Agent) fetchTable(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case v := <-a.newer:
-			a.sleep(ctx, fetchPause)
-			if v <= a.tables.version() {
-				continue
-			}
-			bounded, cancel := context.WithTimeout(ctx, storeCallTime)
-			it, err := a.store.Get(bounded, a.opts.Wire.TableKey)
-			cancel()
-			if err != nil {
-				a.log.WithError(err).WithField("version", v).Warn("newer configuration of another agent not read")
-				continue
+			a.sleep(ctx, fetchPause/2+rand.N(fetchPause/2))
+			if v > a.tables.version() {
+				a.readTable(ctx, v)
 			}
-			a.takeTable(it.Value, "read")
+		case <-a.unread:
+			a.sleep(ctx, rand.N(fetchPause/2))
+			a.readTable(ctx, 0)
+		}
+	}
+}
+
+// readTable reads the configuration; heard is the version of another agent, 0 if
+// it isn't known.
+func (a *Agent) readTable(ctx context.Context, heard int64) {
+	bounded, cancel := context.WithTimeout(ctx, storeCallTime)
+	defer cancel()
+	it, err := a.store.Get(bounded, a.opts.Wire.TableKey)
+	if err != nil {
+		a.log.WithError(err).WithField("heard", heard).WithField("inForce", a.tables.version()).Warn("configuration not read")
+		if heard == 0 && ctx.Err() == nil {
+			a.clock.AfterFunc(storePause, a.requestTable)
 		}
+		return
+	}
+	a.takeTable(it.Value, "read")
+}
+
+// requestTable asks for the configuration to be read from the store.
+func (a *Agent) requestTable() {
+	select {
+	case a.unread <- struct{}{}:
+	default: // a read is due already
 	}
 }
 
@@ -125,28 +141,8 @@
 	}
 }
 
-// followNodes watches the records of all agents until ctx ends.
-func (a *Agent) followNodes(ctx context.Context) {
-	var listed map[string]bool
-	a.follow(ctx, nodePrefix, func(ev store.Event) {
-		name := ev.Item.Key[min(len(nodePrefix), len(ev.Item.Key)):]
-		switch {
-		case ev.Synced:
-			a.retain(listed)
-			listed = nil
-		case ev.Deleted:
-			a.nodeMissing(name)
-		default:
-			if listed != nil {
-				listed[name] = true
-			}
-			a.learn(ev.Item)
-		}
-	}, func() { listed = make(map[string]bool) })
-}
-
 // learn takes an agent's record over.
-func (a *Agent) learn(it store.Item) {
+func (a *Agent) learn(it relay.Item) {
 	rec, _, err := decodeRecord(it.Key, it.Value, it.Revision)
 	if err != nil {
 		a.log.WithError(err).WithField("key", it.Key).Warn("record names no target")
@@ -158,25 +154,13 @@
 	a.places.update(func(r *roster.Roster) bool { return r.Learn(rec) })
 	a.log.WithField("node", rec.Node).WithField("revision", it.Revision).WithField("target", string(rec.Target.ID)).
 		WithField("state", rec.Target.State.String()).Info("record learned")
+	a.refreshSources()
 }
 
-// retain applies a complete listing of the records.
-func (a *Agent) retain(listed map[string]bool) {
-	a.synced.Store(true)
-	if !listed[a.opts.Settings.Node] {
-		a.register.lost()
-	}
-	now := a.clock.Now()
-	a.places.update(func(r *roster.Roster) bool {
-		r.Retain(now, func(name string) bool { return listed[name] })
-		return false
-	})
-	a.expireNodes()
-}
-
-func (a *Agent) nodeMissing(name string) {
+// nodeMissing notes that a record isn't in the store as of a revision.
+func (a *Agent) nodeMissing(name string, rev int64) {
 	if name == a.opts.Settings.Node {
-		a.register.lost()
+		a.register.lost(rev)
 		return
 	}
 	now := a.clock.Now()
@@ -197,6 +181,9 @@
 		gone, next = r.Expire(now)
 		return len(gone) > 0
 	})
+	if len(gone) > 0 {
+		a.refreshSources()
+	}
 	for _, name := range gone {
 		a.log.WithField("node", name).Info("agent removed, its record is missing and nothing was heard of it")
 	}
@@ -205,35 +192,6 @@
 	}
 }
 
-// follow keeps a watch until ctx ends. Each begin is called before a listing
-// starts.
-func (a *Agent) follow(ctx context.Context, prefix string, take func(store.Event), begin ...func()) {
-	lost, pause := false, watchPause
-	for ctx.Err() == nil {
-		for _, f := range begin {
-			f()
-		}
-		err := a.store.Watch(ctx, prefix, func(ev store.Event) {
-			pause = watchPause
-			if lost {
-				lost = false
-				a.log.WithField("prefix", prefix).Info("store watch regained")
-			}
-			take(ev)
-		})
-		if ctx.Err() != nil {
-			return
-		}
-		if !lost && !errors.Is(err, store.ErrBudget) {
-			lost = true
-			a.count.event("watch_lost")
-			a.log.WithError(err).WithField("prefix", prefix).Warn("store watch lost")
-		}
-		a.sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxWatchPause)
-	}
-}
-
 func (a *Agent) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/io/agent/mirror.go
@@ -0,0 +1,309 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/core/relay"
+	"trefoilthread/io/mesh"
+	"trefoilthread/io/store"
+)
+
+const (
+	// readTime is how long a call waits at the store for changes. It bounds how
+	// long a store that lets waiting calls hear nothing goes unnoticed, and with
+	// holdTime the age of the others' copies.
+	readTime = 700 * time.Millisecond
+	// readGap lets changes in quick succession share a call.
+	readGap = 200 * time.Millisecond
+	// startGap holds in the first startTime of a process, when all agents may
+	// have started together, know few others to ask, and see a wave of records.
+	startGap  = 500 * time.Millisecond
+	startTime = 3 * time.Second
+	// holdTime is how long a query of another agent waits for news.
+	holdTime = 400 * time.Millisecond
+	// askGap lets news in quick succession share a query.
+	askGap = 50 * time.Millisecond
+	// askSlack is added to holdTime for the answer to arrive.
+	askSlack = 600 * time.Millisecond
+	// maxTold bounds the values that agents tell each other in bytes. Links
+	// between agents also carry requests, and a long value would hold them up.
+	maxTold = 64 << 10
+)
+
+// mirrorOptions configure a mirror. All fields are required.
+type mirrorOptions struct {
+	store store.Store
+	clock clockwork.Clock
+	log   log.Interface
+	self  string
+	// wants reports whether a key is of interest.
+	wants func(key string) bool
+	// ask sends a query to another agent.
+	ask func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
+	// take is told of each change in order of revision.
+	take func(it relay.Item)
+	// listed is told when the copy has all keys, each time that they were read
+	// as a whole.
+	listed func(revision int64, has func(key string) bool)
+}
+
+// mirror keeps this agent's copy of the store's keys up to date, and answers the
+// queries of others.
+type mirror struct {
+	mirrorOptions
+
+	mu      sync.Mutex
+	copy    *relay.Copy
+	sources *relay.Sources
+	changed chan struct{} // closed at the next change
+
+	// The fields below belong to run.
+	began   time.Time
+	whole   bool // all keys have to be read
+	started bool // all keys have been read once
+	failing bool // the latest call to the store failed
+	source  string
+}
+
+func newMirror(o mirrorOptions) *mirror {
+	return &mirror{
+		mirrorOptions: o, copy: relay.NewCopy(), sources: relay.NewSources(relay.Options{Self: o.self}),
+		changed: make(chan struct{}), whole: true, began: o.clock.Now(),
+	}
+}
+
+// setNodes sets the other agents.
+func (m *mirror) setNodes(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sources.SetNodes(names)
+}
+
+// run follows the store until ctx ends.
+func (m *mirror) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		next, after := m.sources.Next(m.clock.Now()), m.copy.Revision()
+		m.mu.Unlock()
+		var pause time.Duration
+		switch {
+		case next.Store:
+			pause = m.read(ctx, after)
+		case next.Node != "":
+			pause = m.query(ctx, next, after)
+		default:
+			pause = next.Wait
+		}
+		if pause > 0 {
+			select {
+			case <-ctx.Done():
+			case <-m.clock.After(pause):
+			}
+		}
+	}
+}
+
+// read learns from the store and returns the pause until the next step.
+func (m *mirror) read(ctx context.Context, after int64) time.Duration {
+	if m.whole {
+		return m.list(ctx)
+	}
+	wait := readTime - rand.N(readTime/10) // agents that wait in step would add peaks
+	events, rev, err := m.store.Changes(ctx, "", after, wait)
+	if errors.Is(err, store.ErrCompacted) {
+		m.whole = true
+		return 0
+	}
+	if !m.noteStore(ctx, err) {
+		return 0
+	}
+	items := make([]relay.Item, len(events))
+	for i, ev := range events {
+		items[i] = relay.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision, Deleted: ev.Deleted}
+	}
+	m.learn(relay.Source{Store: true}, 0, items, rev, false)
+	switch {
+	case len(events) == 0:
+		return 0
+	case m.clock.Since(m.began) < startTime:
+		return startGap
+	}
+	return readGap
+}
+
+// list reads all keys. The first time a stale answer will do, since the changes
+// after it follow.
+func (m *mirror) list(ctx context.Context) time.Duration {
+	stale := !m.started
+	listed, rev, err := m.store.List(ctx, "", stale)
+	if !m.noteStore(ctx, err) {
+		return 0
+	}
+	m.whole = false
+	items := make([]relay.Item, len(listed))
+	for i, it := range listed {
+		items[i] = relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision}
+	}
+	from, age := relay.Source{Store: true}, time.Duration(0)
+	if stale {
+		from, age = relay.Source{}, time.Hour // unknown
+	}
+	m.learn(from, age, items, rev, true)
+	return 0
+}
+
+// noteStore notes the end of a call to the store, and logs when the store is
+// lost or regained.
+func (m *mirror) noteStore(ctx context.Context, err error) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case err == nil && m.failing:
+		m.log.WithField("copyAgeMs", m.age().Milliseconds()).Info("store regained")
+	case err != nil && !m.failing:
+		m.log.WithError(err).WithField("copyAgeMs", m.age().Milliseconds()).Warn("store lost")
+	}
+	m.failing = err != nil
+	if err != nil {
+		m.mu.Lock()
+		m.sources.Failed(m.clock.Now(), relay.Source{Store: true})
+		m.mu.Unlock()
+	}
+	return err == nil
+}
+
+// query learns from another agent and returns the pause until the next step.
+func (m *mirror) query(ctx context.Context, from relay.Source, after int64) time.Duration {
+	if m.whole {
+		after = 0
+	}
+	bounded, cancel := context.WithTimeout(ctx, holdTime+askSlack)
+	defer cancel()
+	news, err := m.ask(bounded, from.Node, &mesh.Query{Revision: after})
+	if ctx.Err() != nil {
+		return 0
+	}
+	if err != nil {
+		m.mu.Lock()
+		m.sources.Failed(m.clock.Now(), from)
+		m.mu.Unlock()
+		m.log.WithError(err).WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).
+			Info("agent gave no news of the store")
+		return 0
+	}
+	items := make([]relay.Item, len(news.Items))
+	for i, it := range news.Items {
+		items[i] = relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Omitted: it.Omitted}
+	}
+	if news.Whole {
+		m.whole = false
+	}
+	m.learn(from, time.Duration(news.AgeMs)*time.Millisecond, items, news.Revision, news.Whole)
+	if len(items) > 0 {
+		return askGap
+	}
+	return 0
+}
+
+// learn takes items over and passes on those that are news.
+func (m *mirror) learn(from relay.Source, age time.Duration, items []relay.Item, rev int64, whole bool) {
+	values := make(map[string][]byte, len(items))
+	kept := items[:0]
+	for _, it := range items {
+		if !m.wants(it.Key) {
+			continue
+		}
+		values[it.Key] = it.Value
+		if len(it.Value) > maxTold {
+			it.Value, it.Omitted = nil, true
+		}
+		kept = append(kept, it)
+	}
+	m.mu.Lock()
+	var news []relay.Item
+	if whole {
+		news = m.copy.Replace(kept, rev)
+	} else {
+		news = m.copy.Apply(kept, rev)
+	}
+	if len(news) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	m.sources.Learned(m.clock.Now(), from, age)
+	has := m.copy.Has
+	m.mu.Unlock()
+	m.noteSource(from)
+	for _, it := range news {
+		if value := values[it.Key]; value != nil {
+			it.Value, it.Omitted = value, false
+		}
+		m.take(it)
+	}
+	if whole {
+		m.started = true
+		m.listed(rev, has)
+	}
+}
+
+// noteSource logs when news come from elsewhere than before.
+func (m *mirror) noteSource(from relay.Source) {
+	name := from.Node
+	if name == "" {
+		name = "store"
+	}
+	if name != m.source {
+		m.log.WithField("source", name).WithField("before", m.source).Info("learning the store's changes")
+	}
+	m.source = name
+}
+
+// age returns the age of the copy.
+func (m *mirror) age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sources.Age(m.clock.Now())
+}
+
+// serve answers a query of another agent, at once if there is news and after
+// holdTime if there is none.
+func (m *mirror) serve(ctx context.Context, q *mesh.Query) *mesh.News {
+	ctx, cancel := context.WithTimeout(ctx, holdTime)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		news := m.news(q.Revision)
+		changed := m.changed
+		m.mu.Unlock()
+		if len(news.Items) > 0 || ctx.Err() != nil {
+			return news
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// news returns what the copy has beyond a revision, with the lock held.
+func (m *mirror) news(after int64) *mesh.News {
+	news := &mesh.News{Revision: m.copy.Revision(), AgeMs: m.sources.Age(m.clock.Now()).Milliseconds()}
+	if news.Revision == 0 {
+		return news // nothing was ever read
+	}
+	items, whole := m.copy.Since(after)
+	news.Whole = whole
+	for _, it := range items {
+		news.Items = append(news.Items, mesh.Item{
+			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Omitted: it.Omitted,
+		})
+	}
+	return news
+}
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -41,6 +41,9 @@
 	own      []types.Target // the target on this VM, if any
 	services map[types.ServiceName]*place
 	most     int // largest number of agents seen
+	// strangers are the addresses of agents that have opened connections and of
+	// which no record is known.
+	strangers map[string]string
 }
 
 // place is one service.
@@ -75,7 +78,7 @@
 	return &places{
 		set: set, clock: clock, seed: seed,
 		roster:   roster.New(roster.Options{Self: set.Node}),
-		services: make(map[types.ServiceName]*place),
+		services: make(map[types.ServiceName]*place), strangers: make(map[string]string),
 	}
 }
 
@@ -223,6 +226,49 @@
 	}
 }
 
+// maxMet bounds the agents that are remembered though no record names them.
+const maxMet = 16
+
+// met notes the address of an agent that opened a connection, and reports
+// whether it was not known.
+func (p *places) met(node, addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if node == "" || addr == "" || node == p.set.Node || p.roster.Address(node) != "" || p.strangers[node] == addr {
+		return false
+	}
+	if len(p.strangers) >= maxMet {
+		clear(p.strangers)
+	}
+	p.strangers[node] = addr
+	return true
+}
+
+// address returns where an agent takes connections, "" if it isn't known.
+func (p *places) address(node string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr := p.roster.Address(node); addr != "" {
+		return addr
+	}
+	return p.strangers[node]
+}
+
+// nodes returns the names of the other known agents.
+func (p *places) nodes() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := p.roster.Names()
+	for name := range p.strangers {
+		if p.roster.Address(name) != "" {
+			delete(p.strangers, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 // size returns the number of known agents, this one included.
 func (p *places) size() int {
 	p.mu.Lock()
--- a/io/agent/register.go
+++ b/io/agent/register.go
@@ -53,10 +53,11 @@
 	dirty   chan struct{} // holds one token when the record is to be written
 	stopped chan struct{} // closed when run has returned
 
-	mu      sync.Mutex
-	written storedRecord
-	ok      bool          // written is what the store has
-	done    chan struct{} // closed at the next successful write
+	mu        sync.Mutex
+	written   storedRecord
+	writtenAt int64         // revision of the latest write
+	ok        bool          // written is what the store has
+	done      chan struct{} // closed at the next successful write
 
 	lease   store.LeaseID
 	renewed time.Time
@@ -93,12 +94,18 @@
 	}
 }
 
-// lost notes that the record has vanished from the store.
-func (r *register) lost() {
+// lost notes that the store doesn't have the record as of a revision. What is
+// known of a time before the latest write is no news.
+func (r *register) lost(rev int64) {
 	r.mu.Lock()
-	r.ok = false
+	isNews := r.ok && rev >= r.writtenAt
+	if isNews {
+		r.ok = false
+	}
 	r.mu.Unlock()
-	r.touch()
+	if isNews {
+		r.touch()
+	}
 }
 
 // settled waits until the store has the record as it is now, or ctx ends.
@@ -234,7 +241,7 @@
 	}
 	r.rev = rev
 	r.mu.Lock()
-	r.written, r.ok = rec, true
+	r.written, r.writtenAt, r.ok = rec, rev, true
 	close(r.done)
 	r.done = make(chan struct{})
 	r.mu.Unlock()
--- a/io/mesh/bench_test.go
+++ b/io/mesh/bench_test.go
@@ -26,7 +26,7 @@
 func BenchmarkCapacityExchange(b *testing.B) {
 	s := mesh.NewServer(mesh.ServerOptions{
 		Serve:  func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer { return &mesh.Answer{Status: 200} },
-		Notice: func(*mesh.Notice) {}, Failed: func(string, error) {}, Clock: clockwork.NewRealClock(),
+		Notice: func(*mesh.Notice) {}, Opened: func(mesh.Hello) {}, Failed: func(string, error) {}, Clock: clockwork.NewRealClock(),
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -71,7 +71,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.call(ctx, head)
+	ans := new(Answer)
+	if err := l.call(ctx, kindCall, head, ans); err != nil {
+		return nil, err
+	}
+	return ans, nil
+}
+
+// Query asks for news and waits for them.
+func (c *Client) Query(ctx context.Context, addr string, q *Query) (*News, error) {
+	l, err := c.link(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	news := new(News)
+	if err := l.call(ctx, kindQuery, q, news); err != nil {
+		return nil, err
+	}
+	return news, nil
 }
 
 // Notify sends a notice, over a new connection if there is none.
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -20,6 +20,8 @@
 	kindNotice
 	kindPing
 	kindPong
+	kindQuery
+	kindNews
 )
 
 const (
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -18,16 +19,16 @@
 	out     *sender
 
 	mu     sync.Mutex
-	calls  map[uint64]chan *Answer // open calls
-	last   uint64                  // number of the latest call
-	heard  time.Time               // when bytes came last
-	pinged bool                    // a ping is out since heard
-	timer  clockwork.Timer         // checks for silence while calls are open
+	calls  map[uint64]chan frame // open calls
+	last   uint64                // number of the latest call
+	heard  time.Time             // when bytes came last
+	pinged bool                  // a ping is out since heard
+	timer  clockwork.Timer       // checks for silence while calls are open
 	ended  bool
 }
 
 func newLink(c *Client, addr string) *link {
-	return &link{c: c, addr: addr, ready: make(chan struct{}), calls: make(map[uint64]chan *Answer)}
+	return &link{c: c, addr: addr, ready: make(chan struct{}), calls: make(map[uint64]chan frame)}
 }
 
 // run makes the connection and reads it until it ends.
@@ -84,12 +85,8 @@
 // versions.
 func (l *link) handle(f frame) error {
 	switch f.kind {
-	case kindAnswer:
-		ans := new(Answer)
-		if err := f.decode(ans); err != nil {
-			return err
-		}
-		l.deliver(f.call, ans)
+	case kindAnswer, kindNews:
+		l.deliver(f)
 	case kindNotice:
 		n := new(Notice)
 		if err := f.decode(n); err != nil {
@@ -101,13 +98,13 @@
 }
 
 // deliver hands an answer to its call, which may have been canceled.
-func (l *link) deliver(id uint64, ans *Answer) {
+func (l *link) deliver(f frame) {
 	l.mu.Lock()
-	ch := l.calls[id]
-	delete(l.calls, id)
+	ch := l.calls[f.call]
+	delete(l.calls, f.call)
 	l.mu.Unlock()
 	if ch != nil {
-		ch <- ans
+		ch <- f
 	}
 }
 
@@ -125,32 +122,37 @@
 	}
 }
 
-func (l *link) call(ctx context.Context, head *CallHead) (*Answer, error) {
+// call sends a message that is answered and decodes the answer into out.
+func (l *link) call(ctx context.Context, k kind, msg, out any) error {
 	id, ch, ok := l.open()
 	if !ok {
-		return nil, ErrUnreachable
+		return ErrUnreachable
 	}
-	if err := l.out.send(kindCall, id, head); err != nil {
+	if err := l.out.send(k, id, msg); err != nil {
 		l.forget(id)
-		return nil, ErrUnreachable
+		return ErrUnreachable
 	}
 	select {
-	case ans, ok := <-ch:
+	case f, ok := <-ch:
 		if !ok {
-			return nil, ErrBroken
+			return ErrBroken
+		}
+		if err := f.decode(out); err != nil {
+			_ = l.out.nc.Close() // what else comes on it can't be trusted
+			return errors.Wrap(ErrBroken, err.Error())
 		}
-		return ans, nil
+		return nil
 	case <-ctx.Done():
 		if l.forget(id) {
 			// An error means that the connection is gone, and the call with it.
 			_ = l.out.send(kindCancel, id, nil)
 		}
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
 
 // open enters a call and starts to watch for silence.
-func (l *link) open() (uint64, chan *Answer, bool) {
+func (l *link) open() (uint64, chan frame, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended {
@@ -165,7 +167,7 @@
 		}
 	}
 	l.last++
-	ch := make(chan *Answer, 1)
+	ch := make(chan frame, 1)
 	l.calls[l.last] = ch
 	return l.last, ch, true
 }
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -22,9 +22,17 @@
 
 func serve(t *testing.T, f func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer) (*mesh.Server, string) {
 	t.Helper()
-	s := mesh.NewServer(mesh.ServerOptions{
-		Serve: f, Notice: func(*mesh.Notice) {}, Failed: func(string, error) {}, Clock: clockwork.NewRealClock(),
-	})
+	return serveWith(t, mesh.ServerOptions{Serve: f})
+}
+
+// serveWith starts a server. Fields that are not set do nothing.
+func serveWith(t *testing.T, o mesh.ServerOptions) (*mesh.Server, string) {
+	t.Helper()
+	o.Notice, o.Failed, o.Clock = func(*mesh.Notice) {}, func(string, error) {}, clockwork.NewRealClock()
+	if o.Opened == nil {
+		o.Opened = func(mesh.Hello) {}
+	}
+	s := mesh.NewServer(o)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -174,3 +182,38 @@
 	is.Equal(n.Node, "late")
 	is.Equal(n.Load.Pace, 4.0)
 }
+
+// Guards against a query that gets the answer of a call on the same connection,
+// or none when it has to wait for news, and against one that goes on at the peer
+// after its end.
+func TestQueries(t *testing.T) {
+	is := is.New(t)
+	opened, ended := make(chan mesh.Hello, 1), make(chan struct{})
+	_, addr := serveWith(t, mesh.ServerOptions{
+		Opened: func(from mesh.Hello) { opened <- from },
+		Serve: func(_ context.Context, _ mesh.Hello, c *mesh.CallHead) *mesh.Answer {
+			return &mesh.Answer{Reason: c.ID}
+		},
+		Query: func(ctx context.Context, q *mesh.Query) *mesh.News {
+			if q.Revision == 9 {
+				<-ctx.Done()
+				close(ended)
+			}
+			return &mesh.News{Revision: q.Revision + 1, Items: []mesh.Item{{Key: "k", Value: []byte("v"), Revision: 8}}}
+		},
+	})
+	c := client(t, mesh.ClientOptions{Silence: 20 * time.Millisecond})
+	news, err := c.Query(bounded(t), addr, &mesh.Query{Revision: 7})
+	is.NoErr(err)
+	is.Equal(news.Revision, int64(8))
+	is.Equal(string(news.Items[0].Value), "v")
+	is.Equal((<-opened).Node, "a")
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = c.Query(ctx, addr, &mesh.Query{Revision: 9})
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	<-ended
+	ans, err := c.Call(bounded(t), addr, &mesh.CallHead{ID: "1"})
+	is.NoErr(err)
+	is.Equal(ans.Reason, "1")
+}
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -70,9 +70,35 @@
 
 // Hello opens a connection.
 type Hello struct {
-	_    struct{} `cbor:",toarray"`
-	Node string
-	Boot uint64
+	_       struct{} `cbor:",toarray"`
+	Node    string
+	Boot    uint64
+	Address string // where the sender takes connections
+}
+
+// Query asks for what is in the store.
+type Query struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64    // all changes up to this one are known to the sender
+}
+
+// News answers a Query.
+type News struct {
+	_        struct{} `cbor:",toarray"`
+	Whole    bool     // Items are all that there are
+	Items    []Item
+	Revision int64 // all changes up to this one are known now
+	AgeMs    int64 // later changes may be missing if they are not older than this
+}
+
+// Item is one key of the store.
+type Item struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte
+	Revision int64
+	Deleted  bool
+	Omitted  bool // the value is too long to be told
 }
 
 // Notice is a message without an answer.
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -18,6 +18,10 @@
 	Serve func(ctx context.Context, from Hello, call *CallHead) *Answer
 	// Notice takes a notice. It must not block.
 	Notice func(n *Notice)
+	// Query answers a query, at once or when there is news.
+	Query func(ctx context.Context, q *Query) *News
+	// Opened is told who opened a connection. It must not block.
+	Opened func(from Hello)
 	// Failed is told of connections that ended with an error.
 	Failed func(addr string, err error)
 	Clock  clockwork.Clock
@@ -159,7 +163,10 @@
 func (p *inbound) handle(ctx context.Context, f frame) error {
 	switch f.kind {
 	case kindHello:
-		return f.decode(&p.from)
+		if err := f.decode(&p.from); err != nil {
+			return err
+		}
+		p.s.opts.Opened(p.from)
 	case kindPing:
 		return p.out.send(kindPong, f.call, nil)
 	case kindNotice:
@@ -175,24 +182,36 @@
 		if err := f.decode(head); err != nil {
 			return err
 		}
-		p.start(ctx, f.call, head)
+		from := p.from
+		p.noteCall()
+		p.start(ctx, f.call, kindAnswer, func(ctx context.Context) any { return p.s.opts.Serve(ctx, from, head) })
+	case kindQuery:
+		q := new(Query)
+		if err := f.decode(q); err != nil {
+			return err
+		}
+		p.start(ctx, f.call, kindNews, func(ctx context.Context) any { return p.s.opts.Query(ctx, q) })
 	}
 	return nil
 }
 
-func (p *inbound) start(ctx context.Context, id uint64, head *CallHead) {
+func (p *inbound) noteCall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.called = p.s.opts.Clock.Now()
+}
+
+// start runs serve and sends what it returns as the answer to a call.
+func (p *inbound) start(ctx context.Context, id uint64, k kind, serve func(context.Context) any) {
 	ctx, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	p.calls[id] = cancel
-	p.called = p.s.opts.Clock.Now()
 	p.mu.Unlock()
-	from := p.from
 	go func() {
 		defer p.cancel(id)
-		ans := p.s.opts.Serve(ctx, from, head)
 		// An error means that the connection has ended, which the caller
 		// sees as well.
-		_ = p.out.send(kindAnswer, id, ans)
+		_ = p.out.send(k, id, serve(ctx))
 	}()
 }
 
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -23,6 +23,8 @@
 	ErrBudget = errors.New("store call budget used up")
 	// ErrUnavailable means that the store did not answer.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrCompacted means that the store has dropped the changes asked for.
+	ErrCompacted = errors.New("store has dropped its history")
 )
 
 // LeaseID names a lease; 0 is no lease.
@@ -46,7 +48,8 @@
 	Synced bool
 }
 
-// Store holds the operations of the platform's key-value service.
+// Store holds the operations of the platform's key-value service. An adapter
+// has either Watch, or List and Changes.
 type Store struct {
 	// Get returns the item of a key, or ErrNotFound.
 	Get func(ctx context.Context, key string) (Item, error)
@@ -59,6 +62,13 @@
 	// Synced event, then for each change in order of revision, until ctx ends or the connection breaks.
 	// It returns the reason.
 	Watch func(ctx context.Context, prefix string, fn func(Event)) error
+	// List returns the items below prefix and a revision: changes after it may
+	// be missing. A stale listing may be seconds old and costs less.
+	List func(ctx context.Context, prefix string, stale bool) ([]Item, int64, error)
+	// Changes waits until there are changes below prefix after a revision, at
+	// most for wait. It returns them in order and the revision to go on from. It
+	// fails with ErrCompacted if they are not known any more.
+	Changes func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
 	// Grant makes a lease that expires ttl after the last renewal.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// Renew extends a lease and returns its time to live, or ErrLeaseGone.
