--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -97,7 +97,7 @@
 		take: a.takeItem, listed: a.listed,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
-		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.Mesh}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.notice,
+		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.public()}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.notice,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
 		Serve: a.serve, Notice: a.notice, Query: a.mirror.serve, Opened: a.opened,
--- a/io/agent/announce.go
+++ b/io/agent/announce.go
@@ -26,7 +26,7 @@
 	if ok && state != types.Down {
 		list = append(list, types.NewTarget(types.TargetSpec{
 			ID: cur.ID, Service: cur.Service, DataCentre: a.opts.Settings.DataCentre,
-			Address: a.opts.Settings.Mesh, Slots: cur.Slots, Incarnation: cur.Born,
+			Address: a.opts.Settings.public(), Slots: cur.Slots, Incarnation: cur.Born,
 			Sequence: cur.Sequence, State: state,
 		}))
 	}
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -27,7 +27,7 @@
 
 // send hands a call to the agent beside its target.
 func (a *Agent) send(ctx context.Context, t types.Target, head *mesh.CallHead) (*mesh.Answer, error) {
-	if t.Address() == a.opts.Settings.Mesh {
+	if t.Address() == a.opts.Settings.public() {
 		return a.own.serve(ctx, head), nil
 	}
 	ans, err := a.client.Call(ctx, t.Address(), head)
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -57,7 +57,7 @@
 // record returns the value of this agent's record.
 func (a *Agent) record() storedRecord {
 	s := storedRecord{
-		Boot: a.boot, Address: a.opts.Settings.Mesh, DataCentre: string(a.opts.Settings.DataCentre),
+		Boot: a.boot, Address: a.opts.Settings.public(), DataCentre: string(a.opts.Settings.DataCentre),
 		State: uint8(types.Down),
 	}
 	if cur, state, ok := a.own.target(); ok {
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -18,7 +18,9 @@
 	Ready   string // address for the readiness check
 	Control string // address for the target's announcements
 	Mesh    string // address for other agents
-	Metrics string // address for metrics, "" for none
+	// Advertised is the address that other agents use, "" for Mesh.
+	Advertised string
+	Metrics    string // address for metrics, "" for none
 
 	StopTime    time.Duration // from SIGTERM to SIGKILL
 	RetryShare  float64       // retries of all agents per request of a service
@@ -26,3 +28,11 @@
 	RetryWindow time.Duration
 	MinLease    time.Duration // shortest lease of the store
 }
+
+// public returns the address that other agents use.
+func (s Settings) public() string {
+	if s.Advertised != "" {
+		return s.Advertised
+	}
+	return s.Mesh
+}
--- a/io/prefs/keys.go
+++ b/io/prefs/keys.go
@@ -37,6 +37,7 @@
 	{"listen", "ready", "", false, addressAllowed, "address for the readiness check", address(func(p *Prefs) *string { return &p.agent.Ready })},
 	{"listen", "control", "", false, addressAllowed, "address for the target's announcements", address(func(p *Prefs) *string { return &p.agent.Control })},
 	{"listen", "mesh", "", false, addressAllowed, "address for other agents", address(func(p *Prefs) *string { return &p.agent.Mesh })},
+	{"listen", "advertised", "", true, addressAllowed, "address that other agents use, where it isn't mesh: behind a proxy or a port mapping", address(func(p *Prefs) *string { return &p.agent.Advertised })},
 	{"listen", "metrics", "", true, addressAllowed, "address for metrics; none if empty", address(func(p *Prefs) *string { return &p.agent.Metrics })},
 
 	{"store", "address", "", false, addressAllowed, "address of the platform's store", address(func(p *Prefs) *string { return &p.store })},
