--- a/core/admit/goal_test.go
+++ b/core/admit/goal_test.go
@@ -121,3 +121,38 @@
 	is.Equal(offer(true), admit.Refuse) // 100 ms of wait and 100 ms of work
 	is.Equal(offer(false), admit.Wait)
 }
+
+// Guards against a call that starts on a host that is slow now and keeps that
+// pace, though it asked to be refused rather than answered late, and against
+// answers of a slow host that make the target look slow for good.
+func TestSlowHost(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 4, UrgentShare: -1})
+	now := time.Unix(0, 0)
+	offer := func(promptOnly bool) (admit.Ticket, admit.Verdict) {
+		c, err := types.NewCall(types.CallSpec{
+			ID: "a", Service: "bookings", Worth: 1, Kind: "lookup", PromptOnly: promptOnly,
+			Goal: now.Add(300 * time.Millisecond), Deadline: now.Add(time.Second),
+		})
+		is.NoErr(err)
+		return g.Offer(now, c)
+	}
+	run := func(took time.Duration) {
+		ticket, v := offer(false)
+		is.Equal(v, admit.Run)
+		now = now.Add(took)
+		g.Done(now, ticket, took, false)
+	}
+	run(100 * time.Millisecond)
+	g.SetPace(4)
+	_, v := offer(true)
+	is.Equal(v, admit.Refuse)
+	for range 20 {
+		run(400 * time.Millisecond)
+	}
+	_, v = offer(true)
+	is.Equal(v, admit.Refuse)
+	g.SetPace(1)
+	_, v = offer(true)
+	is.Equal(v, admit.Run)
+}
