core/admit: let calls wait for the end of a slow spell of the host

Cause: work keeps the pace its host has when it starts.

Change: core/pace follows how long slow spells last; the gate starts no call that would end sooner after the spell. It waits in the queue, or is refused if it asked for a prompt answer. A host that stays slow for three usual spells isn't waited for.

--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -44,7 +44,9 @@
 // a call without a kind those of its class. SetPace tells how long work takes on
 // the target's host now, 1 as usual. A call keeps the pace at which it started:
 // the estimates are of the usual pace, and multiplied by the present one for a
-// call that would start now.
+// call that would start now. A call that would end sooner if it started after
+// the slow spell waits for its end, though there are free slots; if it asks for a
+// prompt answer, it is refused instead.
 //
 // # Full queue
 //
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -23,6 +23,7 @@
 	pending  []Event
 	kinds    map[string]int // numbers of named kinds
 	pace     float64        // how long work takes now, 1 as usual
+	relief   time.Duration  // until the pace is the usual one, 0 if it may stay
 	busyPace float64        // sum of the paces at which running calls started
 }
 
@@ -52,17 +53,28 @@
 }
 
 // SetPace sets how long work that starts now takes on the target's VM, 1 as
-// usual.
-func (g *Gate) SetPace(pace float64) {
+// usual, and the time in which that is expected to be 1 again, 0 if unknown.
+func (g *Gate) SetPace(pace float64, relief time.Duration) {
 	if pace > 0 {
-		g.pace = pace
+		g.pace, g.relief = pace, relief
 	}
 }
 
-// service returns the time that a call of a kind is expected to take if it
-// starts now. It keeps the pace that the host has at its start.
+// service returns the time until a call of a kind is expected to end that gets
+// a slot now. It keeps the pace that the host has at its start, so it may be
+// held until the host is faster.
 func (g *Gate) service(now time.Time, kind int) time.Duration {
-	return time.Duration(float64(g.limit.Median(now, kind)) * g.pace)
+	usual := g.limit.Median(now, kind)
+	if g.isHeld(now, kind) {
+		return g.relief + usual
+	}
+	return time.Duration(float64(usual) * g.pace)
+}
+
+// isHeld reports whether a call of a kind ends sooner if it starts when the
+// host has its usual pace again. It also takes less of a slot's time.
+func (g *Gate) isHeld(now time.Time, kind int) bool {
+	return g.relief > 0 && time.Duration(float64(g.limit.Median(now, kind))*(g.pace-1)) > g.relief
 }
 
 // turnover returns the average time of a running call, at the pace at which it
@@ -89,11 +101,12 @@
 	}
 	e := g.accept(kind, c)
 	e.value = g.value(now, kind, c.Worth())
-	if c.PromptOnly() && g.missesGoal(now, e, 0) {
+	held := g.isHeld(now, kind)
+	if c.PromptOnly() && (held || g.missesGoal(now, e, 0)) {
 		g.release(e)
 		return g.refusal(slow), Refuse
 	}
-	if g.hasSlot(e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
+	if !held && g.hasSlot(e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
 		g.start(e)
 		return e.ticket(), Run
 	}
--- a/core/admit/goal_test.go
+++ b/core/admit/goal_test.go
@@ -144,7 +144,7 @@
 		g.Done(now, ticket, took, false)
 	}
 	run(100 * time.Millisecond)
-	g.SetPace(4)
+	g.SetPace(4, 0)
 	_, v := offer(true)
 	is.Equal(v, admit.Refuse)
 	for range 20 {
@@ -152,7 +152,7 @@
 	}
 	_, v = offer(true)
 	is.Equal(v, admit.Refuse)
-	g.SetPace(1)
+	g.SetPace(1, 0)
 	_, v = offer(true)
 	is.Equal(v, admit.Run)
 }
--- a/core/admit/grant.go
+++ b/core/admit/grant.go
@@ -60,6 +60,9 @@
 			g.fallBehind(e)
 			continue
 		}
+		if g.isHeld(now, e.kind) {
+			return g.Pending()
+		}
 		q.remove(e)
 		g.start(e)
 		if e.urgent {
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -13,7 +13,7 @@
 //	if t.Observe(now, 2.5) {
 //		tell(t.Current())
 //	}
-//	gate.SetPace(t.Factor())
+//	gate.SetPace(t.Factor(), t.Relief(now))
 package pace
 
 import "time"
@@ -26,6 +26,15 @@
 	// fresh is the age up to which a pace is taken for the present one. Spells
 	// last some hundred milliseconds, so one in twenty ends in this time.
 	fresh = 15 * time.Millisecond
+	// slow is the pace from which on a host counts as slow.
+	slow = 1.5
+	// usualSpell is the expected time of a slow spell before any has ended.
+	usualSpell = 300 * time.Millisecond
+	// spellAlpha weighs a new spell in the average.
+	spellAlpha = 0.2
+	// maxSpells is the multiple of the average after which a spell isn't one: the
+	// host stays slow.
+	maxSpells = 3
 )
 
 // Tracker follows the pace of one target. Its zero value knows nothing.
@@ -34,6 +43,8 @@
 	seenAt  time.Time
 	told    float64 // at the last news
 	toldAt  time.Time
+	slowAt  time.Time     // start of the present slow spell, zero for none
+	spell   time.Duration // average time of slow spells
 }
 
 // Observe takes over a pace, 1 as usual, and reports whether it is news. A pace
@@ -43,6 +54,7 @@
 		return false
 	}
 	t.current, t.seenAt = pace, now
+	t.noteSpell(now)
 	isChange := t.told == 0 || pace > t.told*step || pace < t.told/step
 	if !isChange || now.Sub(t.toldAt) < gap {
 		return false
@@ -54,6 +66,34 @@
 // Current returns the last pace, 0 if unknown.
 func (t *Tracker) Current() float64 { return t.current }
 
+// noteSpell follows the slow spells.
+func (t *Tracker) noteSpell(now time.Time) {
+	isSlow := t.current >= slow
+	switch {
+	case t.spell == 0:
+		t.spell = usualSpell
+	case !isSlow && !t.slowAt.IsZero():
+		took := min(now.Sub(t.slowAt), maxSpells*t.spell)
+		t.spell += time.Duration(float64(took-t.spell) * spellAlpha)
+	}
+	switch {
+	case !isSlow:
+		t.slowAt = time.Time{}
+	case t.slowAt.IsZero():
+		t.slowAt = now
+	}
+}
+
+// Relief returns the time in which a slow host is expected to be as fast as
+// usual again, 0 if it isn't slow or seems to stay so. Spells end at random, so
+// it doesn't depend on when this one began.
+func (t *Tracker) Relief(now time.Time) time.Duration {
+	if t.slowAt.IsZero() || now.Sub(t.slowAt) > maxSpells*t.spell {
+		return 0
+	}
+	return t.spell
+}
+
 // Factor returns the last pace, 1 if unknown.
 func (t *Tracker) Factor() float64 {
 	if t.current == 0 {
--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -115,7 +116,7 @@
 // replaced forgets what belonged to the previous target, with the lock held.
 func (o *own) replaced(cur beat.Announcement) {
 	o.pace = pace.Tracker{}
-	o.gate.SetPace(o.pace.Factor())
+	o.setGatePace()
 	o.downTill = time.Time{}
 	if cur.Address != "" {
 		o.client.SetAddr(cur.Address)
@@ -186,9 +187,15 @@
 	}
 }
 
-// tick looks at the waiting calls until none is left.
+// setGatePace hands the pace of the host to the gate, with the lock held.
+func (o *own) setGatePace() { o.gate.SetPace(o.pace.Factor(), o.pace.Relief(o.clock.Now())) }
+
+// tick looks at the waiting calls until none is left. Some may wait for the end
+// of a slow spell of the host.
 func (o *own) tick() {
+	o.measure(context.Background())
 	o.mu.Lock()
+	o.setGatePace()
 	events := o.gate.Tick(o.clock.Now())
 	o.ticking = o.gate.Report().Queued > 0
 	if o.ticking {
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -195,7 +195,7 @@
 func (o *own) setPace(now float64) {
 	o.mu.Lock()
 	isNews := o.pace.Observe(o.clock.Now(), now)
-	o.gate.SetPace(o.pace.Factor())
+	o.setGatePace()
 	if !isNews {
 		o.mu.Unlock()
 		return
