--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -44,16 +44,13 @@
 	}
 	out.Notes(l)
 	m := meter.New()
-	a, err := agent.New(agent.Options{
+	a := agent.New(agent.Options{
 		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: platform.NewStore(p.StoreAddress()),
 		Scope:          m.Scope(),
 		Metrics:        m.Handler(),
 		ReadyHandler:   platform.ReadyHandler,
 		ControlHandler: platform.ControlHandler,
 	})
-	if err != nil {
-		return err
-	}
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	reload := make(chan os.Signal, 1)
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -34,6 +34,18 @@
 
 // NewBudget returns a budget with one second of its floor available.
 func NewBudget(o BudgetOptions) *Budget {
+	o = o.withDefaults()
+	return &Budget{opts: o, floor: o.Floor}
+}
+
+// SetOptions changes the options. What is available is kept, as far as the new
+// bounds allow: a budget that started anew would permit its burst again.
+func (b *Budget) SetOptions(o BudgetOptions) {
+	b.opts = o.withDefaults()
+	b.share, b.floor = min(b.share, b.opts.Burst), min(b.floor, b.opts.Floor)
+}
+
+func (o BudgetOptions) withDefaults() BudgetOptions {
 	if o.Share <= 0 {
 		o.Share = defaultRetryShare
 	}
@@ -43,7 +55,7 @@
 	if o.Burst <= 0 {
 		o.Burst = defaultRetryBurst
 	}
-	return &Budget{opts: o, floor: o.Floor}
+	return o
 }
 
 // Call records a call that is not a retry. What it adds to the share is taken
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -173,3 +173,24 @@
 	is.True(!h.Available())
 	is.True(!h.Take())
 }
+
+// Guards against a budget that permits its burst again each time that its share
+// changes, for example when another daemon is seen.
+func TestBudgetKeepsItsStateWithNewOptions(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := retry.NewBudget(retry.BudgetOptions{Share: 0.5, Floor: 2, Burst: 4})
+	is.True(b.Take(now))
+	is.True(b.Take(now))
+	is.True(!b.Take(now))
+	for n := range 10 {
+		b.SetOptions(retry.BudgetOptions{Share: 0.5, Floor: 2 / float64(n+1), Burst: 4})
+		is.True(!b.Take(now))
+	}
+	for range 20 {
+		b.Call(now)
+	}
+	b.SetOptions(retry.BudgetOptions{Share: 0.5, Floor: 2, Burst: 1})
+	is.True(b.Take(now))
+	is.True(!b.Take(now))
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -71,7 +71,7 @@
 }
 
 // New returns an agent that isn't running.
-func New(o Options) (*Agent, error) {
+func New(o Options) *Agent {
 	a := &Agent{
 		opts: o, log: o.Log, clock: o.Clock, store: o.Store, boot: rand.Uint64(),
 		count: newCounts(o.Scope), newer: make(chan int64, 1), unread: make(chan struct{}, 1),
@@ -102,7 +102,7 @@
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
 		Serve: a.serve, Notice: a.notice, Query: a.mirror.serve, Opened: a.opened,
-		Failed: func(string, error) {}, Clock: o.Clock,
+		Failed: a.inboundEnded, Clock: o.Clock,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, count: a.count, tables: a.tables, places: a.places,
@@ -114,7 +114,7 @@
 		Refuse: e.refuse,
 		Failed: func(err error) { o.Log.WithError(err).Warn("connection not accepted") },
 	})
-	return a, nil
+	return a
 }
 
 // responseLimits bound the responses of targets.
--- a/io/agent/announce.go
+++ b/io/agent/announce.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoilthread/core/beat"
 	"trefoilthread/core/types"
 	"trefoilthread/io/mesh"
@@ -71,8 +73,15 @@
 	return ""
 }
 
-// Rejected notes a message that names no target.
+// errUnknownService means that a target's service isn't in the configuration.
+var errUnknownService = errors.New("service isn't in the configuration")
+
+// Rejected notes a message that names no target; without an error its service
+// isn't known.
 func (a *Agent) Rejected(id string, err error) {
+	if err == nil {
+		err = errUnknownService
+	}
 	a.count.event("announcements_rejected")
 	a.log.WithField("target", id).WithField("reason", err).Warn("announcement names no target")
 }
--- a/io/agent/doc.go
+++ b/io/agent/doc.go
@@ -25,10 +25,7 @@
 //
 // # Usage
 //
-//	a, err := agent.New(agent.Options{Settings: set, Wire: wire, Store: st, Log: l, Clock: clock})
-//	if err != nil {
-//		return err
-//	}
+//	a := agent.New(agent.Options{Settings: set, Wire: wire, Store: st, Log: l, Clock: clock})
 //	if err := a.Start(); err != nil {
 //		return err
 //	}
--- a/io/agent/note.go
+++ b/io/agent/note.go
@@ -38,7 +38,7 @@
 	}
 	e.log.WithFields(log.Fields{
 		"request": q.ask.ID, "route": q.route.Name(), "service": string(q.service), "rank": q.route.Rank(),
-		"config": q.config, "status": resp.Status, "reason": r.tries.Reason(), "targets": strings.Join(names, ","),
+		"config": q.config, "status": resp.Status, "reason": r.reason, "lastTry": r.tries.Reason(), "targets": strings.Join(names, ","),
 		"reached": r.tries.Reached(), "moves": r.tries.Moves(), "hedged": r.hedged, "tookMs": took.Milliseconds(),
 		"leftMs": q.deadline.Sub(e.clock.Now()).Milliseconds(),
 	}).Info("request ended")
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoilthread/core/beat"
 	"trefoilthread/core/roster"
 	"trefoilthread/core/types"
@@ -85,6 +88,15 @@
 	a.log.WithError(err).WithField("address", addr).Info("connection to an agent lost")
 }
 
+// inboundEnded logs the ends of connections that other agents have made, but
+// for those that they closed.
+func (a *Agent) inboundEnded(addr string, err error) {
+	if a.stopping.Load() || errors.Is(err, io.EOF) {
+		return
+	}
+	a.log.WithError(err).WithField("address", addr).Info("connection of an agent lost")
+}
+
 // tellTime bounds the time to tell one agent of suspects.
 const tellTime = time.Second
 
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -104,10 +104,13 @@
 		p.services[name] = pl
 		pl.picker.Update(p.clock.Now(), p.targets(name))
 	}
-	if n := p.most; pl.budget == nil || pl.agents != n {
-		pl.agents = n
-		pl.budget = retry.NewBudget(p.retryOptions(n))
+	switch {
+	case pl.budget == nil:
+		pl.budget = retry.NewBudget(p.retryOptions(p.most))
+	case pl.agents != p.most:
+		pl.budget.SetOptions(p.retryOptions(p.most))
 	}
+	pl.agents = p.most
 	return pl
 }
 
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -24,6 +24,7 @@
 	inFlight int
 	tried    []types.TargetID
 	hedged   bool            // a second attempt was sent while the first was open
+	reason   string          // why no target has answered well, "" if one has
 	failure  *httpw.Response // failure that a target answered with
 }
 
@@ -149,6 +150,7 @@
 
 // end returns the response of a request that no target has answered well.
 func (r *run) end(reason string) *httpw.Response {
+	r.reason = reason
 	if r.failure != nil {
 		return r.failure
 	}
