core/admit: guess the time of calls until one has ended

Cause: after a loss of power all agents are new.

Change: a third of the time to its goal stands for a call's own time until one of its kind has ended. A target that tells no pace is asked once. Agents that aren't readers pause up to 5 s after calls to the store that fail, instead of 2 s: in an outage all of them called every 1.5 s.

--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -66,8 +66,9 @@
 // service time is the median of its kind rather than the average: one slow
 // call in ten would otherwise have the fast nine refused. Estimates lose half
 // their value each second without a sample of that kind, so that one that
-// refuses every call corrects itself. Before anything has been measured, only
-// calls whose deadline has passed are refused.
+// refuses every call corrects itself. Before anything has been measured, a third
+// of the time to its goal stands for a call's own; without a goal, only calls
+// whose deadline has passed are refused.
 //
 // # Concurrency
 //
--- a/core/admit/entry.go
+++ b/core/admit/entry.go
@@ -17,7 +17,8 @@
 	canceled bool
 	deadline time.Time
 	goal     time.Time
-	late     bool // the answer will miss its goal; value is that of a late one
+	guess    time.Duration // time at the usual pace while none is known
+	late     bool          // the answer will miss its goal; value is that of a late one
 	value    float64
 	pace     float64 // of the host when the call started
 	index    int
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -63,18 +63,30 @@
 // service returns the time until a call of a kind is expected to end that gets
 // a slot now. It keeps the pace that the host has at its start, so it may be
 // held until the host is faster.
-func (g *Gate) service(now time.Time, kind int) time.Duration {
-	usual := g.limit.Median(now, kind)
-	if g.isHeld(now, kind) {
+func (g *Gate) service(now time.Time, e *entry) time.Duration {
+	usual := g.usual(now, e)
+	if g.isHeld(now, e) {
 		return g.relief + usual
 	}
 	return time.Duration(float64(usual) * g.pace)
 }
 
+// goalPerWork is the usual ratio of a goal to the time that the work takes. It
+// stands in until a call of the kind has ended.
+const goalPerWork = 3
+
+// usual returns the time of a call at the usual pace.
+func (g *Gate) usual(now time.Time, e *entry) time.Duration {
+	if d := g.limit.Median(now, e.kind); d > 0 {
+		return d
+	}
+	return e.guess
+}
+
 // isHeld reports whether a call of a kind ends sooner if it starts when the
 // host has its usual pace again. It also takes less of a slot's time.
-func (g *Gate) isHeld(now time.Time, kind int) bool {
-	return g.relief > 0 && time.Duration(float64(g.limit.Median(now, kind))*(g.pace-1)) > g.relief
+func (g *Gate) isHeld(now time.Time, e *entry) bool {
+	return g.relief > 0 && time.Duration(float64(g.usual(now, e))*(g.pace-1)) > g.relief
 }
 
 // turnover returns the average time of a running call, at the pace at which it
@@ -94,14 +106,14 @@
 		return g.refusal(draining), Refuse
 	}
 	remaining := c.Remaining(now)
-	kind := g.kindOf(c)
-	service := g.service(now, kind)
+	e := g.accept(now, c)
+	service := g.service(now, e)
 	if remaining <= 0 || remaining < service {
+		g.release(e)
 		return g.refusal(late), Refuse
 	}
-	e := g.accept(kind, c)
-	e.value = g.value(now, kind, c.Worth())
-	held := g.isHeld(now, kind)
+	e.value = g.value(now, e.kind, c.Worth())
+	held := g.isHeld(now, e)
 	if c.PromptOnly() && (held || g.missesGoal(now, e, 0)) {
 		g.release(e)
 		return g.refusal(slow), Refuse
--- a/core/admit/goal_test.go
+++ b/core/admit/goal_test.go
@@ -156,3 +156,27 @@
 	_, v = offer(true)
 	is.Equal(v, admit.Run)
 }
+
+// Guards against the first calls after a start that begin on a slow host,
+// because nothing has been measured yet: after a loss of power all agents are
+// new at once.
+func TestFirstCallsOnASlowHost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	offer := func(g *admit.Gate, promptOnly bool) admit.Verdict {
+		c, err := types.NewCall(types.CallSpec{
+			ID: "a", Service: "bookings", Worth: 1, Kind: "lookup", PromptOnly: promptOnly,
+			Goal: now.Add(900 * time.Millisecond), Deadline: now.Add(4 * time.Second),
+		})
+		is.NoErr(err)
+		_, v := g.Offer(now, c)
+		return v
+	}
+	g := admit.New(admit.Options{Slots: 4, UrgentShare: -1})
+	g.SetPace(4, 300*time.Millisecond)
+	is.Equal(offer(g, true), admit.Refuse)
+	is.Equal(offer(g, false), admit.Wait) // until the spell ends
+	g.SetPace(1, 0)
+	is.Equal(len(g.Tick(now)), 1)
+	is.Equal(offer(g, true), admit.Run)
+}
--- a/core/admit/grant.go
+++ b/core/admit/grant.go
@@ -60,7 +60,7 @@
 			g.fallBehind(e)
 			continue
 		}
-		if g.isHeld(now, e.kind) {
+		if g.isHeld(now, e) {
 			return g.Pending()
 		}
 		q.remove(e)
--- a/core/admit/place.go
+++ b/core/admit/place.go
@@ -1,9 +1,13 @@
 package admit
 
-import "trefoilthread/core/types"
+import (
+	"time"
+
+	"trefoilthread/core/types"
+)
 
 // accept stores a call under a new ticket. Places are reused, ids are not.
-func (g *Gate) accept(kind int, c types.Call) *entry {
+func (g *Gate) accept(now time.Time, c types.Call) *entry {
 	g.lastID++
 	var e *entry
 	if n := len(g.free); n > 0 {
@@ -13,8 +17,11 @@
 		e = &entry{place: uint32(len(g.entries))}
 		g.entries = append(g.entries, e)
 	}
-	e.id, e.kind = g.lastID, kind
+	e.id, e.kind = g.lastID, g.kindOf(c)
 	e.urgent, e.deadline, e.goal = c.Class().Urgent(), c.Deadline(), c.Goal()
+	if e.guess = 0; !e.goal.IsZero() {
+		e.guess = e.goal.Sub(now) / goalPerWork
+	}
 	return e
 }
 
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -37,7 +37,7 @@
 // now.
 func (g *Gate) isLate(now time.Time, e *entry) bool {
 	remaining := e.deadline.Sub(now)
-	return remaining <= 0 || remaining < g.service(now, e.kind)
+	return remaining <= 0 || remaining < g.service(now, e)
 }
 
 // lateShare is the part of its worth that an answer keeps after its goal.
@@ -46,7 +46,7 @@
 // missesGoal reports whether the answer of a call that starts after wait would
 // miss its goal.
 func (g *Gate) missesGoal(now time.Time, e *entry, wait time.Duration) bool {
-	return !e.goal.IsZero() && now.Add(wait+g.service(now, e.kind)).After(e.goal)
+	return !e.goal.IsZero() && now.Add(wait+g.service(now, e)).After(e.goal)
 }
 
 // demote makes a call that will miss its goal worth that of a late one, so that
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -41,6 +41,7 @@
 type Tracker struct {
 	current float64
 	seenAt  time.Time
+	none    bool // the target tells no pace
 	told    float64 // at the last news
 	toldAt  time.Time
 	slowAt  time.Time     // start of the present slow spell, zero for none
@@ -53,7 +54,7 @@
 	if pace <= 0 {
 		return false
 	}
-	t.current, t.seenAt = pace, now
+	t.current, t.seenAt, t.none = pace, now, false
 	t.noteSpell(now)
 	isChange := t.told == 0 || pace > t.told*step || pace < t.told/step
 	if !isChange || now.Sub(t.toldAt) < gap {
@@ -103,7 +104,8 @@
 }
 
 // IsStale reports whether the pace is worth asking for before a call starts.
-// Unknown isn't: the target may tell none.
-func (t *Tracker) IsStale(now time.Time) bool {
-	return t.current > 0 && now.Sub(t.seenAt) > fresh
-}
+func (t *Tracker) IsStale(now time.Time) bool { return !t.none && now.Sub(t.seenAt) > fresh }
+
+// ObserveNone notes that the target was asked and told no pace. It isn't worth
+// asking again.
+func (t *Tracker) ObserveNone() { t.none = t.current == 0 }
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -17,6 +17,8 @@
 	now := time.Unix(1000, 0)
 	is.True(!p.Observe(now, 0))
 	is.Equal(p.Factor(), 1.0)
+	is.True(p.IsStale(now)) // nobody has asked yet
+	p.ObserveNone()
 	is.True(!p.IsStale(now))
 	is.True(p.Observe(now, 1))
 	for i := range 100 {
--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -25,7 +25,8 @@
 	// soon; the others would only add calls.
 	minStorePause    = 250 * time.Millisecond
 	readerStorePause = 500 * time.Millisecond
-	maxStorePause    = 2 * time.Second
+	maxStorePause    = 5 * time.Second
+	maxDoublings     = 5
 )
 
 // Options configure Sources.
@@ -121,7 +122,7 @@
 	if s.IsReader(now) {
 		limit = readerStorePause
 	}
-	s.storeDue = now.Add(min(minStorePause<<min(s.failures, 4), limit))
+	s.storeDue = now.Add(min(minStorePause<<min(s.failures, maxDoublings), limit))
 	s.failures++
 }
 
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -16,12 +16,14 @@
 	probePause = 500 * time.Millisecond
 )
 
-// newProbes returns the budget of the health checks of one target.
+// newProbes returns the budget of the health checks of one target. It is open
+// at once: the users' bound is an average over a day, and a new process has to
+// learn the pace.
 func newProbes(now time.Time, perSecond int) *probe.Budget {
 	if perSecond <= 0 {
 		return probe.New(now, probe.Options{Budget: -1})
 	}
-	return probe.New(now, probe.Options{
+	return probe.New(now.Add(-2*time.Second), probe.Options{
 		Budget: time.Duration(perSecond) * probe.Cost, Window: time.Second, Records: perSecond,
 	})
 }
@@ -76,9 +78,12 @@
 	}
 	o.mu.Lock()
 	o.count.event("probes")
-	if err != nil || id != cur.ID || pace == 0 {
+	switch {
+	case err != nil || id != cur.ID:
 		o.count.event("probes_failed")
 		o.probeFrom = o.clock.Now().Add(probePause)
+	case pace == 0:
+		o.pace.ObserveNone()
 	}
 	close(o.probing)
 	o.probing = nil
