io/agent: spend fewer store calls at starts and in outages

Change: an agent that knows no other one pauses after its first listing, while the others write their records. Calls for the own record that fail in a row are 0.4 to 1.2 s apart.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -41,7 +41,7 @@
 type Tracker struct {
 	current float64
 	seenAt  time.Time
-	none    bool // the target tells no pace
+	none    bool    // the target tells no pace
 	told    float64 // at the last news
 	toldAt  time.Time
 	slowAt  time.Time     // start of the present slow spell, zero for none
--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -94,6 +94,9 @@
 	s.nodes = slices.CompactFunc(s.nodes, func(a, b node) bool { return a.name == b.name })
 }
 
+// IsAlone reports whether no other daemon is known.
+func (s *Sources) IsAlone() bool { return len(s.nodes) == 1 }
+
 // Learned notes that the copy has all that the store held before age.
 func (s *Sources) Learned(now time.Time, from Source, age time.Duration) {
 	if at := now.Add(-age); at.After(s.freshAt) {
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -156,6 +156,11 @@
 		from, age = relay.Source{}, time.Hour // unknown
 	}
 	m.learn(from, age, items, rev, true)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sources.IsAlone() {
+		return startGap // the others may be about to write their records
+	}
 	return 0
 }
 
--- a/io/agent/register.go
+++ b/io/agent/register.go
@@ -25,9 +25,11 @@
 	renewals = 3
 	// storeCallTime bounds a call to the store.
 	storeCallTime = 800 * time.Millisecond
-	// storePause is the mean pause after a failed call: records have to be
-	// back about two seconds after the store's return.
-	storePause = 400 * time.Millisecond
+	// storePause is the mean pause after a failed call, maxStorePause that after
+	// several in a row: records have to be back about two seconds after the
+	// store's return.
+	storePause    = 400 * time.Millisecond
+	maxStorePause = 1200 * time.Millisecond
 )
 
 // registerOptions configure a register. All fields are required.
@@ -64,19 +66,28 @@
 	ttl     time.Duration
 	rev     int64
 	known   bool // rev is what the store has, as far as is known
-	failing bool // the latest call failed
+	failing int  // calls that failed in a row
 }
 
 // note logs when calls to the store begin to fail and when they succeed again,
 // not each of them.
 func (r *register) note(err error) {
 	switch {
-	case err != nil && !r.failing:
+	case err != nil && r.failing == 0:
 		r.log.WithError(err).WithField("key", r.key).Warn("store lost for the own record")
-	case err == nil && r.failing:
+	case err == nil && r.failing > 0:
 		r.log.WithField("key", r.key).Info("store regained for the own record")
 	}
-	r.failing = err != nil
+	if err == nil {
+		r.failing = 0
+		return
+	}
+	r.failing++
+}
+
+// backoff returns the mean pause after the calls that have failed.
+func (r *register) backoff() time.Duration {
+	return min(storePause*time.Duration(max(r.failing, 1)), maxStorePause)
 }
 
 func newRegister(o registerOptions) *register {
@@ -131,7 +142,7 @@
 	first := true
 	for ctx.Err() == nil {
 		if first && !r.readOwn(ctx) {
-			r.pause(ctx, storePause)
+			r.pause(ctx, r.backoff())
 			continue
 		}
 		first = false
@@ -147,7 +158,7 @@
 		err := r.write(ctx)
 		r.note(err)
 		if err != nil {
-			r.pause(ctx, storePause)
+			r.pause(ctx, r.backoff())
 			continue
 		}
 		r.hold(ctx)
@@ -293,7 +304,7 @@
 		return false
 	}
 	r.note(err)
-	r.renewed = sent.Add(storePause - r.ttl/renewals) // due again after the pause
+	r.renewed = sent.Add(r.backoff() - r.ttl/renewals) // due again after the pause
 	return true
 }
 
