--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -26,8 +26,6 @@
 	// have started together, know few others to ask, and see a wave of records.
 	startGap  = 500 * time.Millisecond
 	startTime = 3 * time.Second
-	// holdTime is how long a query of another agent waits for news.
-	holdTime = 400 * time.Millisecond
 	// askGap lets news in quick succession share a query.
 	askGap = 50 * time.Millisecond
 	// askSlack is added to holdTime for the answer to arrive.
@@ -276,39 +274,3 @@
 	defer m.mu.Unlock()
 	return m.sources.Age(m.clock.Now())
 }
-
-// serve answers a query of another agent, at once if there is news and after
-// holdTime if there is none.
-func (m *mirror) serve(ctx context.Context, q *mesh.Query) *mesh.News {
-	ctx, cancel := context.WithTimeout(ctx, holdTime)
-	defer cancel()
-	for {
-		m.mu.Lock()
-		news := m.news(q.Revision)
-		changed := m.changed
-		m.mu.Unlock()
-		if len(news.Items) > 0 || ctx.Err() != nil {
-			return news
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
-}
-
-// news returns what the copy has beyond a revision, with the lock held.
-func (m *mirror) news(after int64) *mesh.News {
-	news := &mesh.News{Revision: m.copy.Revision(), AgeMs: m.sources.Age(m.clock.Now()).Milliseconds()}
-	if news.Revision == 0 {
-		return news // nothing was ever read
-	}
-	items, whole := m.copy.Since(after)
-	news.Whole = whole
-	for _, it := range items {
-		news.Items = append(news.Items, mesh.Item{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Omitted: it.Omitted,
-		})
-	}
-	return news
-}
