io/agent: drop idle connections to the target after a health check that failed

The target may have forgotten idle connections without notice; a request that may run once would be lost on the next one.

--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -72,6 +72,10 @@
 	var pace float64
 	if err == nil {
 		id, pace = o.wire.ReadHealth(resp)
+	} else {
+		// The target may have dropped its idle connections without notice. A
+		// request that may run once would be lost on the next one.
+		o.client.Flush()
 	}
 	if id == cur.ID {
 		o.setPace(pace)
