--- a/cmd/trefoild/main_test.go
+++ b/cmd/trefoild/main_test.go
@@ -4,8 +4,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
+	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -39,3 +41,14 @@
 		},
 	})
 }
+
+// Guards against a page of settings that lists other keys than the program has:
+// it named one that was gone.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	reference, err := exec.Command(binary, "reference").Output()
+	is.NoErr(err)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "settings-agent.md"))
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(page), string(reference))) // rewrite it with: trefoild reference
+}
--- a/io/agent/doc.go
+++ b/io/agent/doc.go
@@ -6,10 +6,12 @@
 // target, to the agent beside that target (serve), which admits it, and to the
 // target itself. The decisions are those of core: vhost (which service), route
 // (which target), retry (whether to send again), admit (whether to run now),
-// roster and beat (who is there).
+// roster and beat (who is there), relay (where to learn what the store holds),
+// pace and probe (how fast the target's host is).
 //
 // # State and its owners
 //
+//	mirror    copy of the store's keys, from the store or from another agent
 //	tables    configuration in force; the store's document is the source
 //	places    other agents, their targets, statistics of own calls
 //	own       the target on this VM, its gate and its connections
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -17,8 +17,11 @@
 //
 // # Usage
 //
-//	srv := mesh.NewServer(mesh.ServerOptions{Serve: serve, Notice: notice, Clock: clock})
+//	srv := mesh.NewServer(mesh.ServerOptions{
+//		Serve: serve, Query: query, Notice: notice, Opened: opened, Failed: failed, Clock: clock,
+//	})
 //	go srv.Serve(ln)
-//	cl := mesh.NewClient(mesh.ClientOptions{Clock: clock, Self: hello})
+//	cl := mesh.NewClient(mesh.ClientOptions{Clock: clock, Hello: hello})
 //	ans, err := cl.Call(ctx, "10.0.0.3:7380", head)
+//	news, err := cl.Query(ctx, "10.0.0.3:7380", &mesh.Query{Revision: rev})
 package mesh
