cmd/trefoild: take signals before anything else at the start

SIGHUP came while the process started; it read its settings and made the agent before it took signals, so the default action ended it. Ruled out: a crash (the wait status names the signal).

Change: Run takes signals first. Test with a process that reads its settings from a pipe, seen to fail before. The soak sends SIGHUP to processes that take callers: none can take a signal before its first instruction.

--- a/cmd/trefoild/main_test.go
+++ b/cmd/trefoild/main_test.go
@@ -1,11 +1,14 @@
 package main_test
 
 import (
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -52,3 +55,23 @@
 	is.NoErr(err)
 	is.True(strings.HasSuffix(string(page), string(reference))) // rewrite it with: trefoild reference
 }
+
+// Guards against a daemon that is ended by SIGHUP while it starts (soak, seed
+// 2): it reads its settings from a pipe here, and gets the signal meanwhile.
+func TestSignalDuringStart(t *testing.T) {
+	is := is.New(t)
+	pipe := filepath.Join(t.TempDir(), "settings.ini")
+	is.NoErr(syscall.Mkfifo(pipe, 0o600))
+	cmd := exec.Command(binary, "run", pipe)
+	is.NoErr(cmd.Start())
+	w, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns when the daemon reads
+	is.NoErr(err)
+	is.NoErr(cmd.Process.Signal(syscall.SIGHUP))
+	_, err = w.WriteString("[node]\nname = no address\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the signal is delivered at the latest when the daemon runs again
+	is.NoErr(w.Close())
+	var exit *exec.ExitError
+	is.True(errors.As(cmd.Wait(), &exit))
+	is.True(exit.Exited()) // with the faults of its settings, not by the signal
+}
--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -30,6 +30,11 @@
 
 // Run runs the daemon until SIGTERM or an interrupt, then stops gracefully.
 func (c *runCmd) Run() error {
+	// First of all: a signal that comes before would end the process.
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	p, err := prefs.Load(c.File)
 	if err != nil {
 		return err
@@ -51,10 +56,6 @@
 		ReadyHandler:   platform.ReadyHandler,
 		ControlHandler: platform.ControlHandler,
 	})
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	if err := a.Start(); err != nil {
 		l.WithError(err).Error("agent not started")
 		return err
