io/peer: replace a silent connection before closing it

Ruled out: a daemon that closes without telling its peers; the node waits for its connections to be closed before the socket goes.

Change: a silent connection gets no new calls, and is closed when a new one works or StallAfter has passed, unless it showed a sign of life until then.

The new test failed before.

--- a/core/stall/conn.go
+++ b/core/stall/conn.go
@@ -12,6 +12,7 @@
 	progressed  time.Time // last transfer; zero if none
 	pinged      time.Time // ping without an answer; zero if none
 	abandoned   bool      // returned by Check, not closed yet
+	silent      bool      // no sign of life since Check returned it
 }
 
 // heard records a sign of life.
@@ -20,4 +21,5 @@
 		c.silentSince = now
 	}
 	c.pinged = time.Time{}
+	c.silent = false
 }
--- a/core/stall/doc.go
+++ b/core/stall/doc.go
@@ -14,6 +14,9 @@
 // something is outstanding and nothing came for half of StallAfter. A
 // connection is abandoned when nothing came for StallAfter, and its ping has
 // been unanswered for half of that. Without a ping it is never abandoned.
+// A peer that gets no processor time is silent as well: before a connection is
+// closed, a new one shows whether the peer or only the connection is silent,
+// and Recovered tells if the old one has shown a sign of life by then.
 //
 // # Target
 //
@@ -50,7 +53,10 @@
 //	}
 //	t.PingAnswered(now, id)
 //	for _, id := range t.Check(now) { // at least every StallAfter/2
-//		// close the connection; calls on it end by their class
-//		t.Closed(id)
+//		// connect anew, for StallAfter at most
+//		if !t.Recovered(id) {
+//			// close the connection; calls on it end by their class
+//			t.Closed(id)
+//		}
 //	}
 package stall
--- a/core/stall/tracker.go
+++ b/core/stall/tracker.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// Recovered reports whether a connection that Check returned has shown a sign
+// of life since. It is then checked again.
+func (t *Tracker) Recovered(id ConnID) bool {
+	c := t.conns[id]
+	if c == nil || c.silent {
+		return false
+	}
+	c.abandoned = false
+	return true
+}
+
 // Closed forgets the connection.
 func (t *Tracker) Closed(id ConnID) { delete(t.conns, id) }
 
@@ -102,7 +113,7 @@
 	}
 	ids := t.selectConns(func(c *conn) bool { return stalled(now, c) })
 	for _, id := range ids {
-		t.conns[id].abandoned = true
+		t.conns[id].abandoned, t.conns[id].silent = true, true
 	}
 	return ids
 }
--- a/core/stall/tracker_test.go
+++ b/core/stall/tracker_test.go
@@ -152,3 +152,30 @@
 	tr.Sent(start, 3, 1)
 	is.Equal(run(tr, 0, 500, nil), map[stall.ConnID]int{1: 300, 3: 300})
 }
+
+// Guards against a connection that showed a sign of life while it was being
+// replaced being closed, and against one that is never checked again.
+func TestRecoveredConnectionIsCheckedAgain(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	tr := stall.New(start, stall.Options{Kind: stall.Peer, StallAfter: time.Second})
+	tr.Sent(start, 1, 1)
+	abandoned := func(from time.Time) []stall.ConnID {
+		var ids []stall.ConnID
+		for i := range 8 {
+			now := from.Add(time.Duration(i) * 250 * time.Millisecond)
+			ids = append(ids, tr.Check(now)...)
+			for _, id := range tr.PingsDue(now) {
+				tr.PingSent(now, id)
+			}
+		}
+		return ids
+	}
+	is.Equal(abandoned(start), []stall.ConnID{1})
+	is.True(!tr.Recovered(1))
+	tr.PingAnswered(start.Add(2*time.Second), 1)
+	is.True(tr.Recovered(1))
+	is.Equal(abandoned(start.Add(2*time.Second)), []stall.ConnID{1})
+	tr.Closed(1)
+	is.True(!tr.Recovered(1))
+}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -102,14 +102,13 @@
 	close(done)
 }
 
-// drop closes conn if it is still the current one; other calls dial anew.
-func (l *link) drop(conn *liveConn, code quic.ApplicationErrorCode, why string) {
+// leave lets other calls dial anew if conn is the current connection.
+func (l *link) leave(conn *liveConn) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.conn == conn {
 		l.conn = nil
 	}
-	l.mu.Unlock()
-	_ = conn.CloseWithError(code, why)
 }
 
 func (l *link) close(code quic.ApplicationErrorCode, why string) {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -116,10 +116,11 @@
 }
 
 // mutableRelay passes datagrams between one client and a server until it is told to
-// swallow those of the client's present path.
+// swallow those of the client's present path, or to hold them back.
 type mutableRelay struct {
 	front *net.UDPConn
 	muted atomic.Bool
+	hold  sync.RWMutex // locked while the server's datagrams are held back
 }
 
 func newMutableRelay(t *testing.T, server string) *mutableRelay {
@@ -158,9 +159,11 @@
 			if err != nil {
 				return
 			}
+			r.hold.RLock()
 			if !r.muted.Load() {
 				_, _ = front.WriteToUDP(buf[:n], client.Load())
 			}
+			r.hold.RUnlock()
 		}
 	}()
 	t.Cleanup(func() {
@@ -210,3 +213,31 @@
 	is.NoErr(err) // a new connection works
 	is.NoErr(ans.Body.Close())
 }
+
+// Guards against a peer that gets no processor time for a moment losing the
+// calls that it runs: they ended as outcomeUnknown when many processes shared
+// the machine with a rolling restart.
+func TestPausedPeerKeepsItsCalls(t *testing.T) {
+	is := is.New(t)
+	const stallAfter = 2 * time.Second
+	a := authority(t)
+	var runs atomic.Int64
+	server := listen(t, a, peer.Options{Call: func(ctx context.Context, h *wire.CallHead, b *wire.BodyReader) (*wire.Answer, error) {
+		runs.Add(1)
+		return echo(ctx, h, b)
+	}})
+	r := newMutableRelay(t, server.Addr())
+	client := listen(t, a, peer.Options{StallAfter: stallAfter})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	call := func() {
+		ans, err := client.Call(ctx, r.front.LocalAddr().String(), &wire.CallHead{ID: "x"}, nil)
+		is.NoErr(err)
+		is.NoErr(ans.Body.Close())
+	}
+	call()
+	r.hold.Lock()
+	time.AfterFunc(stallAfter*3/2, r.hold.Unlock)
+	call()
+	is.Equal(runs.Load(), int64(2))
+}
--- a/io/peer/watcher.go
+++ b/io/peer/watcher.go
@@ -15,7 +15,7 @@
 const watchShare = 4
 
 // watcher follows the progress of all outgoing connections of a node, pings
-// the silent ones and closes those that stay silent. Calls on a closed
+// the silent ones and replaces those that stay silent. Calls on a closed
 // connection fail at once instead of waiting for their deadlines.
 type watcher struct {
 	node *Node
@@ -95,7 +95,7 @@
 	}
 }
 
-// check pings the connections that are silent and closes the stalled ones.
+// check pings the connections that are silent and replaces the stalled ones.
 func (w *watcher) check() {
 	w.mu.Lock()
 	if w.open == 0 {
@@ -113,14 +113,33 @@
 	}
 	w.mu.Unlock()
 	for _, c := range abandon {
-		w.node.opts.Log.WithField("peer", c.link.addr).Warn("connection stalled, closing it")
-		c.link.drop(c.conn, codeStalled, "no progress")
+		go w.replace(c)
 	}
 	for _, c := range ping {
 		go w.ping(c.conn)
 	}
 }
 
+// replace sends new calls to another connection and closes c, unless it shows a
+// sign of life before the new one works or StallAfter has passed: a peer that
+// gets no processor time for a moment would else lose the calls it runs.
+func (w *watcher) replace(c watched) {
+	c.link.leave(c.conn)
+	ctx, cancel := context.WithTimeout(w.node.ctx, w.node.opts.StallAfter)
+	defer cancel()
+	_, err := c.link.get(ctx)
+	w.mu.Lock()
+	recovered := w.tracker.Recovered(c.conn.id)
+	w.mu.Unlock()
+	l := w.node.opts.Log.WithField("peer", c.link.addr).WithField("newConnectionWorks", err == nil)
+	if recovered {
+		l.Info("connection was silent and has recovered")
+		return
+	}
+	l.Warn("connection stalled, closing it")
+	_ = c.conn.CloseWithError(codeStalled, "no progress")
+}
+
 // ping asks the peer for a sign of life. It ends with the connection at the
 // latest.
 func (w *watcher) ping(c *liveConn) {
