--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -26,6 +26,9 @@
 	// have started together, know few others to ask, and see a wave of records.
 	startGap  = 500 * time.Millisecond
 	startTime = 3 * time.Second
+	// firstGap takes its place when there are no records at all, as at the first
+	// start of the system: those of all come within about two seconds.
+	firstGap = 1200 * time.Millisecond
 	// askGap lets news in quick succession share a query.
 	askGap = 50 * time.Millisecond
 	// askSlack is added to holdTime for the answer to arrive.
@@ -66,6 +69,7 @@
 	began   time.Time
 	whole   bool // all keys have to be read
 	started bool // all keys have been read once
+	isFirst bool // no other agent had a record when this one started
 	failing bool // the latest call to the store failed
 	source  string
 }
@@ -130,7 +134,10 @@
 	switch {
 	case len(events) == 0:
 		return 0
-	case m.clock.Since(m.began) < startTime:
+	case m.clock.Since(m.began) >= startTime:
+	case m.isFirst:
+		return firstGap
+	default:
 		return startGap
 	}
 	return readGap
@@ -156,8 +163,9 @@
 	m.learn(from, age, items, rev, true)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.sources.IsAlone() {
-		return startGap // the others may be about to write their records
+	if stale && m.sources.IsAlone() {
+		m.isFirst = true
+		return firstGap // the others may be about to write their records
 	}
 	return 0
 }
--- a/io/agent/register.go
+++ b/io/agent/register.go
@@ -61,6 +61,7 @@
 	ok        bool          // written is what the store has
 	done      chan struct{} // closed at the next successful write
 
+	former  store.LeaseID // of an earlier start's record, 0 for none
 	lease   store.LeaseID
 	renewed time.Time
 	ttl     time.Duration
@@ -179,7 +180,7 @@
 		r.note(err)
 		return false
 	}
-	r.rev, r.known = it.Revision, true
+	r.rev, r.known, r.former = it.Revision, true, it.Lease
 	_, rec, err := decodeRecord(it.Key, it.Value, it.Revision)
 	if err != nil {
 		r.log.WithError(err).Warn("own record of an earlier start not understood, taken as none")
@@ -209,13 +210,27 @@
 	}
 }
 
-// grant makes sure there is a lease.
+// grant makes sure there is a lease. That of an earlier start is taken over: a
+// renewal is cheaper than a write, and after a loss of all VMs all agents need
+// a lease at the same time.
 func (r *register) grant(ctx context.Context) error {
 	if r.lease != 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
 	defer cancel()
+	if r.former != 0 {
+		sent := r.clock.Now()
+		ttl, err := r.store.Renew(ctx, r.former)
+		if err == nil {
+			r.lease, r.renewed, r.ttl, r.former = r.former, sent, ttl, 0
+			return nil
+		}
+		if !errors.Is(err, store.ErrLeaseGone) {
+			return errors.Wrap(err, "lease of an earlier start")
+		}
+		r.former = 0
+	}
 	r.ttl = max(r.minLease, minLeaseTime, time.Duration(r.size())*leasePerAgent*renewals)
 	id, err := r.store.Grant(ctx, r.ttl)
 	if err != nil {
