core/relay: tell long configurations compressed, over fast links

Ruled out: longer pauses before the reads; versions come into force later.

Change: readers are the agents on the VMs with the fastest links, which the records now tell. They hold long documents compressed and tell them if that keeps their link busy for 100 ms at most; else all read as before.

--- a/core/relay/copy.go
+++ b/core/relay/copy.go
@@ -11,6 +11,8 @@
 	Value    []byte
 	Revision int64 // the store's revision of this state
 	Deleted  bool
+	// Packed means that Value is compressed.
+	Packed bool
 	// Omitted means that the value is too long to be told; it is in the store.
 	Omitted bool
 }
--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -10,18 +10,24 @@
 //
 // # Who reads
 //
-// All daemons order the known ones by a hash of their names. The first ones are
-// the readers. A daemon that can't be reached is left out of the order for a
+// All daemons order the known ones by the speed of their links, and by a hash of
+// their names where that is the same. The first ones are the readers. A daemon that can't be reached is left out of the order for a
 // while, so the next one moves up. A daemon whose copy has become too old reads
 // by itself, whatever its place: then the readers can't reach the store, or this
 // daemon can't reach the readers. Each answer tells how old its information is,
 // so a reader that was cut off from the store is noticed, and may itself learn
 // from others.
 //
+// # Long values
+//
+// A configuration of a thousand routes takes a link of 10 Mbit/s a third of a
+// second, and a read each. Readers tell it compressed, as long as that keeps
+// their links busy for a short time only; else all read it from the store.
+//
 // # Usage
 //
 //	s := relay.NewSources(relay.Options{Self: "a"})
-//	s.SetNodes(now, names)
+//	s.SetNodes(peers)
 //	switch next := s.Next(now); {
 //	case next.Store:
 //		// Wait at the store for changes after c.Revision().
--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -16,6 +16,14 @@
 	// configuration has to be in force within two seconds, and the copy of a
 	// daemon that is cut off from the readers gets no younger meanwhile.
 	defaultMaxAge = 1500 * time.Millisecond
+	// tellTime bounds the time for which telling all askers a value may occupy
+	// a reader's link, which also carries requests.
+	tellTime = 100 * time.Millisecond
+	// unknownTold and minTold are bounds of a value in bytes where the link isn't
+	// known, and in any case.
+	unknownTold = 64 << 10
+	minTold     = 4 << 10
+	maxTold     = 1 << 20
 	// unreachedTime is how long a daemon that wasn't reached is left out.
 	unreachedTime = 3 * time.Second
 	// oldTime is how long a daemon isn't asked again whose copy was too old.
@@ -32,10 +40,17 @@
 // Options configure Sources.
 type Options struct {
 	Self    string        // name of this daemon
+	Link    float64       // of this daemon's VM, Mbit/s, 0 if unknown
 	Readers int           // default 2
 	MaxAge  time.Duration // default 1.5 s
 }
 
+// Peer is another daemon.
+type Peer struct {
+	Name string
+	Link float64 // of its VM, Mbit/s, 0 if unknown
+}
+
 // Source is where to learn next: the store, a daemon, or neither for Wait.
 type Source struct {
 	Store bool
@@ -46,7 +61,7 @@
 // Sources chooses the next source.
 type Sources struct {
 	opts  Options
-	nodes []node // all known daemons and this one, by weight
+	nodes []node // all known daemons and this one, in order
 
 	freshAt  time.Time // the copy is known to have been current then
 	failures int       // calls to the store that failed in a row
@@ -56,7 +71,8 @@
 // node is a daemon in the order of all.
 type node struct {
 	name     string
-	weight   uint64    // place in the order
+	link     float64   // Mbit/s
+	weight   uint64    // place among those with the same link
 	affinity uint64    // with this daemon; the readers are chosen from by it
 	absent   time.Time // not reached, left out until then
 	old      time.Time // its copy was too old, not asked until then
@@ -72,28 +88,43 @@
 }
 
 // SetNodes sets the other daemons.
-func (s *Sources) SetNodes(names []string) {
+func (s *Sources) SetNodes(peers []Peer) {
 	before := make(map[string]node, len(s.nodes))
 	for _, n := range s.nodes {
 		before[n.name] = n
 	}
 	s.nodes = s.nodes[:0]
-	for _, name := range append(slices.Clone(names), s.opts.Self) {
-		n, ok := before[name]
+	for _, p := range append(slices.Clone(peers), Peer{Name: s.opts.Self, Link: s.opts.Link}) {
+		n, ok := before[p.Name]
 		if !ok {
 			n = node{
-				name: name, weight: xxhash.Sum64String(name),
-				affinity: xxhash.Sum64String(s.opts.Self + "\x00" + name),
+				name: p.Name, weight: xxhash.Sum64String(p.Name),
+				affinity: xxhash.Sum64String(s.opts.Self + "\x00" + p.Name),
 			}
 		}
+		n.link = p.Link
 		s.nodes = append(s.nodes, n)
 	}
 	slices.SortFunc(s.nodes, func(a, b node) int {
-		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(b.link, a.link), cmp.Compare(a.weight, b.weight), cmp.Compare(a.name, b.name))
 	})
 	s.nodes = slices.CompactFunc(s.nodes, func(a, b node) bool { return a.name == b.name })
 }
 
+// TellLimit returns the length in bytes of the longest value that this daemon
+// tells those that ask it. The others read longer ones from the store.
+func (s *Sources) TellLimit() int {
+	if s.opts.Link <= 0 {
+		return unknownTold
+	}
+	askers := float64(len(s.nodes)) / float64(s.opts.Readers)
+	limit := s.opts.Link * bytesPerMbit * tellTime.Seconds() / askers
+	return int(min(max(limit, minTold), maxTold))
+}
+
+// bytesPerMbit converts the unit of links.
+const bytesPerMbit = 1e6 / 8
+
 // IsAlone reports whether no other daemon is known.
 func (s *Sources) IsAlone() bool { return len(s.nodes) == 1 }
 
--- a/core/relay/sources_test.go
+++ b/core/relay/sources_test.go
@@ -20,13 +20,22 @@
 	return list
 }
 
+// peers returns daemons whose links aren't known.
+func peers(n int) []relay.Peer {
+	list := make([]relay.Peer, n)
+	for i, name := range names(n) {
+		list[i].Name = name
+	}
+	return list
+}
+
 // fleet returns the sources of n daemons that know each other and have a
 // current copy.
 func fleet(n int) map[string]*relay.Sources {
 	all := map[string]*relay.Sources{}
 	for _, name := range names(n) {
 		s := relay.NewSources(relay.Options{Self: name})
-		s.SetNodes(names(n))
+		s.SetNodes(peers(n))
 		s.Learned(start, relay.Source{Store: true}, 0)
 		all[name] = s
 	}
@@ -154,3 +163,46 @@
 		is.True(start.Add(down).Sub(latest[name]) <= 510*time.Millisecond)
 	}
 }
+
+// Guards against readers on VMs with slow links, which callers' requests need,
+// where others have fast ones.
+func TestFastLinksRead(t *testing.T) {
+	is := is.New(t)
+	list := peers(85)
+	link := map[string]float64{}
+	for i := range list {
+		list[i].Link = 10
+		if i%20 == 0 {
+			list[i].Link = 200
+		}
+		link[list[i].Name] = list[i].Link
+	}
+	for _, p := range list {
+		s := relay.NewSources(relay.Options{Self: p.Name, Link: p.Link})
+		s.SetNodes(list)
+		s.Learned(start, relay.Source{Store: true}, 0)
+		if next := s.Next(start); next.Store {
+			is.Equal(p.Link, 200.0)
+		} else {
+			is.Equal(link[next.Node], 200.0)
+		}
+	}
+}
+
+// Guards against a reader whose link is busy for long with a value that it
+// tells all others.
+func TestTellLimit(t *testing.T) {
+	is := is.New(t)
+	const tenthOfLink = 10 * 1e6 / 8 / 10 // bytes in 100 ms at 10 Mbit/s
+	for _, n := range []int{2, 12} {
+		s := relay.NewSources(relay.Options{Self: "n0", Link: 10})
+		s.SetNodes(peers(n))
+		is.True(s.TellLimit()*n/2 <= tenthOfLink)
+		is.True(s.TellLimit()*n > tenthOfLink)
+	}
+	s := relay.NewSources(relay.Options{Self: "n0", Link: 10})
+	s.SetNodes(peers(5200))
+	is.True(s.TellLimit() > 1000) // records are always told
+	s = relay.NewSources(relay.Options{Self: "n0", Link: 1e5})
+	is.True(s.TellLimit() <= 1<<20)
+}
--- a/core/roster/record.go
+++ b/core/roster/record.go
@@ -9,6 +9,7 @@
 	Sequence   uint64           // grows with each record of a node, over all its starts
 	Address    string           // TCP address for other daemons
 	DataCentre types.DataCentre // where it runs
+	Link       float64          // of its VM, Mbit/s, 0 if unknown
 	Target     Target
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -130,16 +129,6 @@
 	}
 }
 
-// Retain notes all nodes as missing that keep reports false for. It is used
-// with a complete listing of the store.
-func (r *Roster) Retain(now time.Time, keep func(name string) bool) {
-	for name := range r.nodes {
-		if !keep(name) {
-			r.Missing(now, name)
-		}
-	}
-}
-
 // Heard notes direct contact with a node.
 func (r *Roster) Heard(now time.Time, name string) {
 	if n := r.nodes[name]; n != nil {
@@ -208,9 +197,6 @@
 	return ""
 }
 
-// Names returns the names of all known daemons.
-func (r *Roster) Names() []string { return slices.Collect(maps.Keys(r.nodes)) }
-
 // Records returns all records sorted by name.
 func (r *Roster) Records() []Record {
 	recs := make([]Record, 0, len(r.nodes))
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -19,6 +19,14 @@
 
 var begin = time.Unix(1000, 0)
 
+func names(r *roster.Roster) []string {
+	var list []string
+	for _, rec := range r.Records() {
+		list = append(list, rec.Node)
+	}
+	return list
+}
+
 // Guards against a daemon that is dropped although it serves: the store turned
 // it away and its record ran out, but it answers calls.
 func TestRecordThatVanished(t *testing.T) {
@@ -26,7 +34,8 @@
 	r := roster.New(roster.Options{Self: "self"})
 	is.True(r.Learn(record("a", 1, 10, types.Up)))
 	is.True(r.Learn(record("b", 1, 11, types.Up)))
-	r.Retain(begin, func(string) bool { return false })
+	r.Missing(begin, "a")
+	r.Missing(begin, "b")
 	gone, next := r.Expire(begin.Add(time.Second))
 	is.Equal(len(gone), 0)
 	is.Equal(next, begin.Add(roster.DefaultGrace))
@@ -84,9 +93,9 @@
 	next := record("b", 2, 11, types.Up)
 	next.Address = "a:7000"
 	is.True(r.Learn(next))
-	is.Equal(r.Names(), []string{"b"})
+	is.Equal(names(r), []string{"b"})
 	is.True(!r.Learn(record("a", 1, 10, types.Up))) // read again, still older
-	is.Equal(r.Names(), []string{"b"})
+	is.Equal(names(r), []string{"b"})
 }
 
 // Guards against calls that name earlier targets until the store's records have
@@ -123,7 +132,7 @@
 	met := record("b", 2, 7, types.Up)
 	met.Address = "a:7000"
 	is.True(r.Meet(begin, met))
-	is.Equal(r.Names(), []string{"b"}) // a's address is b's now
+	is.Equal(names(r), []string{"b"}) // a's address is b's now
 	gone, _ := r.Expire(begin.Add(roster.DefaultGrace))
 	is.Equal(gone, []string{"b"})
 	is.True(r.Meet(begin, met))
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -96,7 +96,7 @@
 		minLease: o.Settings.MinLease, value: a.record, size: a.places.size, seen: a.recordSeen,
 	})
 	a.mirror = newMirror(mirrorOptions{
-		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, wants: a.wants, ask: a.ask,
+		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, link: o.Settings.Link, wants: a.wants, ask: a.ask,
 		take: a.takeItem, listed: a.listed,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -6,6 +6,8 @@
 var (
 	NewSuspects = newSuspects
 	Fingerprint = fingerprint
+	Pack        = pack
+	Unpack      = unpack
 )
 
 // SuspectExpiry is suspectExpiry.
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -18,6 +18,10 @@
 // agents spread.
 const fetchPause = 200 * time.Millisecond
 
+// longDocument is the length in bytes from which the configuration is left more
+// time to come from other agents before it is read.
+const longDocument = 64 << 10
+
 // readPause is the longest pause before a long document is read, half of it the
 // shortest. Versions in quick succession share a read: each one takes a quarter
 // of a second on a link of 10 Mbit/s.
@@ -36,7 +40,7 @@
 		a.isLong.Store(true)
 		a.requestTable()
 	default:
-		a.isLong.Store(len(it.Value) > maxTold)
+		a.isLong.Store(len(it.Value) > longDocument)
 		a.takeTable(it.Value, "follow")
 	}
 }
@@ -81,7 +85,7 @@
 }
 
 // refreshSources tells the mirror which agents there are.
-func (a *Agent) refreshSources() { a.mirror.setNodes(a.places.nodes()) }
+func (a *Agent) refreshSources() { a.mirror.setNodes(a.places.peers()) }
 
 // takeTable decodes the operator's document and takes it over if it is newer.
 // A document that isn't understood leaves the version in force.
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -33,9 +33,6 @@
 	askGap = 50 * time.Millisecond
 	// askSlack is added to holdTime for the answer to arrive.
 	askSlack = 600 * time.Millisecond
-	// maxTold bounds the values that agents tell each other in bytes. Links
-	// between agents also carry requests, and a long value would hold them up.
-	maxTold = 64 << 10
 )
 
 // mirrorOptions configure a mirror. All fields are required.
@@ -44,6 +41,7 @@
 	clock clockwork.Clock
 	log   log.Interface
 	self  string
+	link  float64 // of this VM, Mbit/s, 0 if unknown
 	// wants reports whether a key is of interest.
 	wants func(key string) bool
 	// ask sends a query to another agent.
@@ -76,16 +74,16 @@
 
 func newMirror(o mirrorOptions) *mirror {
 	return &mirror{
-		mirrorOptions: o, copy: relay.NewCopy(), sources: relay.NewSources(relay.Options{Self: o.self}),
+		mirrorOptions: o, copy: relay.NewCopy(), sources: relay.NewSources(relay.Options{Self: o.self, Link: o.link}),
 		changed: make(chan struct{}), whole: true, began: o.clock.Now(),
 	}
 }
 
 // setNodes sets the other agents.
-func (m *mirror) setNodes(names []string) {
+func (m *mirror) setNodes(peers []relay.Peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sources.SetNodes(names)
+	m.sources.SetNodes(peers)
 }
 
 // run follows the store until ctx ends.
@@ -211,7 +209,9 @@
 	}
 	items := make([]relay.Item, len(news.Items))
 	for i, it := range news.Items {
-		items[i] = relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Omitted: it.Omitted}
+		items[i] = relay.Item{
+			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Packed: it.Packed, Omitted: it.Omitted,
+		}
 	}
 	if news.Whole {
 		m.whole = false
@@ -231,10 +231,7 @@
 		if !m.wants(it.Key) {
 			continue
 		}
-		values[it.Key] = it.Value
-		if len(it.Value) > maxTold {
-			it.Value, it.Omitted = nil, true
-		}
+		it, values[it.Key] = m.keep(it)
 		kept = append(kept, it)
 	}
 	m.mu.Lock()
@@ -254,7 +251,7 @@
 	m.noteSource(from)
 	for _, it := range news {
 		if value := values[it.Key]; value != nil {
-			it.Value, it.Omitted = value, false
+			it.Value, it.Packed, it.Omitted = value, false, false
 		}
 		m.take(it)
 	}
@@ -264,6 +261,38 @@
 	}
 }
 
+// keep returns an item as the copy holds it, long values compressed, and its
+// value as it is in the store. Only readers hold long values that they have read,
+// as only they are asked.
+func (m *mirror) keep(it relay.Item) (kept relay.Item, value []byte) {
+	var err error
+	switch {
+	case it.Packed:
+		value, err = unpack(it.Value)
+	case len(it.Value) <= packFrom:
+		return it, it.Value
+	default:
+		value = it.Value
+		if m.isReader() {
+			it.Value, err = pack(value)
+			it.Packed = true
+		} else {
+			it.Value, it.Omitted = nil, true
+		}
+	}
+	if err != nil {
+		m.log.WithError(err).WithField("key", it.Key).WithField("revision", it.Revision).Warn("value has to be read from the store")
+		it.Value, it.Packed, it.Omitted = nil, false, true
+	}
+	return it, value
+}
+
+func (m *mirror) isReader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sources.IsReader(m.clock.Now())
+}
+
 // noteSource logs when news come from elsewhere than before.
 func (m *mirror) noteSource(from relay.Source) {
 	name := from.Node
--- a/io/agent/places.go
+++ b/io/agent/places.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"trefoilthread/core/relay"
 	"trefoilthread/core/retry"
 	"trefoilthread/core/roster"
 	"trefoilthread/core/route"
@@ -257,19 +258,22 @@
 	return p.strangers[node]
 }
 
-// nodes returns the names of the other known agents.
-func (p *places) nodes() []string {
+// peers returns the other known agents.
+func (p *places) peers() []relay.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	names := p.roster.Names()
+	var list []relay.Peer
+	for _, rec := range p.roster.Records() {
+		list = append(list, relay.Peer{Name: rec.Node, Link: rec.Link})
+	}
 	for name := range p.strangers {
 		if p.roster.Address(name) != "" {
 			delete(p.strangers, name)
 			continue
 		}
-		names = append(names, name)
+		list = append(list, relay.Peer{Name: name})
 	}
-	return names
+	return list
 }
 
 // size returns the number of known agents, this one included.
--- a/io/agent/query.go
+++ b/io/agent/query.go
@@ -38,9 +38,13 @@
 	}
 	items, whole := m.copy.Since(after)
 	news.Whole = whole
+	limit := m.sources.TellLimit()
 	for _, it := range items {
+		if len(it.Value) > limit {
+			it.Value, it.Packed, it.Omitted = nil, false, true
+		}
 		news.Items = append(news.Items, mesh.Item{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Omitted: it.Omitted,
+			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Packed: it.Packed, Omitted: it.Omitted,
 		})
 	}
 	return news
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -18,16 +18,17 @@
 
 // storedRecord is the value of an agent's record.
 type storedRecord struct {
-	Boot           uint64 `cbor:"boot"`
-	Address        string `cbor:"addr"`
-	DataCentre     string `cbor:"dc"`
-	Target         string `cbor:"target,omitempty"`
-	Service        string `cbor:"svc,omitempty"`
-	TargetAddress  string `cbor:"taddr,omitempty"`
-	Slots          int    `cbor:"slots,omitempty"`
-	Born           uint64 `cbor:"born,omitempty"`
-	TargetSequence uint64 `cbor:"tseq,omitempty"`
-	State          uint8  `cbor:"state"`
+	Boot           uint64  `cbor:"boot"`
+	Address        string  `cbor:"addr"`
+	DataCentre     string  `cbor:"dc"`
+	Link           float64 `cbor:"link,omitempty"` // Mbit/s
+	Target         string  `cbor:"target,omitempty"`
+	Service        string  `cbor:"svc,omitempty"`
+	TargetAddress  string  `cbor:"taddr,omitempty"`
+	Slots          int     `cbor:"slots,omitempty"`
+	Born           uint64  `cbor:"born,omitempty"`
+	TargetSequence uint64  `cbor:"tseq,omitempty"`
+	State          uint8   `cbor:"state"`
 }
 
 // errRecord means that a record can't be read; it names no target.
@@ -46,7 +47,7 @@
 	}
 	return roster.Record{
 		Node: name, Boot: s.Boot, Sequence: uint64(rev), Address: s.Address,
-		DataCentre: types.DataCentre(s.DataCentre),
+		DataCentre: types.DataCentre(s.DataCentre), Link: s.Link,
 		Target: roster.Target{
 			ID: types.TargetID(s.Target), Service: types.ServiceName(s.Service), Slots: s.Slots,
 			Born: s.Born, State: types.TargetState(s.State),
@@ -58,7 +59,7 @@
 func (a *Agent) record() storedRecord {
 	s := storedRecord{
 		Boot: a.boot, Address: a.opts.Settings.public(), DataCentre: string(a.opts.Settings.DataCentre),
-		State: uint8(types.Down),
+		Link: a.opts.Settings.Link, State: uint8(types.Down),
 	}
 	if cur, state, ok := a.own.target(); ok {
 		s.Target, s.Service, s.TargetAddress = string(cur.ID), string(cur.Service), cur.Address
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -13,6 +13,7 @@
 	Regions    map[types.DataCentre]string // region of each data centre
 	Service    types.ServiceName           // service of the target on this VM
 	TargetAddr string                      // HTTP address of that target
+	Link       float64                     // of this VM, Mbit/s, 0 if unknown
 
 	Callers string // address for callers and the target's own calls
 	Ready   string // address for the readiness check
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -113,6 +113,7 @@
 	Value    []byte
 	Revision int64
 	Deleted  bool
+	Packed   bool // the value is compressed with DEFLATE
 	Omitted  bool // the value is too long to be told
 }
 
--- a/io/prefs/keys.go
+++ b/io/prefs/keys.go
@@ -33,6 +33,8 @@
 	{"node", "service", "", false, nameAllowed, "service of the target on this VM", name(func(p *Prefs, v string) { p.agent.Service = types.ServiceName(v) })},
 	{"node", "target", "", false, addressAllowed, "HTTP address of the target on this VM", address(func(p *Prefs) *string { return &p.agent.TargetAddr })},
 
+	{"node", "link", "0", false, "0 to 1000000", "speed of the VM's link in Mbit/s, 0 if unknown; those with the fastest ones read the store for the others", number(0, 1e6, func(p *Prefs) *float64 { return &p.agent.Link })},
+
 	{"listen", "callers", "", false, addressAllowed, "address for callers and for the target's own calls", address(func(p *Prefs) *string { return &p.agent.Callers })},
 	{"listen", "ready", "", false, addressAllowed, "address for the readiness check", address(func(p *Prefs) *string { return &p.agent.Ready })},
 	{"listen", "control", "", false, addressAllowed, "address for the target's announcements", address(func(p *Prefs) *string { return &p.agent.Control })},
