io/agent: ask the readers at the start before the store

Cause: an agent that starts listed all keys, the configuration with them, and then waited at the store for the changes since, one call each of all agents after a loss of all VMs. On a link of 10 Mbit/s the listing of a long configuration takes a third of a second in which the others aren't known.

Ruled out: learning the configuration from readers alone.

Change: the names of the others come from a short listing that may be old, the configuration from another one at the same time, and all that is newer from a reader, for 600 ms before the agent reads by itself.

--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -18,6 +18,12 @@
 // so a reader that was cut off from the store is noticed, and may itself learn
 // from others.
 //
+// # Starts
+//
+// A daemon that starts takes the names of the others from a listing that may be
+// old, which costs little, and then asks the readers. It reads by itself only if
+// they have given nothing for a while.
+//
 // # Long values
 //
 // A configuration of a thousand routes takes a link of 10 Mbit/s a third of a
@@ -28,6 +34,7 @@
 //
 //	s := relay.NewSources(relay.Options{Self: "a"})
 //	s.SetNodes(peers)
+//	s.Introduced(now)
 //	switch next := s.Next(now); {
 //	case next.Store:
 //		// Wait at the store for changes after c.Revision().
@@ -36,7 +43,7 @@
 //	default:
 //		// Nothing to ask for next.Wait.
 //	}
-//	s.Learned(now, age) // or s.Failed(now, next, reached)
+//	s.Learned(now, next, age) // or s.Failed(now, next)
 //	changed := c.Apply(items, revision)
 //
 // The package has no clock and no goroutines; neither type is safe for
--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -28,6 +28,9 @@
 	unreachedTime = 3 * time.Second
 	// oldTime is how long a daemon isn't asked again whose copy was too old.
 	oldTime = time.Second
+	// introTime is how long a daemon that has just started asks the readers before
+	// it reads by itself. They may be starting too.
+	introTime = 600 * time.Millisecond
 	// minStorePause is the pause after a call to the store that failed. It
 	// doubles with each further one. Readers have to note the store's return
 	// soon; the others would only add calls.
@@ -64,6 +67,7 @@
 	nodes []node // all known daemons and this one, in order
 
 	freshAt  time.Time // the copy is known to have been current then
+	askUntil time.Time // the readers are asked before, however old the copy is
 	failures int       // calls to the store that failed in a row
 	storeDue time.Time
 }
@@ -128,6 +132,10 @@
 // IsAlone reports whether no other daemon is known.
 func (s *Sources) IsAlone() bool { return len(s.nodes) == 1 }
 
+// Introduced notes that the other daemons were learned from a listing that may
+// be old, at the start of this one.
+func (s *Sources) Introduced(now time.Time) { s.askUntil = now.Add(introTime) }
+
 // Learned notes that the copy has all that the store held before age.
 func (s *Sources) Learned(now time.Time, from Source, age time.Duration) {
 	if at := now.Add(-age); at.After(s.freshAt) {
@@ -167,7 +175,8 @@
 // Next returns the source to use now.
 func (s *Sources) Next(now time.Time) Source {
 	name := s.reader(now)
-	reads := name == "" || s.IsReader(now) || s.Age(now) > s.opts.MaxAge
+	isOld := s.Age(now) > s.opts.MaxAge && !now.Before(s.askUntil)
+	reads := name == "" || s.IsReader(now) || isOld
 	switch {
 	case reads && !now.Before(s.storeDue):
 		return Source{Store: true}
--- a/core/relay/sources_test.go
+++ b/core/relay/sources_test.go
@@ -206,3 +206,28 @@
 	s = relay.NewSources(relay.Options{Self: "n0", Link: 1e5})
 	is.True(s.TellLimit() <= 1<<20)
 }
+
+// Guards against a call to the store of each daemon when all start together, and
+// against one that waits for readers that never come.
+func TestStartsAskTheReaders(t *testing.T) {
+	is := is.New(t)
+	reads := 0
+	for _, name := range names(85) {
+		s := relay.NewSources(relay.Options{Self: name})
+		s.SetNodes(peers(85))
+		s.Learned(start, relay.Source{}, time.Hour)
+		s.Introduced(start)
+		next := s.Next(start)
+		if next.Store {
+			reads++
+			continue
+		}
+		s.Failed(start, next)
+		if s.IsReader(start) {
+			continue // it takes the place of the one that failed
+		}
+		is.True(s.Next(start.Add(500*time.Millisecond)).Node != "")
+		is.True(s.Next(start.Add(700 * time.Millisecond)).Store)
+	}
+	is.Equal(reads, 2)
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -96,8 +96,8 @@
 		minLease: o.Settings.MinLease, value: a.record, size: a.places.size, seen: a.recordSeen,
 	})
 	a.mirror = newMirror(mirrorOptions{
-		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, link: o.Settings.Link, wants: a.wants, ask: a.ask,
-		take: a.takeItem, listed: a.listed,
+		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
+		wants: a.wants, ask: a.ask, take: a.takeItem, introduced: a.introduced, listed: a.listed,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.public()}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.notice,
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -59,6 +59,31 @@
 	a.refreshSources()
 }
 
+// introduced notes that the other agents are known at the start, or that there
+// are none: then there may be no configuration yet, and it comes with the rest.
+func (a *Agent) introduced(ctx context.Context, isFirst bool) {
+	if !isFirst {
+		go a.firstTable(ctx)
+	}
+}
+
+// firstTable reads the configuration at the start, while the readers are asked:
+// when all agents start together those may be the last. A stale answer will do,
+// as the readers tell newer versions.
+func (a *Agent) firstTable(ctx context.Context) {
+	listed, _, err := a.store.List(ctx, a.opts.Wire.TableKey, true)
+	if err != nil {
+		a.log.WithError(err).Warn("configuration not read at the start")
+		return
+	}
+	for _, it := range listed {
+		if it.Key == a.opts.Wire.TableKey {
+			a.isLong.Store(len(it.Value) > longDocument)
+			a.takeTable(it.Value, "start")
+		}
+	}
+}
+
 // ask sends a query to the agent with a name.
 func (a *Agent) ask(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error) {
 	addr := a.places.address(node)
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -31,6 +31,9 @@
 	firstGap = 1200 * time.Millisecond
 	// askGap lets news in quick succession share a query.
 	askGap = 50 * time.Millisecond
+	// firstAskTime bounds a query of an agent that has no copy yet: the reader may
+	// be gone since the listing that named it.
+	firstAskTime = 450 * time.Millisecond
 	// askSlack is added to holdTime for the answer to arrive.
 	askSlack = 600 * time.Millisecond
 )
@@ -41,13 +44,18 @@
 	clock clockwork.Clock
 	log   log.Interface
 	self  string
-	link  float64 // of this VM, Mbit/s, 0 if unknown
+	// prefix is that of the keys that name the other agents.
+	prefix string
+	link   float64 // of this VM, Mbit/s, 0 if unknown
 	// wants reports whether a key is of interest.
 	wants func(key string) bool
 	// ask sends a query to another agent.
 	ask func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
 	// take is told of each change in order of revision.
 	take func(it relay.Item)
+	// introduced is told at the start when the other agents are known; isFirst
+	// if there are none.
+	introduced func(ctx context.Context, isFirst bool)
 	// listed is told when the copy has all keys, each time that they were read
 	// as a whole.
 	listed func(revision int64, has func(key string) bool)
@@ -66,7 +74,6 @@
 	// The fields below belong to run.
 	began   time.Time
 	whole   bool // all keys have to be read
-	started bool // all keys have been read once
 	isFirst bool // no other agent had a record when this one started
 	failing bool // the latest call to the store failed
 	source  string
@@ -88,6 +95,7 @@
 
 // run follows the store until ctx ends.
 func (m *mirror) run(ctx context.Context) {
+	m.pause(ctx, m.introduce(ctx))
 	for ctx.Err() == nil {
 		m.mu.Lock()
 		next, after := m.sources.Next(m.clock.Now()), m.copy.Revision()
@@ -101,15 +109,52 @@
 		default:
 			pause = next.Wait
 		}
-		if pause > 0 {
-			select {
-			case <-ctx.Done():
-			case <-m.clock.After(pause):
-			}
-		}
+		m.pause(ctx, pause)
+	}
+}
+
+func (m *mirror) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-m.clock.After(d):
 	}
 }
 
+// introduce learns which other agents there are and returns the pause until the
+// next step. A stale answer will do, since the changes after it follow.
+func (m *mirror) introduce(ctx context.Context) time.Duration {
+	listed, rev, err := m.store.List(ctx, m.prefix, true)
+	if !m.noteStore(ctx, err) {
+		return 0
+	}
+	m.learn(relay.Source{}, unknownAge, listedItems(listed), 0, false)
+	m.mu.Lock()
+	m.sources.Introduced(m.clock.Now())
+	m.isFirst = m.sources.IsAlone()
+	has := m.copy.Has
+	m.mu.Unlock()
+	m.listed(rev, has)
+	m.introduced(ctx, m.isFirst)
+	if m.isFirst {
+		return firstGap // the others may be about to write their records
+	}
+	return 0
+}
+
+// unknownAge is the age of a copy that may be older than any that counts.
+const unknownAge = time.Hour
+
+func listedItems(listed []store.Item) []relay.Item {
+	items := make([]relay.Item, len(listed))
+	for i, it := range listed {
+		items[i] = relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision}
+	}
+	return items
+}
+
 // read learns from the store and returns the pause until the next step.
 func (m *mirror) read(ctx context.Context, after int64) time.Duration {
 	if m.whole {
@@ -141,30 +186,14 @@
 	return readGap
 }
 
-// list reads all keys. The first time a stale answer will do, since the changes
-// after it follow.
+// list reads all keys.
 func (m *mirror) list(ctx context.Context) time.Duration {
-	stale := !m.started
-	listed, rev, err := m.store.List(ctx, "", stale)
+	listed, rev, err := m.store.List(ctx, "", false)
 	if !m.noteStore(ctx, err) {
 		return 0
 	}
 	m.whole = false
-	items := make([]relay.Item, len(listed))
-	for i, it := range listed {
-		items[i] = relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision}
-	}
-	from, age := relay.Source{Store: true}, time.Duration(0)
-	if stale {
-		from, age = relay.Source{}, time.Hour // unknown
-	}
-	m.learn(from, age, items, rev, true)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if stale && m.sources.IsAlone() {
-		m.isFirst = true
-		return firstGap // the others may be about to write their records
-	}
+	m.learn(relay.Source{Store: true}, 0, listedItems(listed), rev, true)
 	return 0
 }
 
@@ -193,7 +222,11 @@
 	if m.whole {
 		after = 0
 	}
-	bounded, cancel := context.WithTimeout(ctx, holdTime+askSlack)
+	wait := holdTime + askSlack
+	if m.age() > unknownAge {
+		wait = firstAskTime
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	news, err := m.ask(bounded, from.Node, &mesh.Query{Revision: after})
 	if ctx.Err() != nil {
@@ -256,7 +289,6 @@
 		m.take(it)
 	}
 	if whole {
-		m.started = true
 		m.listed(rev, has)
 	}
 }
