core/relay: let askers call an absent store rarely

Change: the first pause of agents that aren't readers is 2 s instead of 250 ms. Readers, which call each half second, tell them of the store's return.

--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -31,11 +31,14 @@
 	// introTime is how long a daemon that has just started asks the readers before
 	// it reads by itself. They may be starting too.
 	introTime = 600 * time.Millisecond
-	// minStorePause is the pause after a call to the store that failed. It
-	// doubles with each further one. Readers have to note the store's return
-	// soon; the others would only add calls.
+	// minStorePause is the pause of a reader after a call to the store that
+	// failed, which doubles up to readerStorePause: readers have to note the
+	// store's return soon. The others learn it from them. They call because the
+	// store may turn away readers only, which one call shows, and would else only
+	// add calls: their pause is askerStorePause and doubles up to maxStorePause.
 	minStorePause    = 250 * time.Millisecond
 	readerStorePause = 500 * time.Millisecond
+	askerStorePause  = 2 * time.Second
 	maxStorePause    = 5 * time.Second
 	maxDoublings     = 5
 )
@@ -160,11 +163,11 @@
 	if !from.Store {
 		return
 	}
-	limit := maxStorePause
+	first, limit := askerStorePause, maxStorePause
 	if s.IsReader(now) {
-		limit = readerStorePause
+		first, limit = minStorePause, readerStorePause
 	}
-	s.storeDue = now.Add(min(minStorePause<<min(s.failures, maxDoublings), limit))
+	s.storeDue = now.Add(min(first<<min(s.failures, maxDoublings), limit))
 	s.failures++
 }
 
--- a/core/relay/sources_test.go
+++ b/core/relay/sources_test.go
@@ -159,6 +159,8 @@
 		}
 	}
 	is.True(calls < 85*int(down/time.Second))
+	readerCalls := 2 * int(down/(500*time.Millisecond)+1)
+	is.True(calls-readerCalls <= 83*3) // one in about four seconds of an asker
 	for name := range first {
 		is.True(start.Add(down).Sub(latest[name]) <= 510*time.Millisecond)
 	}
