--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -61,8 +61,8 @@
 
 // introduced notes that the other agents are known at the start, or that there
 // are none: then there may be no configuration yet, and it comes with the rest.
-func (a *Agent) introduced(ctx context.Context, isFirst bool) {
-	if !isFirst {
+func (a *Agent) introduced(ctx context.Context, isAlone bool) {
+	if !isAlone {
 		go a.firstTable(ctx)
 	}
 }
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -53,9 +53,9 @@
 	ask func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
 	// take is told of each change in order of revision.
 	take func(it relay.Item)
-	// introduced is told at the start when the other agents are known; isFirst
+	// introduced is told at the start when the other agents are known; isAlone
 	// if there are none.
-	introduced func(ctx context.Context, isFirst bool)
+	introduced func(ctx context.Context, isAlone bool)
 	// listed is told when the copy has all keys, each time that they were read
 	// as a whole.
 	listed func(revision int64, has func(key string) bool)
@@ -96,6 +96,9 @@
 // run follows the store until ctx ends.
 func (m *mirror) run(ctx context.Context) {
 	m.pause(ctx, m.introduce(ctx))
+	if m.isFirst {
+		m.introduce(ctx) // the others have started meanwhile
+	}
 	for ctx.Err() == nil {
 		m.mu.Lock()
 		next, after := m.sources.Next(m.clock.Now()), m.copy.Revision()
@@ -133,15 +136,16 @@
 	m.learn(relay.Source{}, unknownAge, listedItems(listed), 0, false)
 	m.mu.Lock()
 	m.sources.Introduced(m.clock.Now())
-	m.isFirst = m.sources.IsAlone()
+	isAlone := m.sources.IsAlone()
 	has := m.copy.Has
 	m.mu.Unlock()
 	m.listed(rev, has)
-	m.introduced(ctx, m.isFirst)
-	if m.isFirst {
-		return firstGap // the others may be about to write their records
+	m.introduced(ctx, isAlone)
+	if !isAlone {
+		return 0
 	}
-	return 0
+	m.isFirst = true
+	return firstGap // the others may be about to write their records
 }
 
 // unknownAge is the age of a copy that may be older than any that counts.
