core/relay: move the pauses of the mirror to core

Sources returns the pauses now, which tests reach without a network; contact and serviceInfo stand once.

--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -34,7 +34,7 @@
 //
 //	s := relay.NewSources(relay.Options{Self: "a"})
 //	s.SetNodes(peers)
-//	s.Introduced(now)
+//	again := s.Introduced(now)
 //	switch next := s.Next(now); {
 //	case next.Store:
 //		// Wait at the store for changes after c.Revision().
@@ -43,7 +43,7 @@
 //	default:
 //		// Nothing to ask for next.Wait.
 //	}
-//	s.Learned(now, next, age) // or s.Failed(now, next)
+//	pause := s.Learned(now, next, age, len(items)) // or s.Failed(now, next)
 //	changed := c.Apply(items, revision)
 //
 // The package has no clock and no goroutines; neither type is safe for
--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -28,6 +28,17 @@
 	unreachedTime = 3 * time.Second
 	// oldTime is how long a daemon isn't asked again whose copy was too old.
 	oldTime = time.Second
+	// readGap and askGap let changes in quick succession share a call to the store
+	// or a query.
+	readGap = 200 * time.Millisecond
+	askGap  = 50 * time.Millisecond
+	// startGap is the readGap in the first startTime of a daemon, when all may
+	// have started together, know few others to ask, and see a wave of records.
+	startGap  = 500 * time.Millisecond
+	startTime = 3 * time.Second
+	// firstGap takes its place when no other daemon was listed, as at the first
+	// start of the system: the records of all come within about two seconds.
+	firstGap = 1200 * time.Millisecond
 	// introTime is how long a daemon that has just started asks the readers before
 	// it reads by itself. They may be starting too.
 	introTime = 600 * time.Millisecond
@@ -71,6 +82,8 @@
 
 	freshAt  time.Time // the copy is known to have been current then
 	askUntil time.Time // the readers are asked before, however old the copy is
+	began    time.Time // the other daemons were first listed
+	isFirst  bool      // there were none then
 	failures int       // calls to the store that failed in a row
 	storeDue time.Time
 }
@@ -136,11 +149,23 @@
 func (s *Sources) IsAlone() bool { return len(s.nodes) == 1 }
 
 // Introduced notes that the other daemons were learned from a listing that may
-// be old, at the start of this one.
-func (s *Sources) Introduced(now time.Time) { s.askUntil = now.Add(introTime) }
+// be old, at the start of this one. It returns the time after which to list
+// again, 0 if some were found.
+func (s *Sources) Introduced(now time.Time) time.Duration {
+	s.askUntil = now.Add(introTime)
+	if !s.began.IsZero() {
+		return 0
+	}
+	s.began, s.isFirst = now, s.IsAlone()
+	if s.isFirst {
+		return firstGap
+	}
+	return 0
+}
 
-// Learned notes that the copy has all that the store held before age.
-func (s *Sources) Learned(now time.Time, from Source, age time.Duration) {
+// Learned notes that the copy has all that the store held before age, and
+// returns the pause until the next step, by the number of items that came.
+func (s *Sources) Learned(now time.Time, from Source, age time.Duration, items int) time.Duration {
 	if at := now.Add(-age); at.After(s.freshAt) {
 		s.freshAt = at
 	}
@@ -153,6 +178,22 @@
 			n.old = now.Add(oldTime)
 		}
 	}
+	return s.pause(now, from, items)
+}
+
+// pause returns the time until the next step after items came from a source.
+func (s *Sources) pause(now time.Time, from Source, items int) time.Duration {
+	switch {
+	case items == 0:
+		return 0
+	case !from.Store:
+		return askGap
+	case now.Sub(s.began) >= startTime:
+		return readGap
+	case s.isFirst:
+		return firstGap
+	}
+	return startGap
 }
 
 // Failed notes that a source gave nothing.
--- a/core/relay/sources_test.go
+++ b/core/relay/sources_test.go
@@ -36,7 +36,7 @@
 	for _, name := range names(n) {
 		s := relay.NewSources(relay.Options{Self: name})
 		s.SetNodes(peers(n))
-		s.Learned(start, relay.Source{Store: true}, 0)
+		s.Learned(start, relay.Source{Store: true}, 0, 0)
 		all[name] = s
 	}
 	return all
@@ -101,14 +101,14 @@
 		}
 		first := s.Next(start)
 		now := start.Add(1600 * time.Millisecond)
-		s.Learned(now, first, 1600*time.Millisecond)
+		s.Learned(now, first, 1600*time.Millisecond, 0)
 		is.True(s.Next(now).Store)
 		// The own call fails as well: others are asked meanwhile.
 		s.Failed(now, relay.Source{Store: true})
 		next := s.Next(now)
 		is.True(next.Node != "" && next.Node != first.Node)
 		// Somebody has a current copy.
-		s.Learned(now, next, 100*time.Millisecond)
+		s.Learned(now, next, 100*time.Millisecond, 0)
 		is.Equal(s.Next(now).Node, next.Node)
 	}
 }
@@ -131,7 +131,7 @@
 	is.Equal(len(now), 2)
 	later := start.Add(4 * time.Second)
 	for _, s := range all {
-		s.Learned(later, relay.Source{Node: "n0"}, 0)
+		s.Learned(later, relay.Source{Node: "n0"}, 0, 0)
 	}
 	is.Equal(len(readers(all, later)), 1) // and the one that was dead
 }
@@ -154,7 +154,7 @@
 				latest[name] = now
 				s.Failed(now, next)
 			case next.Node != "":
-				s.Learned(now, next, all[next.Node].Age(now))
+				s.Learned(now, next, all[next.Node].Age(now), 0)
 			}
 		}
 	}
@@ -182,7 +182,7 @@
 	for _, p := range list {
 		s := relay.NewSources(relay.Options{Self: p.Name, Link: p.Link})
 		s.SetNodes(list)
-		s.Learned(start, relay.Source{Store: true}, 0)
+		s.Learned(start, relay.Source{Store: true}, 0, 0)
 		if next := s.Next(start); next.Store {
 			is.Equal(p.Link, 200.0)
 		} else {
@@ -217,7 +217,7 @@
 	for _, name := range names(85) {
 		s := relay.NewSources(relay.Options{Self: name})
 		s.SetNodes(peers(85))
-		s.Learned(start, relay.Source{}, time.Hour)
+		s.Learned(start, relay.Source{}, time.Hour, 0)
 		s.Introduced(start)
 		next := s.Next(start)
 		if next.Store {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -83,8 +83,8 @@
 	a.suspects = newSuspects(o.Settings.Node, a.boot, o.Clock, o.Log, a.tellAll)
 	a.own = newOwn(ownOptions{
 		clock: o.Clock, log: o.Log, count: a.count, wire: o.Wire, changed: a.targetChanged, paceChanged: a.publishLoad,
-		presence:    a.presence,
-		connections: a.connections, healthPath: a.healthPath,
+		presence: a.presence,
+		service:  a.serviceInfo,
 		probes:   newProbes(o.Clock.Now(), o.Settings.ProbesPerSecond),
 		suspects: a.suspects,
 		client: local.New(o.Settings.TargetAddr, local.Options{
--- a/io/agent/announce.go
+++ b/io/agent/announce.go
@@ -8,6 +8,7 @@
 
 	"trefoilthread/core/beat"
 	"trefoilthread/core/types"
+	"trefoilthread/core/vhost"
 	"trefoilthread/io/mesh"
 )
 
@@ -54,23 +55,15 @@
 	return true
 }
 
-// connections returns how many connections a target of a service accepts, 0 if
-// unknown.
-func (a *Agent) connections(name types.ServiceName) int {
-	if t := a.tables.get(); t != nil {
-		s, _ := t.Service(name)
-		return s.Connections
+// serviceInfo returns what the configuration says of a service, nothing if that
+// is unknown.
+func (a *Agent) serviceInfo(name types.ServiceName) vhost.ServiceSpec {
+	t := a.tables.get()
+	if t == nil {
+		return vhost.ServiceSpec{}
 	}
-	return 0
-}
-
-// healthPath returns the path of the health checks of a service, "" if unknown.
-func (a *Agent) healthPath(name types.ServiceName) string {
-	if t := a.tables.get(); t != nil {
-		s, _ := t.Service(name)
-		return s.HealthPath
-	}
-	return ""
+	s, _ := t.Service(name)
+	return s
 }
 
 // errUnknownService means that a target's service isn't in the configuration.
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -92,11 +92,7 @@
 	}
 	news, err := a.client.Query(ctx, addr, q)
 	if err == nil {
-		now := a.clock.Now()
-		a.places.update(func(r *roster.Roster) bool {
-			r.Heard(now, node)
-			return false
-		})
+		a.contact(node)
 	}
 	return news, err
 }
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -54,7 +54,7 @@
 	if !ok || o.probing != nil || o.beat.State() != types.Up || !o.pace.IsStale(now) || now.Before(o.probeFrom) {
 		return cur, ""
 	}
-	path := o.healthPath(cur.Service)
+	path := o.service(cur.Service).HealthPath
 	if path == "" || !o.probes.Grant(now, probe.Cost).Granted() {
 		return cur, ""
 	}
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -20,17 +20,6 @@
 	// long a store that lets waiting calls hear nothing goes unnoticed, and with
 	// holdTime the age of the others' copies.
 	readTime = 700 * time.Millisecond
-	// readGap lets changes in quick succession share a call.
-	readGap = 200 * time.Millisecond
-	// startGap holds in the first startTime of a process, when all agents may
-	// have started together, know few others to ask, and see a wave of records.
-	startGap  = 500 * time.Millisecond
-	startTime = 3 * time.Second
-	// firstGap takes its place when there are no records at all, as at the first
-	// start of the system: those of all come within about two seconds.
-	firstGap = 1200 * time.Millisecond
-	// askGap lets news in quick succession share a query.
-	askGap = 50 * time.Millisecond
 	// firstAskTime bounds a query of an agent that has no copy yet: the reader may
 	// be gone since the listing that named it.
 	firstAskTime = 450 * time.Millisecond
@@ -72,9 +61,7 @@
 	changed chan struct{} // closed at the next change
 
 	// The fields below belong to run.
-	began   time.Time
 	whole   bool // all keys have to be read
-	isFirst bool // no other agent had a record when this one started
 	failing bool // the latest call to the store failed
 	source  string
 }
@@ -82,7 +69,7 @@
 func newMirror(o mirrorOptions) *mirror {
 	return &mirror{
 		mirrorOptions: o, copy: relay.NewCopy(), sources: relay.NewSources(relay.Options{Self: o.self, Link: o.link}),
-		changed: make(chan struct{}), whole: true, began: o.clock.Now(),
+		changed: make(chan struct{}), whole: true,
 	}
 }
 
@@ -95,8 +82,8 @@
 
 // run follows the store until ctx ends.
 func (m *mirror) run(ctx context.Context) {
-	m.pause(ctx, m.introduce(ctx))
-	if m.isFirst {
+	if pause := m.introduce(ctx); pause > 0 {
+		m.pause(ctx, pause)
 		m.introduce(ctx) // the others have started meanwhile
 	}
 	for ctx.Err() == nil {
@@ -135,17 +122,12 @@
 	}
 	m.learn(relay.Source{}, unknownAge, listedItems(listed), 0, false)
 	m.mu.Lock()
-	m.sources.Introduced(m.clock.Now())
-	isAlone := m.sources.IsAlone()
-	has := m.copy.Has
+	pause := m.sources.Introduced(m.clock.Now())
+	isAlone, has := m.sources.IsAlone(), m.copy.Has
 	m.mu.Unlock()
 	m.listed(rev, has)
 	m.introduced(ctx, isAlone)
-	if !isAlone {
-		return 0
-	}
-	m.isFirst = true
-	return firstGap // the others may be about to write their records
+	return pause
 }
 
 // unknownAge is the age of a copy that may be older than any that counts.
@@ -177,17 +159,7 @@
 	for i, ev := range events {
 		items[i] = relay.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision, Deleted: ev.Deleted}
 	}
-	m.learn(relay.Source{Store: true}, 0, items, rev, false)
-	switch {
-	case len(events) == 0:
-		return 0
-	case m.clock.Since(m.began) >= startTime:
-	case m.isFirst:
-		return firstGap
-	default:
-		return startGap
-	}
-	return readGap
+	return m.learn(relay.Source{Store: true}, 0, items, rev, false)
 }
 
 // list reads all keys.
@@ -198,7 +170,7 @@
 	}
 	m.whole = false
 	m.learn(relay.Source{Store: true}, 0, listedItems(listed), rev, true)
-	return 0
+	return 0 // changes since then are due at once
 }
 
 // noteStore notes the end of a call to the store, and logs when the store is
@@ -253,15 +225,12 @@
 	if news.Whole {
 		m.whole = false
 	}
-	m.learn(from, time.Duration(news.AgeMs)*time.Millisecond, items, news.Revision, news.Whole)
-	if len(items) > 0 {
-		return askGap
-	}
-	return 0
+	return m.learn(from, time.Duration(news.AgeMs)*time.Millisecond, items, news.Revision, news.Whole)
 }
 
-// learn takes items over and passes on those that are news.
-func (m *mirror) learn(from relay.Source, age time.Duration, items []relay.Item, rev int64, whole bool) {
+// learn takes items over, passes on those that are news, and returns the pause
+// until the next step.
+func (m *mirror) learn(from relay.Source, age time.Duration, items []relay.Item, rev int64, whole bool) time.Duration {
 	values := make(map[string][]byte, len(items))
 	kept := items[:0]
 	for _, it := range items {
@@ -282,7 +251,7 @@
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
-	m.sources.Learned(m.clock.Now(), from, age)
+	pause := m.sources.Learned(m.clock.Now(), from, age, len(items))
 	has := m.copy.Has
 	m.mu.Unlock()
 	m.noteSource(from)
@@ -295,6 +264,7 @@
 	if whole {
 		m.listed(rev, has)
 	}
+	return pause
 }
 
 // keep returns an item as the copy holds it, long values compressed, and its
--- a/io/agent/own.go
+++ b/io/agent/own.go
@@ -13,6 +13,7 @@
 	"trefoilthread/core/pace"
 	"trefoilthread/core/probe"
 	"trefoilthread/core/types"
+	"trefoilthread/core/vhost"
 	"trefoilthread/io/local"
 	"trefoilthread/io/mesh"
 )
@@ -36,11 +37,8 @@
 	// paceChanged is told when work takes longer or shorter than was last told.
 	paceChanged func(cur beat.Announcement, l mesh.Load)
 	suspects    *suspects
-	// connections returns how many connections a target of a service accepts,
-	// 0 if unknown.
-	connections func(name types.ServiceName) int
-	// healthPath returns the path of a service's health checks, "" if unknown.
-	healthPath func(name types.ServiceName) string
+	// service returns what is known of a service.
+	service func(name types.ServiceName) vhost.ServiceSpec
 	// presence describes the target together with this agent.
 	presence func(cur beat.Announcement) *mesh.Presence
 	// probes bounds the health checks.
@@ -131,7 +129,7 @@
 		return o.gate.Drain(o.clock.Now())
 	}
 	o.gate.Resume()
-	o.gate.SetOptions(admit.OptionsFor(cur.Slots, o.connections(cur.Service)))
+	o.gate.SetOptions(admit.OptionsFor(cur.Slots, o.service(cur.Service).Connections))
 	return o.gate.Tick(o.clock.Now())
 }
 
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -15,19 +15,22 @@
 
 // serve runs a call of another agent.
 func (a *Agent) serve(ctx context.Context, from mesh.Hello, head *mesh.CallHead) *mesh.Answer {
-	if from.Node != "" {
-		now := a.clock.Now()
-		a.places.update(func(r *roster.Roster) bool {
-			r.Heard(now, from.Node)
-			return false
-		})
-	}
+	a.contact(from.Node)
 	a.heardVersion(head.Config)
 	ans := a.own.serve(ctx, head)
 	ans.Config = a.tables.version()
 	return ans
 }
 
+// contact notes direct contact with an agent.
+func (a *Agent) contact(node string) {
+	now := a.clock.Now()
+	a.places.update(func(r *roster.Roster) bool {
+		r.Heard(now, node)
+		return false
+	})
+}
+
 // send hands a call to the agent beside its target.
 func (a *Agent) send(ctx context.Context, t types.Target, head *mesh.CallHead) (*mesh.Answer, error) {
 	if t.Address() == a.opts.Settings.public() {
@@ -90,11 +93,10 @@
 func (a *Agent) notice(n *mesh.Notice) {
 	a.heardVersion(n.Config)
 	a.suspects.learn(n.Suspects)
-	now := a.clock.Now()
-	a.places.update(func(r *roster.Roster) bool {
-		r.Heard(now, n.Node)
-		return n.Leaving && r.Leaving(n.Node, n.Boot)
-	})
+	a.contact(n.Node)
+	if n.Leaving {
+		a.places.update(func(r *roster.Roster) bool { return r.Leaving(n.Node, n.Boot) })
+	}
 	if n.HasLoad {
 		a.places.report(types.ServiceName(n.Service), types.TargetID(n.Target), n.Load)
 	}
