io/agent: keep the speed of a link in corrections

Cause: found in the reading. The description of an agent that corrects a belief had no link speed, so a corrected agent fell back in the order of readers until its next record, and agents disagreed on who reads.

Change: the description holds it. The test failed before.

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -1,6 +1,11 @@
 package agent
 
-import "trefoilthread/core/types"
+import (
+	"trefoilthread/core/beat"
+	"trefoilthread/core/roster"
+	"trefoilthread/core/types"
+	"trefoilthread/io/mesh"
+)
 
 // Names for the tests of package agent_test.
 var (
@@ -30,3 +35,16 @@
 
 // Suspects is suspects.
 type Suspects = suspects
+
+// Describe is presence.
+func Describe(a *Agent, cur beat.Announcement) *mesh.Presence { return a.presence(cur) }
+
+// Corrected returns the records that a knows after correct.
+func Corrected(a *Agent, p *mesh.Presence) (recs []roster.Record) {
+	a.correct(types.Target{}, p)
+	a.places.update(func(r *roster.Roster) bool {
+		recs = r.Records()
+		return false
+	})
+	return recs
+}
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -48,8 +48,8 @@
 func (a *Agent) presence(cur beat.Announcement) *mesh.Presence {
 	return &mesh.Presence{
 		Node: a.opts.Settings.Node, Boot: a.boot, Address: a.opts.Settings.public(),
-		DataCentre: string(a.opts.Settings.DataCentre),
-		Target:     string(cur.ID), Service: string(cur.Service), Slots: cur.Slots, Born: cur.Born,
+		DataCentre: string(a.opts.Settings.DataCentre), Link: a.opts.Settings.Link,
+		Target: string(cur.ID), Service: string(cur.Service), Slots: cur.Slots, Born: cur.Born,
 	}
 }
 
@@ -63,7 +63,7 @@
 	var isNews bool
 	a.places.update(func(r *roster.Roster) bool {
 		isNews = r.Meet(now, roster.Record{
-			Node: p.Node, Boot: p.Boot, Address: p.Address, DataCentre: types.DataCentre(p.DataCentre),
+			Node: p.Node, Boot: p.Boot, Address: p.Address, DataCentre: types.DataCentre(p.DataCentre), Link: p.Link,
 			Target: roster.Target{
 				ID: types.TargetID(p.Target), Service: types.ServiceName(p.Service), Slots: p.Slots,
 				Born: p.Born, State: types.Up,
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -77,6 +77,7 @@
 	Boot       uint64
 	Address    string // where the daemon takes connections
 	DataCentre string
+	Link       float64 // of the VM, Mbit/s, 0 if unknown
 	Target     string
 	Service    string
 	Slots      int
