io/peer: wait for StallAfter when no new connection can be made

The handshake of the new connection ends after a second, before StallAfter in this test, and the old connection was closed then.

Ruled out: the load; the times of the test meet at 3 s on any machine.

Change: without a new connection the old one is kept until StallAfter has passed, as the comment says. 24 runs, eight at a time, pass under the race detector.

--- a/io/peer/watcher.go
+++ b/io/peer/watcher.go
@@ -128,6 +128,9 @@
 	ctx, cancel := context.WithTimeout(w.node.ctx, w.node.opts.StallAfter)
 	defer cancel()
 	_, err := c.link.get(ctx)
+	if err != nil {
+		<-ctx.Done() // the handshake has a time-out of its own
+	}
 	w.mu.Lock()
 	recovered := w.tracker.Recovered(c.conn.id)
 	w.mu.Unlock()
