io/agent: correct two comments after the start was changed

The last reading found that listed is also told at the start, with the records of the agents only, and that isLong no longer means that agents can't tell the document. No code changes.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -65,7 +65,7 @@
 	stopping atomic.Bool
 	newer    chan int64    // versions that other agents have
 	unread   chan struct{} // holds one token when the configuration is to be read
-	isLong   atomic.Bool   // the configuration is too long to be told by agents
+	isLong   atomic.Bool   // the configuration is left more time to come from others before it is read
 	cancel   context.CancelFunc
 	started  time.Time
 	https    []*http.Server
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -46,7 +46,7 @@
 	// if there are none.
 	introduced func(ctx context.Context, isAlone bool)
 	// listed is told when the copy has all keys, each time that they were read
-	// as a whole.
+	// as a whole, and at the start when it has those of the agents.
 	listed func(revision int64, has func(key string) bool)
 }
 
