io/front: report responses held by earlier ones of their connection

Now a histogram counts each such wait, and a line names the earlier request if the answer misses its goal only by the wait.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -113,7 +113,7 @@
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
-		Refuse: e.refuse,
+		Refuse: e.refuse, Held: e.held,
 		Failed: func(err error) { o.Log.WithError(err).Warn("connection not accepted") },
 	})
 	return a
--- a/io/agent/counts.go
+++ b/io/agent/counts.go
@@ -13,6 +13,7 @@
 	scope   tally.Scope
 	latency tally.Histogram // of callers' requests
 	targets tally.Histogram // of calls at the target on this VM
+	held    tally.Histogram // of responses that waited for earlier ones of their connection
 	routine *rate.Limiter   // of log lines about what went as usual
 }
 
@@ -42,6 +43,7 @@
 		scope:   scope,
 		latency: scope.Histogram("request_latency", latencyBuckets),
 		targets: scope.Histogram("target_latency", latencyBuckets),
+		held:    scope.Histogram("response_hold", latencyBuckets),
 		routine: rate.NewLimiter(routineLines, routineLines),
 	}
 }
--- a/io/agent/note.go
+++ b/io/agent/note.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"trefoilthread/io/front"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
 )
@@ -44,6 +45,27 @@
 	}).Info("request ended")
 }
 
+// held notes a response that waited for an earlier one of its connection, in the
+// log if it missed its goal for that.
+func (e *entry) held(h front.Hold) {
+	e.count.held.RecordDuration(h.Held)
+	ask, ok := e.wire.ReadAsk(h.Req)
+	t := e.tables.get()
+	if !ok || t == nil {
+		return
+	}
+	r, ok := t.Lookup(ask.Host, h.Req.Target)
+	took := e.clock.Since(h.Came)
+	if !ok || took <= r.Goal() || took-h.Held > r.Goal() {
+		return
+	}
+	by, _ := e.wire.ReadAsk(h.By) // without an id it shows as ""
+	e.log.WithFields(log.Fields{
+		"request": ask.ID, "route": r.Name(), "status": h.Status, "by": by.ID, "heldMs": h.Held.Milliseconds(),
+		"tookMs": took.Milliseconds(), "goalMs": r.Goal().Milliseconds(), "config": t.Version(),
+	}).Info("response held by an earlier one of its connection")
+}
+
 // note logs a call at the target on this VM, with what its gate knew.
 func (o *own) note(head *mesh.CallHead, ans *mesh.Answer, took time.Duration) {
 	o.count.served(resultNames[ans.Result], took)
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -18,9 +18,11 @@
 
 // exchange is one request with its response, once that is there.
 type exchange struct {
-	method string
-	resp   *httpw.Response
-	last   bool // the caller expects the connection to end
+	req   *httpw.Request // empty for bytes that are no valid request
+	came  time.Time
+	resp  *httpw.Response
+	ready time.Time // when the response was there
+	last  bool      // the caller expects the connection to end
 }
 
 // conn is one connection of a caller.
@@ -56,7 +58,7 @@
 			c.finish(err)
 			return
 		}
-		x := &exchange{method: req.Method, last: req.Close}
+		x := &exchange{req: req, came: c.s.opts.Clock.Now(), last: req.Close}
 		if !c.enqueue(x) {
 			c.awaitClose() // the connection has ended with an earlier response
 			return
@@ -134,7 +136,7 @@
 func (c *conn) finish(err error) {
 	var bad *httpw.MessageError
 	if errors.As(err, &bad) {
-		x := &exchange{last: true}
+		x := &exchange{req: new(httpw.Request), came: c.s.opts.Clock.Now(), last: true}
 		if c.enqueue(x) {
 			c.answer(x, c.s.opts.Refuse(bad.Status()))
 			c.awaitClose()
--- a/io/front/doc.go
+++ b/io/front/doc.go
@@ -1,9 +1,10 @@
 // Package front serves HTTP/1.1 to callers of one daemon.
 //
 // A connection is read while its earlier requests run: pipelined requests run
-// side by side and are answered in the order they came. Reading on also shows
-// at once that the caller has closed the connection, which cancels the context
-// of its requests. A request is handed over only when it is whole.
+// side by side and are answered in the order they came, so a response can be held
+// by an earlier one; Held is told of that. Reading on also shows at once that the
+// caller has closed the connection, which cancels the context of its requests. A
+// request is handed over only when it is whole.
 //
 // The package decides nothing about a request: Handle does.
 //
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -24,11 +24,20 @@
 const patience = 5 * time.Second
 
 func serve(t *testing.T, handle func(context.Context, *httpw.Request) *httpw.Response) (*front.Server, net.Conn) {
+	t.Helper()
+	return serveNoting(t, handle, func(front.Hold) {})
+}
+
+// serveNoting is serve with a function that takes the holds.
+func serveNoting(
+	t *testing.T, handle func(context.Context, *httpw.Request) *httpw.Response, held func(front.Hold),
+) (*front.Server, net.Conn) {
 	t.Helper()
 	s := front.New(front.Options{
 		Handle: handle, Clock: clockwork.NewRealClock(),
 		Refuse: func(status int) *httpw.Response { return &httpw.Response{Status: status} },
 		Failed: func(err error) { t.Error(err) },
+		Held:   held,
 		Bounds: func() front.Bounds {
 			return front.Bounds{Message: httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024}, Header: patience, Idle: patience}
 		},
@@ -97,6 +106,38 @@
 	is.Equal(string(read(t, br).Body), "/2")
 }
 
+// Guards against responses that come late because of an earlier one of their
+// connection without a trace: nothing showed why half of the urgent checks were
+// late (incident inc-c9e2).
+func TestHeldResponseIsReported(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	holds := make(chan front.Hold, 1)
+	_, c := serveNoting(t, func(_ context.Context, r *httpw.Request) *httpw.Response {
+		if r.Target == "/2" {
+			go func() { second <- struct{}{} }()
+		} else {
+			<-second
+			time.Sleep(time.Millisecond)
+		}
+		return &httpw.Response{Status: 200}
+	}, func(h front.Hold) { holds <- h })
+	br := bufio.NewReader(c)
+	// Whether the second response is stored before the first one is up to the
+	// scheduler, so that it may take some turns.
+	for len(holds) == 0 {
+		_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+		is.NoErr(err)
+		read(t, br)
+		read(t, br)
+	}
+	h := <-holds
+	is.Equal(h.Req.Target, "/2")
+	is.Equal(h.By.Target, "/1")
+	is.Equal(h.Status, 200)
+	is.True(h.Held > 0)
+}
+
 // Guards against work that goes on after its caller has closed the connection,
 // also when a further request waits behind it.
 func TestCloseOfTheCallerCancels(t *testing.T) {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -21,6 +21,15 @@
 	Idle    time.Duration // time a connection may stay without a request
 }
 
+// Hold is the wait of a response for an earlier one of its connection.
+type Hold struct {
+	Req    *httpw.Request
+	Status int            // of the response
+	By     *httpw.Request // request that was answered before it, at last
+	Came   time.Time      // when Req was whole
+	Held   time.Duration  // from when the response was there until it was sent
+}
+
 // Options configure a Server. All functions are required.
 type Options struct {
 	// Handle returns the response to a request. Its context ends when the
@@ -30,6 +39,9 @@
 	Refuse func(status int) *httpw.Response
 	// Bounds returns the bounds in force.
 	Bounds func() Bounds
+	// Held is told of a response that waited for an earlier one of its
+	// connection. It must not block.
+	Held func(h Hold)
 	// Failed is told of accept errors.
 	Failed func(err error)
 	Clock  clockwork.Clock
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -11,7 +11,7 @@
 func (c *conn) answer(x *exchange, resp *httpw.Response) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x.resp = resp
+	x.resp, x.ready = resp, c.s.opts.Clock.Now()
 	if c.writing {
 		return
 	}
@@ -27,18 +27,21 @@
 func (c *conn) writeNext() {
 	var buf []byte
 	last := false
-	for len(c.queue) > 0 && c.queue[0].resp != nil && !last {
-		x := c.queue[0]
-		c.queue = c.queue[1:]
+	n := 0
+	for ; n < len(c.queue) && c.queue[n].resp != nil && !last; n++ {
+		x := c.queue[n]
 		// The response may be shared; only the copy says how this connection
 		// goes on.
 		resp := *x.resp
 		last = x.last || resp.Close || c.s.draining.Load()
 		resp.Close = last
-		buf = httpw.AppendResponse(buf, &resp, x.method)
+		buf = httpw.AppendResponse(buf, &resp, x.req.Method)
 	}
+	due := c.queue[:n]
+	c.queue = c.queue[n:]
 	c.room.Signal()
 	c.mu.Unlock()
+	c.noteHeld(due)
 	err := c.write(buf)
 	c.mu.Lock()
 	if err != nil || last {
@@ -49,6 +52,18 @@
 	}
 }
 
+// noteHeld reports the responses that were ready before the first one of those
+// that are written now.
+func (c *conn) noteHeld(due []*exchange) {
+	now := c.s.opts.Clock.Now()
+	first := due[0]
+	for _, x := range due[1:] {
+		if x.ready.Before(first.ready) {
+			c.s.opts.Held(Hold{Req: x.req, Status: x.resp.Status, By: first.req, Came: x.came, Held: now.Sub(x.ready)})
+		}
+	}
+}
+
 func (c *conn) write(buf []byte) error {
 	if err := c.nc.SetWriteDeadline(c.s.opts.Clock.Now().Add(writeTime)); err != nil {
 		return err
