io/mesh: number the fields of messages

Cause: a message was an array of a fixed number of fields, and the decoder refuses an array with another number. So a rolling update of the agents to a version with one more field would lose the calls between old and new ones.

Change: fields have numbers, unknown ones are skipped, missing ones are zero. A header line is an array of two strings; its field names went over the wire with each line. The new test failed before with the connection closed.

Between this version and earlier ones calls are still lost, once.

--- a/io/httpw/header.go
+++ b/io/httpw/header.go
@@ -6,6 +6,7 @@
 
 // Field is one header line.
 type Field struct {
+	_     struct{} `cbor:",toarray"`
 	Name  string
 	Value string
 }
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -5,6 +5,16 @@
 // costs one frame instead of a connection. Messages are CBOR and whole: a call
 // is delivered only when all its bytes are there, and so is its answer.
 //
+// # Versions
+//
+// Daemons are updated one after the other, so each may speak with older and newer
+// ones. The fields of a message have numbers; a field that a daemon doesn't know is
+// skipped, one that is missing is zero, and frames of unknown kinds are skipped. A
+// number is never used for another field, and a field whose zero doesn't mean what
+// its absence meant before it was added gets a name of its own.
+//
+// # Silence
+//
 // A connection that has gone silent is told by a ping: when calls are open and
 // nothing has come for Options.Silence, a ping is sent, and without any byte
 // for another Silence the connection is closed. Its open calls end with
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
@@ -217,3 +219,72 @@
 	is.NoErr(err)
 	is.Equal(ans.Reason, "1")
 }
+
+// later is a frame of a daemon of a later version: its message has a field that this
+// version doesn't know, and lacks those in which it has nothing to say.
+func later(kind byte, call uint64, fields map[int]any) []byte {
+	fields[99] = "unknown"
+	payload, err := cbor.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	buf := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+	buf = append(buf, kind)
+	buf = binary.BigEndian.AppendUint64(buf, call)
+	return append(buf, payload...)
+}
+
+// receive reads one frame.
+func receive(r io.Reader) (kind byte, payload []byte, err error) {
+	head := make([]byte, 13)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return 0, nil, err
+	}
+	payload = make([]byte, binary.BigEndian.Uint32(head))
+	_, err = io.ReadFull(r, payload)
+	return head[4], payload, err
+}
+
+// Guards against calls that are lost while agents are updated one after the other:
+// a message that had grown by a field was refused with its connection.
+func TestLaterVersionIsUnderstood(t *testing.T) {
+	is := is.New(t)
+	const kindHello, kindCall, kindAnswer = 1, 2, 4
+	_, addr := serve(t, func(_ context.Context, from mesh.Hello, c *mesh.CallHead) *mesh.Answer {
+		return &mesh.Answer{Reason: from.Node + "/" + c.ID}
+	})
+	nc, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer nc.Close()
+	is.NoErr(nc.SetDeadline(time.Now().Add(patience)))
+	_, err = nc.Write(later(kindHello, 0, map[int]any{1: "b"}))
+	is.NoErr(err)
+	_, err = nc.Write(later(kindCall, 5, map[int]any{1: "7"}))
+	is.NoErr(err)
+	kind, payload, err := receive(nc)
+	is.NoErr(err)
+	is.Equal(kind, byte(kindAnswer))
+	var ans mesh.Answer
+	is.NoErr(cbor.Unmarshal(payload, &ans))
+	is.Equal(ans.Reason, "b/7")
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		for kind := byte(0); err == nil && kind != kindCall; kind, _, err = receive(nc) {
+		}
+		// The first call of a connection has the number 1. An error shows in the
+		// call.
+		_, _ = nc.Write(later(kindAnswer, 1, map[int]any{5: 200}))
+		_, _ = io.Copy(io.Discard, nc)
+	}()
+	got, err := client(t, mesh.ClientOptions{}).Call(bounded(t), ln.Addr().String(), &mesh.CallHead{ID: "1"})
+	is.NoErr(err)
+	is.Equal(got.Status, 200)
+}
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -6,23 +6,22 @@
 
 // CallHead is a call with the whole request.
 type CallHead struct {
-	_           struct{} `cbor:",toarray"`
-	ID          string   // request id
-	Service     string   // service that is to run it
-	Target      string   // target that is to run it
-	Caller      string   // service beside which the request came in
-	Method      string
-	Path        string // path and query as the caller sent them
-	Header      httpw.Header
-	Body        []byte
-	RemainingMs int64   // time left until the call's deadline
-	GoalMs      int64   // time left in which the answer has its full worth
-	Rank        int     // 0 is the most urgent
-	Route       string  // calls of one route take about the same time
-	Prompt      bool    // refuse it rather than answer after the goal
-	Worth       float64 // value of the answer
-	AtMostOnce  bool
-	Config      int64 // configuration version by which the call was routed
+	ID          string       `cbor:"1,keyasint,omitempty"` // request id
+	Service     string       `cbor:"2,keyasint,omitempty"` // service that is to run it
+	Target      string       `cbor:"3,keyasint,omitempty"` // target that is to run it
+	Caller      string       `cbor:"4,keyasint,omitempty"` // service beside which the request came in
+	Method      string       `cbor:"5,keyasint,omitempty"`
+	Path        string       `cbor:"6,keyasint,omitempty"` // path and query as the caller sent them
+	Header      httpw.Header `cbor:"7,keyasint,omitempty"`
+	Body        []byte       `cbor:"8,keyasint,omitempty"`
+	RemainingMs int64        `cbor:"9,keyasint,omitempty"`  // time left until the call's deadline
+	GoalMs      int64        `cbor:"10,keyasint,omitempty"` // time left in which the answer has its full worth
+	Rank        int          `cbor:"11,keyasint,omitempty"` // 0 is the most urgent
+	Route       string       `cbor:"12,keyasint,omitempty"` // calls of one route take about the same time
+	Prompt      bool         `cbor:"13,keyasint,omitempty"` // refuse it rather than answer after the goal
+	Worth       float64      `cbor:"14,keyasint,omitempty"` // value of the answer
+	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
+	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
 }
 
 // Result tells what became of a call at the daemon beside its target.
@@ -41,110 +40,100 @@
 
 // Load is the load of a target when an answer left its daemon.
 type Load struct {
-	_         struct{} `cbor:",toarray"`
-	InFlight  int
-	Queued    int
-	Limit     int
-	LatencyUs int64
-	Draining  bool
-	Born      uint64  // start of the target
-	Pace      float64 // how long work takes there, 1 as usual, 0 if unknown
+	InFlight  int     `cbor:"1,keyasint,omitempty"`
+	Queued    int     `cbor:"2,keyasint,omitempty"`
+	Limit     int     `cbor:"3,keyasint,omitempty"`
+	LatencyUs int64   `cbor:"4,keyasint,omitempty"`
+	Draining  bool    `cbor:"5,keyasint,omitempty"`
+	Born      uint64  `cbor:"6,keyasint,omitempty"` // start of the target
+	Pace      float64 `cbor:"7,keyasint,omitempty"` // how long work takes there, 1 as usual, 0 if unknown
 }
 
 // Answer is the result of a call.
 type Answer struct {
-	_       struct{} `cbor:",toarray"`
-	Result  Result
-	Reason  string // for people, of a result other than Answered
-	RetryMs int64  // when a refused call may find room, 0 if unknown
+	Result  Result `cbor:"1,keyasint,omitempty"`
+	Reason  string `cbor:"2,keyasint,omitempty"` // for people, of a result other than Answered
+	RetryMs int64  `cbor:"3,keyasint,omitempty"` // when a refused call may find room, 0 if unknown
 	// Reached tells that the call was handed to the target, which then
 	// refused it.
-	Reached bool
-	Status  int
-	Phrase  string
-	Header  httpw.Header
-	Body    []byte
-	Load    Load
-	Config  int64 // configuration version of the answering daemon
+	Reached bool         `cbor:"4,keyasint,omitempty"`
+	Status  int          `cbor:"5,keyasint,omitempty"`
+	Phrase  string       `cbor:"6,keyasint,omitempty"`
+	Header  httpw.Header `cbor:"7,keyasint,omitempty"`
+	Body    []byte       `cbor:"8,keyasint,omitempty"`
+	Load    Load         `cbor:"9,keyasint,omitempty"`
+	Config  int64        `cbor:"10,keyasint,omitempty"` // configuration version of the answering daemon
 	// Instead describes the target on the VM when the call named another one.
-	Instead *Presence
+	Instead *Presence `cbor:"11,keyasint,omitempty"`
 }
 
 // Presence is a target with the daemon beside it, as the daemon describes them.
 type Presence struct {
-	_          struct{} `cbor:",toarray"`
-	Node       string
-	Boot       uint64
-	Address    string // where the daemon takes connections
-	DataCentre string
-	Link       float64 // of the VM, Mbit/s, 0 if unknown
-	Target     string
-	Service    string
-	Slots      int
-	Born       uint64 // start of the target
+	Node       string  `cbor:"1,keyasint,omitempty"`
+	Boot       uint64  `cbor:"2,keyasint,omitempty"`
+	Address    string  `cbor:"3,keyasint,omitempty"` // where the daemon takes connections
+	DataCentre string  `cbor:"4,keyasint,omitempty"`
+	Link       float64 `cbor:"5,keyasint,omitempty"` // of the VM, Mbit/s, 0 if unknown
+	Target     string  `cbor:"6,keyasint,omitempty"`
+	Service    string  `cbor:"7,keyasint,omitempty"`
+	Slots      int     `cbor:"8,keyasint,omitempty"`
+	Born       uint64  `cbor:"9,keyasint,omitempty"` // start of the target
 }
 
 // Hello opens a connection.
 type Hello struct {
-	_       struct{} `cbor:",toarray"`
-	Node    string
-	Boot    uint64
-	Address string // where the sender takes connections
+	Node    string `cbor:"1,keyasint,omitempty"`
+	Boot    uint64 `cbor:"2,keyasint,omitempty"`
+	Address string `cbor:"3,keyasint,omitempty"` // where the sender takes connections
 }
 
 // Query asks for what is in the store.
 type Query struct {
-	_        struct{} `cbor:",toarray"`
-	Revision int64    // all changes up to this one are known to the sender
+	Revision int64 `cbor:"1,keyasint,omitempty"` // all changes up to this one are known to the sender
 }
 
 // News answers a Query.
 type News struct {
-	_        struct{} `cbor:",toarray"`
-	Whole    bool     // Items are all that there are
-	Items    []Item
-	Revision int64 // all changes up to this one are known now
-	AgeMs    int64 // later changes may be missing if they are not older than this
+	Whole    bool   `cbor:"1,keyasint,omitempty"` // Items are all that there are
+	Items    []Item `cbor:"2,keyasint,omitempty"`
+	Revision int64  `cbor:"3,keyasint,omitempty"` // all changes up to this one are known now
+	AgeMs    int64  `cbor:"4,keyasint,omitempty"` // later changes may be missing if they are not older than this
 }
 
 // Item is one key of the store.
 type Item struct {
-	_        struct{} `cbor:",toarray"`
-	Key      string
-	Value    []byte
-	Revision int64
-	Deleted  bool
-	Packed   bool // the value is compressed with DEFLATE
-	Omitted  bool // the value is too long to be told
+	Key      string `cbor:"1,keyasint,omitempty"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+	Revision int64  `cbor:"3,keyasint,omitempty"`
+	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	Packed   bool   `cbor:"5,keyasint,omitempty"` // the value is compressed with DEFLATE
+	Omitted  bool   `cbor:"6,keyasint,omitempty"` // the value is too long to be told
 }
 
 // Notice is a message without an answer.
 type Notice struct {
-	_        struct{} `cbor:",toarray"`
-	Node     string
-	Boot     uint64
-	Config   int64  // configuration version in force at the sender
-	Target   string // target beside the sender, "" for none
-	Service  string // service of that target
-	Leaving  bool   // the target takes no new calls
-	HasLoad  bool   // Load is that of the target
-	Load     Load
-	Suspects []Suspect
+	Node     string    `cbor:"1,keyasint,omitempty"`
+	Boot     uint64    `cbor:"2,keyasint,omitempty"`
+	Config   int64     `cbor:"3,keyasint,omitempty"` // configuration version in force at the sender
+	Target   string    `cbor:"4,keyasint,omitempty"` // target beside the sender, "" for none
+	Service  string    `cbor:"5,keyasint,omitempty"` // service of that target
+	Leaving  bool      `cbor:"6,keyasint,omitempty"` // the target takes no new calls
+	HasLoad  bool      `cbor:"7,keyasint,omitempty"` // Load is that of the target
+	Load     Load      `cbor:"8,keyasint,omitempty"`
+	Suspects []Suspect `cbor:"9,keyasint,omitempty"`
 }
 
 // Suspect is a request that was running when a target died.
 type Suspect struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint uint64
-	Deaths      []Death
+	Fingerprint uint64  `cbor:"1,keyasint,omitempty"`
+	Deaths      []Death `cbor:"2,keyasint,omitempty"`
 }
 
 // Death is the death of a target that ran a suspect.
 type Death struct {
-	_       struct{} `cbor:",toarray"`
-	Target  string
-	Boot    uint64
-	Number  uint64
-	AgeMs   int64
-	Cleared bool
+	Target  string `cbor:"1,keyasint,omitempty"`
+	Boot    uint64 `cbor:"2,keyasint,omitempty"`
+	Number  uint64 `cbor:"3,keyasint,omitempty"`
+	AgeMs   int64  `cbor:"4,keyasint,omitempty"`
+	Cleared bool   `cbor:"5,keyasint,omitempty"`
 }
