--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -83,7 +83,7 @@
 // run follows the store until ctx ends.
 func (m *mirror) run(ctx context.Context) {
 	if pause := m.introduce(ctx); pause > 0 {
-		m.pause(ctx, pause)
+		sleep(ctx, m.clock, pause)
 		m.introduce(ctx) // the others have started meanwhile
 	}
 	for ctx.Err() == nil {
@@ -99,17 +99,7 @@
 		default:
 			pause = next.Wait
 		}
-		m.pause(ctx, pause)
-	}
-}
-
-func (m *mirror) pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-m.clock.After(d):
+		sleep(ctx, m.clock, pause)
 	}
 }
 
--- /dev/null
+++ b/io/agent/nodes.go
@@ -0,0 +1,97 @@
+package agent
+
+import (
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"trefoilthread/core/relay"
+	"trefoilthread/core/roster"
+)
+
+// takeNodes takes changes of the agents' records over.
+func (a *Agent) takeNodes(items []relay.Item) {
+	var records []roster.Record
+	var missing []string
+	for _, it := range items {
+		name := strings.TrimPrefix(it.Key, nodePrefix)
+		switch {
+		case it.Deleted && name == a.opts.Settings.Node:
+			a.register.lost(it.Revision)
+		case it.Deleted:
+			missing = append(missing, name)
+		default:
+			records = a.appendRecord(records, it)
+		}
+	}
+	if len(records) > 0 {
+		a.learn(records)
+	}
+	if len(missing) > 0 {
+		a.miss(missing)
+	}
+}
+
+// appendRecord appends the record of another agent.
+func (a *Agent) appendRecord(records []roster.Record, it relay.Item) []roster.Record {
+	rec, _, err := decodeRecord(it.Key, it.Value, it.Revision)
+	if err != nil {
+		a.log.WithError(err).WithField("key", it.Key).Warn("record names no target")
+		return records
+	}
+	if rec.Node == a.opts.Settings.Node {
+		return records
+	}
+	return append(records, rec)
+}
+
+// learn enters records of other agents.
+func (a *Agent) learn(records []roster.Record) {
+	a.places.update(func(r *roster.Roster) bool {
+		changed := false
+		for _, rec := range records {
+			changed = r.Learn(rec) || changed
+		}
+		return changed
+	})
+	for _, rec := range records {
+		a.log.WithFields(log.Fields{
+			"node": rec.Node, "revision": rec.Sequence, "target": string(rec.Target.ID), "state": rec.Target.State.String(),
+		}).Info("record learned")
+	}
+	a.refreshSources()
+}
+
+// miss notes that records aren't in the store any more.
+func (a *Agent) miss(names []string) {
+	now := a.clock.Now()
+	a.places.update(func(r *roster.Roster) bool {
+		for _, name := range names {
+			r.Missing(now, name)
+		}
+		return false
+	})
+	a.expireNodes()
+}
+
+// expireNodes removes agents whose records have been missing for too long, and
+// comes back when the next one is due.
+func (a *Agent) expireNodes() {
+	var gone []string
+	var next time.Time
+	now := a.clock.Now()
+	a.places.update(func(r *roster.Roster) bool {
+		gone, next = r.Expire(now)
+		return len(gone) > 0
+	})
+	if len(gone) > 0 {
+		a.refreshSources()
+	}
+	for _, name := range gone {
+		a.log.WithField("node", name).Info("agent removed, its record is missing and nothing was heard of it")
+	}
+	if !next.IsZero() {
+		a.clock.AfterFunc(next.Sub(now), a.expireNodes)
+	}
+}
--- a/io/agent/stop.go
+++ b/io/agent/stop.go
@@ -29,13 +29,13 @@
 	a.log.Info("agent stopping")
 	a.front.Drain()
 	quiet := min(quietTime, bound/2)
-	a.sleep(ctx, min(targetTime, quiet))
+	sleep(ctx, a.clock, min(targetTime, quiet))
 	a.own.stop()
-	a.sleep(ctx, quiet-min(targetTime, quiet))
+	sleep(ctx, a.clock, quiet-min(targetTime, quiet))
 	a.front.Close()
 	err := a.front.Wait(ctx)
 	for !a.own.isIdle() && ctx.Err() == nil {
-		a.sleep(ctx, stopCheck)
+		sleep(ctx, a.clock, stopCheck)
 	}
 	a.cancel()
 	a.withdraw()
