--- a/io/front/write.go
+++ b/io/front/write.go
@@ -41,8 +41,8 @@
 	c.queue = c.queue[n:]
 	c.room.Signal()
 	c.mu.Unlock()
-	c.noteHeld(due)
 	err := c.write(buf)
+	c.noteHeld(due)
 	c.mu.Lock()
 	if err != nil || last {
 		c.ended = true
