--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -10,8 +10,8 @@
 // Daemons are updated one after the other, so each may speak with older and newer
 // ones. The fields of a message have numbers; a field that a daemon doesn't know is
 // skipped, one that is missing is zero, and frames of unknown kinds are skipped. A
-// number is never used for another field, and a field whose zero doesn't mean what
-// its absence meant before it was added gets a name of its own.
+// number is never used for another field, and the zero of a new field means what
+// was meant before there was one.
 //
 // # Silence
 //
