io/peer: wait for the answer to a ping before closing a replaced connection

Cause: when a paused peer goes on, the handshake of the new connection can end before the answer to the ping on the silent one arrives; replace then closed the silent one with the calls that it carried. Ruled out: the bound of the pause itself; the failures came 20 ms after the peer had gone on, within the 4 s that are promised. Change: replace gives the silent connection StallAfter/2 more, the time of a ping, once the new one works.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -121,6 +122,7 @@
 	front *net.UDPConn
 	muted atomic.Bool
 	hold  sync.RWMutex // locked while the server's datagrams are held back
+	late  atomic.Int64 // delay in nanoseconds of the server's datagrams that belong to an established connection
 }
 
 func newMutableRelay(t *testing.T, server string) *mutableRelay {
@@ -161,7 +163,7 @@
 			}
 			r.hold.RLock()
 			if !r.muted.Load() {
-				_, _ = front.WriteToUDP(buf[:n], client.Load())
+				r.forward(buf[:n], client.Load())
 			}
 			r.hold.RUnlock()
 		}
@@ -173,6 +175,18 @@
 	return r
 }
 
+// forward sends a datagram of the server to the client. Datagrams of a handshake
+// have a long header, by the highest bit of their first byte, and are not late.
+func (r *mutableRelay) forward(datagram []byte, to *net.UDPAddr) {
+	late := time.Duration(r.late.Load())
+	if late == 0 || datagram[0]&0x80 != 0 {
+		_, _ = r.front.WriteToUDP(datagram, to)
+		return
+	}
+	held := slices.Clone(datagram)
+	time.AfterFunc(late, func() { _, _ = r.front.WriteToUDP(held, to) })
+}
+
 // Guards against calls on a connection that has gone silent waiting for their
 // deadlines, and against a slow target being taken for a silent connection.
 func TestSilentConnectionIsGivenUp(t *testing.T) {
@@ -217,9 +231,19 @@
 // Guards against a peer that gets no processor time for a moment losing the
 // calls that it runs: they ended as outcomeUnknown when many processes shared
 // the machine with a rolling restart.
-func TestPausedPeerKeepsItsCalls(t *testing.T) {
+func TestPausedPeerKeepsItsCalls(t *testing.T) { callPausedPeer(t, 0) }
+
+// Guards against the same loss when the handshake of the new connection ends
+// before the answer to the ping on the silent one arrives.
+func TestLatePingAnswerKeepsCalls(t *testing.T) { callPausedPeer(t, stallAfter/4) }
+
+const stallAfter = 2 * time.Second
+
+// callPausedPeer makes a call to a peer that is silent for longer than
+// stallAfter. After that its established connections answer late.
+func callPausedPeer(t *testing.T, late time.Duration) {
+	t.Helper()
 	is := is.New(t)
-	const stallAfter = 2 * time.Second
 	a := authority(t)
 	var runs atomic.Int64
 	server := listen(t, a, peer.Options{Call: func(ctx context.Context, h *wire.CallHead, b *wire.BodyReader) (*wire.Answer, error) {
@@ -237,6 +261,7 @@
 	}
 	call()
 	r.hold.Lock()
+	r.late.Store(int64(late))
 	time.AfterFunc(stallAfter*3/2, r.hold.Unlock)
 	call()
 	is.Equal(runs.Load(), int64(2))
--- a/io/peer/watcher.go
+++ b/io/peer/watcher.go
@@ -121,14 +121,19 @@
 }
 
 // replace sends new calls to another connection and closes c, unless it shows a
-// sign of life before the new one works or StallAfter has passed: a peer that
-// gets no processor time for a moment would else lose the calls it runs.
+// sign of life: a peer that gets no processor time for a moment would else lose
+// the calls it runs. It waits until the new connection has worked for the time
+// that a ping is given, at most StallAfter in all.
 func (w *watcher) replace(c watched) {
 	c.link.leave(c.conn)
 	ctx, cancel := context.WithTimeout(w.node.ctx, w.node.opts.StallAfter)
 	defer cancel()
 	_, err := c.link.get(ctx)
-	if err != nil {
+	if err == nil {
+		// The peer runs again, but its answer to the ping may arrive after the
+		// end of the handshake.
+		w.wait(ctx, w.node.opts.StallAfter/2)
+	} else {
 		<-ctx.Done() // the handshake has a time-out of its own
 	}
 	w.mu.Lock()
@@ -143,6 +148,14 @@
 	_ = c.conn.CloseWithError(codeStalled, "no progress")
 }
 
+// wait returns after d, or when ctx ends.
+func (w *watcher) wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-w.node.opts.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // ping asks the peer for a sign of life. It ends with the connection at the
 // latest.
 func (w *watcher) ping(c *liveConn) {
