--- a/cmd/trefoilthread/script_test.go
+++ b/cmd/trefoilthread/script_test.go
@@ -25,7 +25,14 @@
 	maxDaemons = 4
 )
 
+// TestMain gives the test a process group of its own. A process that is paused
+// gets SIGHUP when the parent of its group ends, for example the shell that has
+// started the tests in the background.
 func TestMain(m *testing.M) {
+	if err := syscall.Setpgid(0, 0); err != nil {
+		fmt.Fprintln(os.Stderr, "no process group for the test:", err)
+		os.Exit(1)
+	}
 	testscript.Main(m, map[string]func(){"trefoilthread": main, "caller": caller})
 }
 
