io/agent: keep records without a lease, and write them without reading first

Each start of an agent read its record, granted a lease and wrote the record (3 calls, all agents together after a power loss of all VMs), each lease was renewed, and the third of the VMs that the store turns away for 9 s retried all the time because their leases had gone. A long configuration was read by every agent at the full price. Change: a record has no lease. The first write of a start expects the record that a stale listing shows, and only if the store has another one is it read. A long configuration is read with a stale read first. Ruled out: leases of the earlier start (renewals, and a wave after each outage that ends leases).

--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -119,7 +119,7 @@
 		if !ok {
 			n = node{
 				name: p.Name, weight: xxhash.Sum64String(p.Name),
-				affinity: xxhash.Sum64String(s.opts.Self + "\x00" + p.Name),
+				affinity: affinity(s.opts.Self, p.Name),
 			}
 		}
 		n.link = p.Link
@@ -265,6 +265,29 @@
 	return best
 }
 
+// Serves reports whether another daemon asks this one, as far as both have reached the
+// same daemons. A reader that another one asks hears from it several times a second.
+func (s *Sources) Serves(now time.Time, name string) bool {
+	var best string
+	var weight uint64
+	seen := 0
+	for _, n := range s.nodes {
+		if n.name == name || now.Before(n.absent) {
+			continue
+		}
+		if w := affinity(name, n.name); best == "" || w > weight {
+			best, weight = n.name, w
+		}
+		if seen++; seen == s.opts.Readers {
+			break
+		}
+	}
+	return best == s.opts.Self
+}
+
+// affinity orders the readers for the daemon that asks.
+func affinity(asker, reader string) uint64 { return xxhash.Sum64String(asker + "\x00" + reader) }
+
 func (s *Sources) node(name string) *node {
 	for i := range s.nodes {
 		if s.nodes[i].name == name && name != s.opts.Self {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -207,6 +207,15 @@
 	return gone, next
 }
 
+// LastContact returns the time of the latest direct contact with a daemon, zero if there
+// was none.
+func (r *Roster) LastContact(name string) time.Time {
+	if n := r.nodes[name]; n != nil {
+		return n.lastContact
+	}
+	return time.Time{}
+}
+
 // Len returns the number of known daemons.
 func (r *Roster) Len() int { return len(r.nodes) }
 
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,11 +63,14 @@
 	front        *front.Server
 
 	service       atomic.Pointer[types.ServiceName]
-	isRestored    atomic.Bool // the record of an earlier start was read, or there is none
+	restoring     sync.Mutex  // held while the record of an earlier start becomes known
+	isRestored    atomic.Bool // the record of an earlier start is known, or there is none
 	isSynced      atomic.Bool // the records of all agents are known
 	isStopping    atomic.Bool
 	newerVersions chan int64    // configuration version that another agent has, newer than the one here
 	tableReads    chan struct{} // holds one token if the configuration has to be read from the store
+	tableWanted   atomic.Int64  // revision of the latest configuration that has to be read from the store
+	tableApplied  atomic.Int64  // revision of the latest configuration that was decoded
 	isTableLong   atomic.Bool   // the latest configuration was longer than longTableBytes, or too long to be sent
 	cancel        context.CancelFunc
 	started       time.Time
@@ -95,7 +99,7 @@
 	})
 	a.registration = newRegistration(registrationOptions{
 		store: o.Store, clock: o.Clock, log: o.Log, key: nodeKey(o.Settings.Node),
-		minLease: o.Settings.MinLease, value: a.currentRecord, agentCount: a.balancer.agentCount, onPrevious: a.restoreTarget,
+		value: a.currentRecord,
 	})
 	a.mirror = newMirror(mirrorOptions{
 		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
@@ -105,7 +109,7 @@
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress()}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.handleNotice,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
-		Serve: a.serveCall, Notice: a.handleNotice, Query: a.mirror.serveQuery, Opened: a.linkOpened,
+		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Opened: a.linkOpened,
 		Failed: a.inboundEnded, Clock: o.Clock,
 	})
 	e := &entry{
@@ -174,6 +178,7 @@
 	go a.mirror.run(ctx)
 	go a.runTableReads(ctx)
 	go a.registration.run(ctx)
+	go newCleaner(a).run(ctx)
 	a.log.WithFields(log.Fields{
 		"node": a.opts.Settings.Node, "dataCentre": string(a.opts.Settings.DataCentre),
 		"service": string(a.opts.Settings.Service), "boot": a.boot, "startMs": a.clock.Since(a.started).Milliseconds(),
--- a/io/agent/announce.go
+++ b/io/agent/announce.go
@@ -12,17 +12,6 @@
 	"trefoilthread/io/mesh"
 )
 
-// restoreTarget restores the target from the record of an earlier start of this agent;
-// rec is nil if there is none.
-func (a *Agent) restoreTarget(rec *storedRecord) {
-	a.isRestored.Store(true)
-	if rec == nil || rec.Target == "" {
-		return
-	}
-	ann, gone := rec.announcement()
-	a.target.restore(ann, gone)
-}
-
 // targetChanged passes a change of the local target on: to the balancer, to the record
 // in the store, and, if the target takes no new calls, to the agents that have called
 // lately.
@@ -47,12 +36,13 @@
 
 // Announce applies an announcement of the target. For a target that drains it waits
 // until the store has the record of that, at most recordWaitTime. It returns false, and
-// ignores the announcement, until the record of an earlier start has been read.
+// ignores the announcement, until the record of an earlier start is known.
 func (a *Agent) Announce(ctx context.Context, ann beat.Announcement) bool {
-	if !a.isRestored.Load() {
+	if !a.claimRecord(ctx, ann) {
 		return false // an earlier start may have recorded that the target left
 	}
 	v := a.target.announce(ann)
+	a.registration.begin()
 	if v == beat.Changed && ann.Draining {
 		a.awaitRecord(ctx)
 	}
@@ -86,6 +76,7 @@
 // Leave applies the last message of the target, by which it leaves, and waits until the
 // store has the record of that, at most recordWaitTime.
 func (a *Agent) Leave(ctx context.Context, id types.TargetID, born uint64) {
+	a.readRecord(ctx) // the target leaves even if the store is unavailable
 	if a.target.leave(id, born) == beat.Changed {
 		a.awaitRecord(ctx)
 	}
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"trefoilthread/io/store"
 )
 
 // maxFetchDelay is the longest delay before a configuration that another agent has in
@@ -23,22 +25,21 @@
 // the readers: when all agents start together, the readers may be the last to have it.
 // The listing may be stale, because the readers pass on newer versions.
 func (a *Agent) readInitialTable(ctx context.Context) {
-	listed, _, err := a.store.List(ctx, a.opts.Wire.TableKey, true)
+	it, err := a.listTable(ctx)
 	if err != nil {
 		a.log.WithError(err).Warn("configuration not read at the start")
 		return
 	}
-	for _, it := range listed {
-		if it.Key == a.opts.Wire.TableKey {
-			a.applyTable(it.Value, "start")
-		}
+	if it.Revision > 0 {
+		a.applyTable(it.Value, it.Revision, "start")
 	}
 }
 
-// applyTable decodes the operator's document and puts it in force if it is newer. An
-// invalid document leaves the version in force unchanged. source names the origin in the
-// log.
-func (a *Agent) applyTable(value []byte, source string) {
+// applyTable decodes the operator's document, of a revision of the store, and puts it in
+// force if it is newer. An invalid document leaves the version in force unchanged. source
+// names the origin in the log.
+func (a *Agent) applyTable(value []byte, revision int64, source string) {
+	a.tableApplied.Store(revision)
 	a.isTableLong.Store(len(value) > longTableBytes)
 	t, err := a.opts.Wire.DecodeTable(value)
 	if err != nil {
@@ -73,23 +74,54 @@
 }
 
 // readTable reads the configuration from the store. heard is the version that another
-// agent has, 0 if unknown; then a failed read is repeated.
+// agent has, 0 if unknown; then a failed read is repeated. All agents read a long
+// configuration, so a stale read is tried first, at a tenth of the price.
 func (a *Agent) readTable(ctx context.Context, heard int64) {
+	if a.isTableLong.Load() && a.readStaleTable(ctx, heard) {
+		return
+	}
 	bounded, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	it, err := a.store.Get(bounded, a.opts.Wire.TableKey)
 	if err != nil {
 		a.log.WithError(err).WithField("heard", heard).WithField("inForce", a.table.version()).Warn("configuration not read")
 		if heard == 0 && ctx.Err() == nil {
-			a.clock.AfterFunc(storeRetryDelay, a.requestTableRead)
+			a.clock.AfterFunc(storeRetryDelay, func() { a.requestTableRead(a.tableWanted.Load()) })
 		}
 		return
 	}
-	a.applyTable(it.Value, "read")
+	a.applyTable(it.Value, it.Revision, "read")
+}
+
+// readStaleTable makes a stale read of the configuration and puts it in force if it is
+// the version heard or, if that is 0, at least of the revision that a change named. It
+// reports whether it was.
+func (a *Agent) readStaleTable(ctx context.Context, heard int64) bool {
+	it, err := a.listTable(ctx)
+	if err != nil || it.Revision < a.tableWanted.Load() || it.Revision <= a.tableApplied.Load() {
+		a.metrics.countEvent("table_reads_stale")
+		return false
+	}
+	a.applyTable(it.Value, it.Revision, "staleRead")
+	return heard <= a.table.version()
+}
+
+// listTable returns the configuration by a stale read. It returns the zero value if there
+// is none.
+func (a *Agent) listTable(ctx context.Context) (store.Item, error) {
+	listed, _, err := a.store.List(ctx, a.opts.Wire.TableKey, true)
+	for _, it := range listed {
+		if it.Key == a.opts.Wire.TableKey {
+			return it, err
+		}
+	}
+	return store.Item{}, err
 }
 
-// requestTableRead requests a read of the configuration from the store.
-func (a *Agent) requestTableRead() {
+// requestTableRead requests a read of the configuration from the store, of a revision or
+// a later one.
+func (a *Agent) requestTableRead(revision int64) {
+	a.tableWanted.Store(revision)
 	select {
 	case a.tableReads <- struct{}{}:
 	default: // already requested
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -22,9 +22,9 @@
 		case it.Deleted: // the configuration in force is kept
 		case it.Omitted:
 			a.isTableLong.Store(true)
-			a.requestTableRead()
+			a.requestTableRead(it.Revision)
 		default:
-			a.applyTable(it.Value, "follow")
+			a.applyTable(it.Value, it.Revision, "follow")
 		}
 	}
 	a.applyNodes(nodes)
@@ -40,18 +40,22 @@
 func (a *Agent) keysListed(rev int64, has func(key string) bool) {
 	a.isSynced.Store(true)
 	if !has(nodeKey(a.opts.Settings.Node)) {
+		a.registration.noteUnlisted()
 		a.registration.markMissing(rev)
 	}
 	a.refreshSources()
 }
 
-// agentsDiscovered is called at the start when the names of the other agents are known.
-// An agent that is alone skips the early read of the configuration: there may be none
+// agentsDiscovered is called at the start when the records of all agents are known, that
+// of an earlier start of this one included. An agent that is alone skips the early read of the configuration: there may be none
 // yet, and it comes with the other keys.
 func (a *Agent) agentsDiscovered(ctx context.Context, isAlone bool) {
 	if !isAlone {
 		go a.readInitialTable(ctx)
 	}
+	if rec := a.registration.listedRecord(); rec != nil {
+		go a.restoreRunning(ctx, rec)
+	}
 }
 
 // queryAgent sends a query to the agent with a name. It returns mesh.ErrUnreachable if
@@ -68,6 +72,12 @@
 	return news, err
 }
 
+// serveQuery answers a query of another agent, which is a sign of life.
+func (a *Agent) serveQuery(ctx context.Context, from mesh.Hello, q *mesh.Query) *mesh.News {
+	a.recordContact(from.Node)
+	return a.mirror.serveQuery(ctx, q)
+}
+
 // linkOpened records the address of an agent that has opened a connection. An agent that
 // starts while the store is down finds other agents to query this way.
 func (a *Agent) linkOpened(from mesh.Hello) {
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -62,6 +62,19 @@
 	return cur, path
 }
 
+// isRunning reports whether the target with an id answers a health check. It is meant for
+// the start, when no calls are running.
+func (t *localTarget) isRunning(ctx context.Context, id types.TargetID, path string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := t.client.Do(ctx, t.wire.HealthRequest(path))
+	if err != nil {
+		return false // the target has ended as well, or announces itself later
+	}
+	found, _ := t.wire.ReadHealth(resp)
+	return found == id
+}
+
 // runProbe makes a health check. It is independent of the context of the call that needs
 // it, since other calls wait for it as well.
 func (t *localTarget) runProbe(cur beat.Announcement, path string) {
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -293,6 +293,13 @@
 	return m.sources.IsReader(m.clock.Now())
 }
 
+// serves reports whether another agent asks this one for changes.
+func (m *mirror) serves(now time.Time, node string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sources.Serves(now, node)
+}
+
 // logSourceChange logs when the changes come from another source than before.
 func (m *mirror) logSourceChange(from relay.Source) {
 	name := from.Node
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -17,6 +17,8 @@
 	for _, it := range items {
 		name := strings.TrimPrefix(it.Key, nodePrefix)
 		switch {
+		case name == a.opts.Settings.Node && !a.isRestored.Load():
+			a.registration.noteListed(it)
 		case it.Deleted && name == a.opts.Settings.Node:
 			a.registration.markMissing(it.Revision)
 		case it.Deleted:
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -57,15 +57,20 @@
 
 // currentRecord returns the value that the record of this agent should have now.
 func (a *Agent) currentRecord() storedRecord {
-	s := storedRecord{
-		Boot: a.boot, Address: a.opts.Settings.advertisedAddress(), DataCentre: string(a.opts.Settings.DataCentre),
-		Link: a.opts.Settings.Link, State: uint8(types.Down),
+	cur, state, ok := a.target.current()
+	if !ok {
+		state = types.Down
 	}
-	if cur, state, ok := a.target.current(); ok {
-		s.Target, s.Service, s.TargetAddress = string(cur.ID), string(cur.Service), cur.Address
-		s.Slots, s.Born, s.TargetSequence, s.State = cur.Slots, cur.Born, cur.Sequence, uint8(state)
+	return a.recordOf(cur, state)
+}
+
+// recordOf returns the record of this agent with a target.
+func (a *Agent) recordOf(cur beat.Announcement, state types.TargetState) storedRecord {
+	return storedRecord{
+		Boot: a.boot, Address: a.opts.Settings.advertisedAddress(), DataCentre: string(a.opts.Settings.DataCentre),
+		Link: a.opts.Settings.Link, Target: string(cur.ID), Service: string(cur.Service), TargetAddress: cur.Address,
+		Slots: cur.Slots, Born: cur.Born, TargetSequence: cur.Sequence, State: uint8(state),
 	}
-	return s
 }
 
 // announcement returns the target that a record describes and whether it is gone.
--- a/io/agent/registration.go
+++ b/io/agent/registration.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 
+	"trefoilthread/core/types"
 	"trefoilthread/io/store"
 )
 
@@ -31,35 +32,37 @@
 	key   string
 	// value returns the record that the store should have.
 	value func() storedRecord
-	// minLease is the shortest lease that the store grants.
-	minLease time.Duration
-	// agentCount returns the number of known agents, this one included.
-	agentCount func() int
-	// onPrevious is called once with the record of an earlier start, nil if there is
-	// none.
-	onPrevious func(rec *storedRecord)
 }
 
-// registration keeps this agent's record in the store under a lease.
+// registration keeps this agent's record in the store. The record has no lease: it would
+// have to be renewed, and written again by all agents after an outage in which leases
+// expire. Records of agents that are gone are deleted by others, see cleaner.
 type registration struct {
 	registrationOptions
 
+	begin   func()        // closes begun
+	begun   chan struct{} // closed when the record of an earlier start is known
 	dirty   chan struct{} // holds one token if the record has to be written
 	stopped chan struct{} // closed when run has returned
 
 	mu        sync.Mutex
+	listed    *ownRecord // record of this agent in a listing before begun, nil before any listing
 	written   storedRecord
 	writtenAt int64         // revision of the latest write
 	isCurrent bool          // the store has written
+	isDeleted bool          // another agent, or the store, deleted the record after the latest write
 	writeDone chan struct{} // closed at the next successful write
 
-	previousLease store.LeaseID // of an earlier start's record, 0 for none
-	lease         store.LeaseID
-	renewed       time.Time
-	ttl           time.Duration
-	rev           int64
-	isRevKnown    bool // rev is the last known revision in the store
-	failures      int  // calls that failed in a row
+	// The fields below belong to claim and read until begun is closed, then to run.
+	rev        int64
+	isRevKnown bool // rev is the last known revision in the store
+	failures   int  // calls that failed in a row
+}
+
+// ownRecord is the record of this agent as it was at a revision.
+type ownRecord struct {
+	rev int64         // 0 if there was none
+	rec *storedRecord // nil if there was none, or an invalid one
 }
 
 // recordStoreResult counts failures in a row. It logs only when calls begin to fail and
@@ -84,10 +87,12 @@
 }
 
 func newRegistration(o registrationOptions) *registration {
-	return &registration{
-		registrationOptions: o, dirty: make(chan struct{}, 1),
+	r := &registration{
+		registrationOptions: o, begun: make(chan struct{}), dirty: make(chan struct{}, 1),
 		stopped: make(chan struct{}), writeDone: make(chan struct{}),
 	}
+	r.begin = sync.OnceFunc(func() { close(r.begun) })
+	return r
 }
 
 // requestWrite requests that the record is written again.
@@ -104,7 +109,7 @@
 	r.mu.Lock()
 	isNews := r.isCurrent && rev >= r.writtenAt
 	if isNews {
-		r.isCurrent = false
+		r.isCurrent, r.isDeleted = false, true
 	}
 	r.mu.Unlock()
 	if isNews {
@@ -130,72 +135,40 @@
 	}
 }
 
-// run keeps the record in the store until ctx ends.
+// run keeps the record in the store from begin until ctx ends.
 func (r *registration) run(ctx context.Context) {
 	defer close(r.stopped)
-	first := true
+	select {
+	case <-r.begun:
+	case <-ctx.Done():
+		return
+	}
 	for ctx.Err() == nil {
-		if first && !r.readOwn(ctx) {
-			sleep(ctx, r.clock, jitterAround(r.backoff()))
-			continue
-		}
-		first = false
-		if r.value().Target == "" {
-			// Nobody needs a record that names no target, and each one wakes
-			// the watches of all agents.
-			select {
-			case <-ctx.Done():
-			case <-r.dirty:
-			}
-			continue
-		}
 		err := r.write(ctx)
 		r.recordStoreResult(err)
 		if err != nil {
 			sleep(ctx, r.clock, jitterAround(r.backoff()))
 			continue
 		}
-		r.keepLease(ctx)
-	}
-}
-
-// readOwn reads the record of an earlier start. It returns false if the store is
-// unavailable.
-func (r *registration) readOwn(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	it, err := r.store.Get(ctx, r.key)
-	switch {
-	case errors.Is(err, store.ErrNotFound):
-		r.rev, r.isRevKnown = 0, true
-		r.onPrevious(nil)
-		return true
-	case err != nil:
-		r.recordStoreResult(err)
-		return false
-	}
-	r.rev, r.isRevKnown, r.previousLease = it.Revision, true, it.Lease
-	_, rec, err := decodeRecord(it.Key, it.Value, it.Revision)
-	if err != nil {
-		r.log.WithError(err).Warn("own record of an earlier start is invalid, ignored")
-		r.onPrevious(nil)
-		return true
+		select {
+		case <-ctx.Done():
+		case <-r.dirty:
+		}
 	}
-	r.onPrevious(&rec)
-	return true
 }
 
-// write writes the record until the store has the present value.
+// write writes the record until the store has the present value. A record that names no
+// target isn't written: nobody needs it, and each one wakes the watches of all agents.
 func (r *registration) write(ctx context.Context) error {
-	if err := r.ensureLease(ctx); err != nil {
-		return err
-	}
 	for {
 		rec := r.value()
 		r.mu.Lock()
 		same := r.isCurrent && r.written == rec
+		if r.isDeleted {
+			r.rev, r.isRevKnown, r.isDeleted = 0, true, false
+		}
 		r.mu.Unlock()
-		if same {
+		if same || rec.Target == "" {
 			return nil
 		}
 		if err := r.put(ctx, rec); err != nil {
@@ -220,23 +193,33 @@
 		}
 		r.rev, r.isRevKnown = it.Revision, true
 	}
-	rev, err := r.store.CompareAndSwap(ctx, r.key, r.rev, value, r.lease)
-	switch {
-	case errors.Is(err, store.ErrLeaseGone):
-		r.lease = 0
-		return err
-	case err != nil:
+	rev, err := r.store.CompareAndSwap(ctx, r.key, r.rev, value, 0)
+	if err != nil {
 		r.isRevKnown = false
 		return err
 	}
 	r.rev = rev
 	r.mu.Lock()
-	r.written, r.writtenAt, r.isCurrent = rec, rev, true
+	r.written, r.writtenAt, r.isCurrent, r.isDeleted = rec, rev, true, false
 	close(r.writeDone)
 	r.writeDone = make(chan struct{})
 	r.mu.Unlock()
 	r.log.WithFields(log.Fields{
-		"key": r.key, "revision": rev, "target": rec.Target, "state": rec.State, "lease": int64(r.lease),
+		"key": r.key, "revision": rev, "target": rec.Target, "state": rec.State,
 	}).Info("record written")
 	return nil
 }
+
+// withdraw deletes the record if its target has left. Otherwise the record stays for the
+// next start of this agent; it says that the target drains. withdraw waits until run has
+// returned, so the context of run must have ended.
+func (r *registration) withdraw(ctx context.Context) error {
+	<-r.stopped
+	r.mu.Lock()
+	hasLeft := r.isCurrent && types.TargetState(r.written.State) == types.Down
+	r.mu.Unlock()
+	if !hasLeft {
+		return nil
+	}
+	return r.store.Delete(ctx, r.key, r.rev)
+}
--- /dev/null
+++ b/io/agent/restore.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"trefoilthread/core/beat"
+	"trefoilthread/core/types"
+)
+
+// tableWaitTime is how often a starting agent checks whether it knows the configuration.
+const tableWaitTime = 50 * time.Millisecond
+
+// claimRecord makes the record of an earlier start of this agent known, with the first
+// announcement of the target in this start. It returns false if the store is unavailable.
+func (a *Agent) claimRecord(ctx context.Context, ann beat.Announcement) bool {
+	a.restoring.Lock()
+	defer a.restoring.Unlock()
+	if a.isRestored.Load() {
+		return true
+	}
+	state := types.Up
+	if ann.Draining {
+		state = types.Draining
+	}
+	previous, err := a.registration.claim(ctx, a.recordOf(ann, state), func(previous *storedRecord) bool {
+		return follows(ann, previous)
+	})
+	if err != nil {
+		return false
+	}
+	a.restoreTarget(previous)
+	return true
+}
+
+// readRecord reads the record of an earlier start of this agent if it isn't known yet. It
+// returns false if the store is unavailable.
+func (a *Agent) readRecord(ctx context.Context) bool {
+	a.restoring.Lock()
+	defer a.restoring.Unlock()
+	if a.isRestored.Load() {
+		return true
+	}
+	previous, err := a.registration.read(ctx)
+	if err != nil {
+		return false
+	}
+	a.restoreTarget(previous)
+	a.registration.begin()
+	return true
+}
+
+// restoreTarget restores the target from the record of an earlier start of this agent;
+// rec is nil if there is none.
+func (a *Agent) restoreTarget(rec *storedRecord) {
+	a.isRestored.Store(true)
+	if rec == nil || rec.Target == "" {
+		return
+	}
+	ann, gone := rec.announcement()
+	a.target.restore(ann, gone)
+}
+
+// follows reports whether an announcement is accepted after the record of an earlier
+// start.
+func follows(ann beat.Announcement, previous *storedRecord) bool {
+	if previous == nil || previous.Target == "" {
+		return true
+	}
+	t := beat.New()
+	t.Restore(previous.announcement())
+	return t.Announce(ann) != beat.Stale
+}
+
+// restoreRunning restores the target of a listed record of an earlier start if it is
+// still running, so that a restart of the agent alone does not take the target out of
+// service until its next announcement. The listing may be stale, so the record is read.
+func (a *Agent) restoreRunning(ctx context.Context, rec *storedRecord) {
+	if types.TargetState(rec.State) != types.Up {
+		return
+	}
+	for !a.isRestored.Load() && ctx.Err() == nil {
+		if path := a.serviceInfo(types.ServiceName(rec.Service)).HealthPath; path != "" {
+			if a.target.isRunning(ctx, types.TargetID(rec.Target), path) {
+				a.readRecord(ctx)
+			}
+			return
+		}
+		sleep(ctx, a.clock, tableWaitTime)
+	}
+}
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -29,7 +29,6 @@
 	RetryWindow time.Duration
 	// ProbesPerSecond bounds the health checks of the own target.
 	ProbesPerSecond int
-	MinLease        time.Duration // shortest lease of the store
 }
 
 // advertisedAddress returns the address that other agents use.
--- a/io/agent/stop.go
+++ b/io/agent/stop.go
@@ -58,6 +58,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancel()
 	if err := a.registration.withdraw(ctx); err != nil {
-		a.log.WithError(err).Warn("record not removed, it expires with its lease")
+		a.log.WithError(err).Warn("record not deleted, another agent will delete it")
 	}
 }
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -196,7 +196,7 @@
 		Serve: func(_ context.Context, _ mesh.Hello, c *mesh.CallHead) *mesh.Answer {
 			return &mesh.Answer{Reason: c.ID}
 		},
-		Query: func(ctx context.Context, q *mesh.Query) *mesh.News {
+		Query: func(ctx context.Context, _ mesh.Hello, q *mesh.Query) *mesh.News {
 			if q.Revision == 9 {
 				<-ctx.Done()
 				close(ended)
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -19,7 +19,7 @@
 	// Notice takes a notice. It must not block.
 	Notice func(n *Notice)
 	// Query answers a query, at once or when there is news.
-	Query func(ctx context.Context, q *Query) *News
+	Query func(ctx context.Context, from Hello, q *Query) *News
 	// Opened is told who opened a connection. It must not block.
 	Opened func(from Hello)
 	// Failed is told of connections that ended with an error.
@@ -190,7 +190,8 @@
 		if err := f.decode(q); err != nil {
 			return err
 		}
-		p.start(ctx, f.call, kindNews, func(ctx context.Context) any { return p.s.opts.Query(ctx, q) })
+		from := p.from
+		p.start(ctx, f.call, kindNews, func(ctx context.Context) any { return p.s.opts.Query(ctx, from, q) })
 	}
 	return nil
 }
--- a/io/prefs/keys.go
+++ b/io/prefs/keys.go
@@ -43,7 +43,6 @@
 	{"listen", "metrics", "", true, addressAllowed, "address for metrics; none if empty", address(func(p *Prefs) *string { return &p.agent.Metrics })},
 
 	{"store", "address", "", false, addressAllowed, "address of the platform's store", address(func(p *Prefs) *string { return &p.store })},
-	{"store", "minLease", "1s", false, "100ms to 10m", "shortest lease that the store grants", duration(100*time.Millisecond, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.MinLease })},
 
 	{"bounds", "stopTime", "6s", false, "1s to 10m", "time from SIGTERM to SIGKILL", duration(time.Second, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.StopTime })},
 	{"bounds", "retryShare", "0.2", false, "0 to 1", "retries of all agents per request of a service", number(0, 1, func(p *Prefs) *float64 { return &p.agent.RetryShare })},
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -58,6 +58,9 @@
 	// until it is replaced. It fails with ErrConflict, or with ErrUnknown if
 	// the answer was lost.
 	CompareAndSwap func(ctx context.Context, key string, revision int64, value []byte, lease LeaseID) (int64, error)
+	// Delete deletes a key that has the given revision. It fails as
+	// CompareAndSwap does. Only adapters with List and Changes have it.
+	Delete func(ctx context.Context, key string, revision int64) error
 	// Watch calls fn for each item below prefix as it is now, then with a
 	// Synced event, then for each change in order of revision, until ctx ends or the connection breaks.
 	// It returns the reason.
