--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -261,7 +261,7 @@
 	}
 	return types.NewTarget(types.TargetSpec{
 		ID: rec.Target.ID, Service: rec.Target.Service, DataCentre: rec.DataCentre,
-		Address: rec.Address, Slots: rec.Target.Slots,
+		Address: rec.Address, Slots: rec.Target.Slots, Link: rec.Link,
 		Incarnation: rec.Target.Born, Sequence: rec.Sequence, State: state,
 	})
 }
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -67,6 +67,13 @@
 // sampled separately, and the lowest score wins: the near target is used until
 // its queueing outweighs the one-way latency, and then one of the same region.
 //
+// # Long bodies
+//
+// The one-way latency of a call with a body includes the time that the body takes on the
+// slower one of the links of both VMs. Beyond a length, the distance to another data
+// centre grows with the length, since traffic between data centres is paid for. A target
+// without a link speed is on this VM, or its link isn't known.
+//
 // # Subset
 //
 // Above Options.Subset targets, a Picker uses those with the highest
--- a/core/route/options.go
+++ b/core/route/options.go
@@ -22,6 +22,9 @@
 	// it all targets are equally near.
 	Distance func(from, to types.DataCentre) time.Duration
 
+	// Link is the speed of this VM's network link in Mbit/s, 0 if unknown.
+	Link float64
+
 	Subset  int    // upper bound on the targets used, default 200
 	Choices int    // targets compared by a decision, default 3, at most 8
 	Seed    uint64 // with Self, the seed of the random source
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -16,6 +16,7 @@
 	random   *rand.Rand
 	cursor   uint64
 	tried    []types.TargetID // of the current decision
+	body     int              // length in bytes of the call to be placed by the current decision
 
 	round   uint64
 	byID    map[types.TargetID]*member
@@ -51,9 +52,15 @@
 // Len returns the number of targets in the membership, in any state.
 func (p *Picker) Len() int { return len(p.members) }
 
-// Pick selects a target for a call, never one that is draining, down or in
-// tried. It returns false if none is left.
+// Pick selects a target for a call with a short body, see PickForBody.
 func (p *Picker) Pick(now time.Time, tried []types.TargetID) (types.Target, bool) {
+	return p.PickForBody(now, tried, 0)
+}
+
+// PickForBody selects a target for a call with a body of n bytes, never one that is
+// draining, down or in tried. It returns false if none is left.
+func (p *Picker) PickForBody(now time.Time, tried []types.TargetID, n int) (types.Target, bool) {
+	p.body = n
 	// The copy keeps the caller's slice from escaping to the heap.
 	p.tried = append(p.tried[:0], tried...)
 	p.picks++
--- a/core/types/target.go
+++ b/core/types/target.go
@@ -30,6 +30,7 @@
 	DataCentre  DataCentre
 	Address     string
 	Slots       int
+	Link        float64 // of the target's VM, Mbit/s, 0 if unknown
 	Incarnation uint64
 	Sequence    uint64
 	State       TargetState
@@ -58,6 +59,10 @@
 // Slots returns how many calls the target can run at a time.
 func (t Target) Slots() int { return t.spec.Slots }
 
+// Link returns the speed of the network link of the target's VM in Mbit/s, 0 if it is
+// unknown.
+func (t Target) Link() float64 { return t.spec.Link }
+
 // Incarnation returns a number that grows with each start of the daemon.
 func (t Target) Incarnation() uint64 { return t.spec.Incarnation }
 
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -102,7 +102,7 @@
 	if s == nil {
 		s = &serviceState{picker: route.New(route.Options{
 			Self: types.TargetID(b.settings.Node), DataCentre: b.settings.DataCentre, Subset: subsetSize,
-			Distance: b.distance, Seed: b.seed,
+			Distance: b.distance, Seed: b.seed, Link: b.settings.Link,
 		})}
 		b.services[name] = s
 		s.picker.Update(b.clock.Now(), b.targets(name))
@@ -206,13 +206,13 @@
 	return b.service(name).budget.Take(b.clock.Now())
 }
 
-// pick chooses a target that was not tried and counts the call as started. others
-// reports whether more targets are left; ok is false if there is none to pick.
-func (b *balancer) pick(name types.ServiceName, tried []types.TargetID) (t types.Target, tok route.Token, others, ok bool) {
+// pick chooses a target that was not tried for a call with a body of n bytes, and counts
+// the call as started. others reports whether more targets are left; ok is false if there is none to pick.
+func (b *balancer) pick(name types.ServiceName, tried []types.TargetID, n int) (t types.Target, tok route.Token, others, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, now := b.service(name), b.clock.Now()
-	if t, ok = s.picker.Pick(now, tried); !ok {
+	if t, ok = s.picker.PickForBody(now, tried, n); !ok {
 		return t, tok, false, false
 	}
 	return t, s.picker.Start(now, t.ID()), s.picker.CountUsable(now) > len(tried)+1, true
@@ -280,13 +280,6 @@
 	return list
 }
 
-// agentCount returns the number of known agents, this one included.
-func (b *balancer) agentCount() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.roster.Len() + 1
-}
-
 // toReport converts the load in a message.
 func toReport(l mesh.Load) types.Report {
 	return types.NewReport(types.ReportSpec{
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -78,7 +78,7 @@
 
 // startAttempt sends the request to the next target; false if there is none.
 func (d *dispatch) startAttempt(ctx context.Context) bool {
-	t, tok, others, ok := d.entry.balancer.pick(d.request.service, d.tried)
+	t, tok, others, ok := d.entry.balancer.pick(d.request.service, d.tried, len(d.request.req.Body))
 	if !ok {
 		return false
 	}
