io/httpw: bound bytes without end, and the memory of long bodies

Cause: a target in trouble may send bytes that are no answer until its caller closes. Interim responses and chunk extensions had no bound but the deadline of the request, in which they kept the processor busy. A body had 64 MB to itself whatever else was read: three at a time exceed a VM of 184 MB. Uploads of callers were held without a common bound as well. Change: at most 8 interim responses and 16 KB of chunk extensions; bodies over 64 KB take memory from a budget that requests (until they are answered) and responses (while they are read) share, setting bodyMemory. A request without memory is refused with 503 before it is handed over. Chunk extensions were bounded through the body only: 900 bytes for each of its bytes. Left: bodies in frames between agents are not counted.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -61,6 +61,7 @@
 	client       *mesh.Client
 	server       *mesh.Server
 	front        *front.Server
+	bodies       *httpw.Budget // memory of long bodies
 
 	service       atomic.Pointer[types.ServiceName]
 	restoring     sync.Mutex  // held while the record of an earlier start becomes known
@@ -83,6 +84,7 @@
 		opts: o, log: o.Log, clock: o.Clock, store: o.Store, boot: rand.Uint64(),
 		metrics: newMetrics(o.Scope), newerVersions: make(chan int64, 1), tableReads: make(chan struct{}, 1),
 	}
+	a.bodies = httpw.NewBudget(int64(o.Settings.BodyMemory))
 	a.SetService(o.Settings.Service)
 	a.table = &activeTable{log: o.Log}
 	a.balancer = newBalancer(o.Settings, o.Clock, a.boot)
@@ -94,7 +96,7 @@
 		probes:   newProbes(o.Clock.Now(), o.Settings.ProbesPerSecond),
 		suspects: a.suspects,
 		client: local.New(o.Settings.TargetAddr, local.Options{
-			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits,
+			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits(a.bodies),
 		}),
 	})
 	a.registration = newRegistration(registrationOptions{
@@ -125,8 +127,11 @@
 	return a
 }
 
-// responseLimits bounds the target's responses.
-var responseLimits = httpw.Limits{HeaderBytes: 64 << 10, BodyBytes: 64 << 20}
+// responseLimits bounds the target's responses, whose long bodies take memory from a
+// budget while they are read.
+func responseLimits(budget *httpw.Budget) httpw.Limits {
+	return httpw.Limits{HeaderBytes: 64 << 10, BodyBytes: 64 << 20, Budget: budget}
+}
 
 // initialBounds applies to callers until the first configuration is known.
 var initialBounds = vhost.Bounds{
@@ -140,7 +145,7 @@
 		b = t.Bounds()
 	}
 	return front.Bounds{
-		Message: httpw.Limits{HeaderBytes: b.HeaderBytes, BodyBytes: b.BodyBytes},
+		Message: httpw.Limits{HeaderBytes: b.HeaderBytes, BodyBytes: b.BodyBytes, Budget: a.bodies},
 		Header:  b.HeaderTimeout, Idle: b.IdleTimeout,
 	}
 }
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -17,6 +17,10 @@
 // startRetryDelay is the retry delay that a caller gets while there is no configuration.
 const startRetryDelay = 300 * time.Millisecond
 
+// memoryRetryDelay is the retry delay of a caller for whose body there is no memory: about
+// the time of a request.
+const memoryRetryDelay = 500 * time.Millisecond
+
 // entry handles the requests of callers: it finds the route, chooses targets and returns
 // the response.
 type entry struct {
@@ -69,8 +73,14 @@
 	return resp
 }
 
-// refuse returns the response to bytes that are not a valid request.
+// refuse returns the response to bytes that are not a valid request, or to a request for
+// whose body there is no memory.
 func (e *entry) refuse(status int) *httpw.Response {
+	if status == http.StatusServiceUnavailable {
+		const reason = "no memory for the body"
+		e.logRejected(RequestInfo{}, "", status, reason)
+		return e.wire.Refusal(reason, memoryRetryDelay)
+	}
 	const reason = "request not understood, or longer than allowed"
 	e.logRejected(RequestInfo{}, "", status, reason)
 	return plain(status, reason)
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -29,6 +29,9 @@
 	RetryWindow time.Duration
 	// ProbesPerSecond bounds the health checks of the own target.
 	ProbesPerSecond int
+	// BodyMemory bounds the memory in bytes of the long bodies of requests, until they are
+	// answered, and of responses of the own target, while they are read.
+	BodyMemory int
 }
 
 // advertisedAddress returns the address that other agents use.
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -60,10 +60,15 @@
 		}
 		x := &exchange{req: req, came: c.s.opts.Clock.Now(), last: req.Close}
 		if !c.enqueue(x) {
+			req.Release()
 			c.awaitClose() // the connection has ended with an earlier response
 			return
 		}
-		go func() { c.answer(x, c.s.opts.Handle(c.ctx, req)) }()
+		go func() {
+			resp := c.s.opts.Handle(c.ctx, req)
+			req.Release()
+			c.answer(x, resp)
+		}()
 		if req.Close {
 			c.awaitClose()
 			return
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -31,6 +31,14 @@
 // serveNoting is serve with a function that takes the holds.
 func serveNoting(
 	t *testing.T, handle func(context.Context, *httpw.Request) *httpw.Response, held func(front.Hold),
+) (*front.Server, net.Conn) {
+	t.Helper()
+	return serveLimited(t, handle, held, httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024})
+}
+
+// serveLimited is serveNoting with limits of requests.
+func serveLimited(
+	t *testing.T, handle func(context.Context, *httpw.Request) *httpw.Response, held func(front.Hold), lim httpw.Limits,
 ) (*front.Server, net.Conn) {
 	t.Helper()
 	s := front.New(front.Options{
@@ -39,7 +47,7 @@
 		Failed: func(err error) { t.Error(err) },
 		Held:   held,
 		Bounds: func() front.Bounds {
-			return front.Bounds{Message: httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024}, Header: patience, Idle: patience}
+			return front.Bounds{Message: lim, Header: patience, Idle: patience}
 		},
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- /dev/null
+++ b/io/front/memory_test.go
@@ -0,0 +1,62 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"trefoilthread/io/front"
+	"trefoilthread/io/httpw"
+)
+
+// upload sends a request with a body of n bytes.
+func upload(t *testing.T, c net.Conn, path string, n int) {
+	t.Helper()
+	req := &httpw.Request{Method: "POST", Target: path, Body: make([]byte, n)}
+	if _, err := c.Write(httpw.AppendRequest(nil, req)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against uploads that fill the memory of the VM: what exceeds the budget is
+// refused as not run, short requests are served beside it, and the memory is there again
+// once an upload has been answered.
+func TestUploadsBeyondTheMemoryAreRefused(t *testing.T) {
+	const long = 200 << 10 // the budget has room for one
+	is := is.New(t)
+	started, finish := make(chan struct{}), make(chan struct{})
+	_, first := serveLimited(t, func(_ context.Context, req *httpw.Request) *httpw.Response {
+		switch req.Target {
+		case "/held":
+			close(started)
+			<-finish
+		case "/refused":
+			t.Error("request was handed over")
+		}
+		return &httpw.Response{Status: 200}
+	}, func(front.Hold) {}, httpw.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, Budget: httpw.NewBudget(long)})
+	upload(t, first, "/held", long)
+	<-started
+
+	addr := first.RemoteAddr().String()
+	second := dial(t, addr)
+	defer func() { _ = second.Close() }()
+	upload(t, second, "/refused", long)
+	refused := read(t, bufio.NewReader(second))
+	is.Equal(refused.Status, 503)
+	is.True(refused.Close)
+
+	third := dial(t, addr)
+	defer func() { _ = third.Close() }()
+	br := bufio.NewReader(third)
+	upload(t, third, "/short", 1000)
+	is.Equal(read(t, br).Status, 200)
+
+	close(finish)
+	is.Equal(read(t, bufio.NewReader(first)).Status, 200)
+	upload(t, third, "/long", long)
+	is.Equal(read(t, br).Status, 200)
+}
--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -10,6 +10,11 @@
 const (
 	// maxChunkLine bounds the line with the size of a chunk, in bytes.
 	maxChunkLine = 1 << 10
+	// maxChunkDigits is the number of digits of the longest chunk size.
+	maxChunkDigits = 15
+	// maxExtensions bounds the extensions of all chunks of a body, in bytes, which
+	// would else come without end.
+	maxExtensions = 16 << 10
 	// maxTrailer bounds the header lines after the last chunk, in bytes.
 	maxTrailer = 16 << 10
 	// readStep bounds the memory that is taken before bytes have come, so
@@ -18,18 +23,21 @@
 )
 
 // readLength reads a body of n bytes.
-func readLength(br *bufio.Reader, n int64) ([]byte, error) {
+func readLength(br *bufio.Reader, n int64, memory *holding) ([]byte, error) {
 	if n == 0 {
 		return nil, nil
 	}
-	return appendBytes(br, make([]byte, 0, min(n, readStep)), n)
+	return appendBytes(br, make([]byte, 0, min(n, readStep)), n, memory)
 }
 
 // appendBytes appends n bytes of br to body.
-func appendBytes(br *bufio.Reader, body []byte, n int64) ([]byte, error) {
+func appendBytes(br *bufio.Reader, body []byte, n int64, memory *holding) ([]byte, error) {
 	for n > 0 {
 		step := int(min(n, readStep))
 		at := len(body)
+		if err := memory.grow(int64(at + step)); err != nil {
+			return nil, err
+		}
 		body = append(body, make([]byte, step)...)
 		if _, err := io.ReadFull(br, body[at:]); err != nil {
 			return nil, noEOF(err)
@@ -41,14 +49,18 @@
 
 // readChunked reads a chunked body of at most limit bytes and drops its
 // trailers.
-func readChunked(br *bufio.Reader, limit int64) ([]byte, error) {
+func readChunked(br *bufio.Reader, limit int64, memory *holding) ([]byte, error) {
 	var body []byte
+	extensions := 0
 	for {
 		h := head{br: br, left: maxChunkLine}
 		line, err := h.line()
 		if err != nil {
 			return nil, noEOF(err)
 		}
+		if extensions += max(len(line)-maxChunkDigits, 0); extensions > maxExtensions {
+			return nil, newMessageError(400, "chunk extensions longer than %d bytes", maxExtensions)
+		}
 		size, ok := parseChunkSize(line)
 		if !ok {
 			return nil, newMessageError(400, "malformed chunk size")
@@ -61,7 +73,7 @@
 		if int64(len(body))+size > limit {
 			return nil, newMessageError(413, "body longer than %d bytes", limit)
 		}
-		if body, err = appendBytes(br, body, size); err != nil {
+		if body, err = appendBytes(br, body, size, memory); err != nil {
 			return nil, err
 		}
 		end, err := h.line()
@@ -78,7 +90,7 @@
 func parseChunkSize(line string) (int64, bool) {
 	digits, _, _ := strings.Cut(line, ";")
 	digits = strings.TrimRight(digits, " \t")
-	if digits == "" || len(digits) > 15 {
+	if digits == "" || len(digits) > maxChunkDigits {
 		return 0, false
 	}
 	n, err := strconv.ParseUint(digits, 16, 60)
--- /dev/null
+++ b/io/httpw/budget.go
@@ -0,0 +1,62 @@
+package httpw
+
+import "sync"
+
+// freeBody is the length in bytes up to which a body needs no part of a Budget: short
+// messages are served while long ones have used it up.
+const freeBody = 64 << 10
+
+// Budget bounds the memory of the long bodies that several connections hold at a time.
+// It is safe for concurrent use.
+type Budget struct {
+	mu   sync.Mutex
+	left int64
+}
+
+// NewBudget returns a budget of n bytes.
+func NewBudget(n int64) *Budget { return &Budget{left: n} }
+
+// take takes n bytes and reports whether they were left.
+func (b *Budget) take(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n > b.left {
+		return false
+	}
+	b.left -= n
+	return true
+}
+
+func (b *Budget) give(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left += n
+}
+
+// holding is the part of a Budget that the body of one message holds. The zero value has
+// no bound.
+type holding struct {
+	budget *Budget
+	taken  int64
+}
+
+// grow takes what a body of n bytes needs beyond what it holds.
+func (h *holding) grow(n int64) error {
+	need := n - freeBody - h.taken
+	if h.budget == nil || need <= 0 {
+		return nil
+	}
+	if !h.budget.take(need) {
+		return newMessageError(503, "no memory for a body of %d bytes", n)
+	}
+	h.taken += need
+	return nil
+}
+
+// release gives back what the body holds.
+func (h *holding) release() {
+	if h.taken > 0 {
+		h.budget.give(h.taken)
+		h.taken = 0
+	}
+}
--- a/io/httpw/error.go
+++ b/io/httpw/error.go
@@ -16,6 +16,6 @@
 // Error implements error.
 func (e *MessageError) Error() string { return "http message: " + e.reason }
 
-// Status returns the status to answer a bad request with: 400, 413, 431 or
-// 501.
+// Status returns the status to answer a bad request with: 400, 413, 431, 501, or
+// 503 if there is no memory for its body.
 func (e *MessageError) Status() int { return e.status }
--- a/io/httpw/message.go
+++ b/io/httpw/message.go
@@ -4,6 +4,8 @@
 type Limits struct {
 	HeaderBytes int   // start line and header lines, in bytes
 	BodyBytes   int64 // body without framing, in bytes
+	// Budget bounds the bodies of all messages that are read with it, nil for no bound.
+	Budget *Budget
 }
 
 // Request is a whole request.
@@ -14,8 +16,14 @@
 	Body   []byte
 	// Close tells that the sender wants no further exchange on the connection.
 	Close bool
+
+	memory holding
 }
 
+// Release gives the memory of the body back to the Budget. The body must not be used any
+// more.
+func (r *Request) Release() { r.memory.release() }
+
 // Response is a whole response.
 type Response struct {
 	Status int
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -64,11 +64,15 @@
 // ReadBody reads the body into the request.
 func (r *RequestHead) ReadBody(br *bufio.Reader, lim Limits) error {
 	var err error
+	r.memory.budget = lim.Budget
 	switch {
 	case r.frame.chunked:
-		r.Body, err = readChunked(br, lim.BodyBytes)
+		r.Body, err = readChunked(br, lim.BodyBytes, &r.memory)
 	case r.frame.length > 0:
-		r.Body, err = readLength(br, r.frame.length)
+		r.Body, err = readLength(br, r.frame.length, &r.memory)
+	}
+	if err != nil {
+		r.Release()
 	}
 	return err
 }
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -5,21 +5,26 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 )
 
+// maxInterim is the number of interim responses that may come before a response.
+const maxInterim = 8
+
 // ReadResponse reads the whole response to a request with the given method.
-// Interim responses are dropped. It returns io.EOF if the connection ends
+// Up to maxInterim interim responses are dropped. It returns io.EOF if the connection ends
 // before the first byte. A response that is cut is an error: also one without
 // a length whose connection is reset instead of closed.
 func ReadResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
-	for {
+	for range maxInterim + 1 {
 		resp, err := readResponse(br, method, lim)
 		if err != nil || resp.Status >= 200 {
 			return resp, err
 		}
 	}
+	return nil, newMessageError(400, "more than %d interim responses", maxInterim)
 }
 
 func readResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
@@ -41,18 +46,23 @@
 	}
 	resp.Close = resp.Header.hasToken("Connection", "close") ||
 		!keepAlive && !resp.Header.hasToken("Connection", "keep-alive")
-	switch {
-	case !hasBody(resp.Status, method):
+	if !hasBody(resp.Status, method) {
 		return resp, nil
+	}
+	// The budget holds while the body is read: a target that sends without end
+	// would take all memory. Who has the whole response passes it on at once.
+	memory := holding{budget: lim.Budget}
+	defer memory.release()
+	switch {
 	case frame.chunked:
-		resp.Body, err = readChunked(br, lim.BodyBytes)
+		resp.Body, err = readChunked(br, lim.BodyBytes, &memory)
 	case frame.length > lim.BodyBytes:
 		err = newMessageError(400, "body longer than %d bytes", lim.BodyBytes)
 	case frame.length >= 0:
-		resp.Body, err = readLength(br, frame.length)
+		resp.Body, err = readLength(br, frame.length, &memory)
 	default:
 		resp.Close, resp.NoLength = true, true
-		resp.Body, err = readToEnd(br, lim.BodyBytes)
+		resp.Body, err = readToEnd(br, lim.BodyBytes, &memory)
 	}
 	return resp, err
 }
@@ -75,14 +85,31 @@
 }
 
 // readToEnd reads until the connection is closed in the open.
-func readToEnd(br *bufio.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(br, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = newMessageError(400, "body longer than %d bytes", limit)
+func readToEnd(br *bufio.Reader, limit int64, memory *holding) ([]byte, error) {
+	body := make([]byte, 0, firstStep)
+	for {
+		if len(body) == cap(body) {
+			if err := memory.grow(int64(2 * cap(body))); err != nil {
+				return nil, err
+			}
+			body = slices.Grow(body, cap(body))
+		}
+		n, err := br.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, newMessageError(400, "body longer than %d bytes", limit)
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body, err
 }
 
+// firstStep is the memory in bytes that is taken for a body of unknown length.
+const firstStep = 4 << 10
+
 // AppendResponse appends the bytes of r to buf, always with a length. The
 // header must have no framing lines.
 func AppendResponse(buf []byte, r *Response, method string) []byte {
