core/retry: let each of hundreds of daemons make a retry

Cause: the fleet's limit of retries was divided by the number of agents, half of it as the number of unused retries that are kept. Change: at least one unused retry is kept, of the share and of the floor.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -19,7 +19,8 @@
 	// Floor is the number of retries per second that is always possible;
 	// default 3.
 	Floor float64
-	// Burst is the number of unused retries that are kept; default 10.
+	// Burst is the number of unused retries that are kept; default 10. At least
+	// one is kept: a daemon's part of a budget for hundreds may be less.
 	Burst float64
 }
 
@@ -42,9 +43,13 @@
 // a new budget would permit its burst again.
 func (b *Budget) SetOptions(o BudgetOptions) {
 	b.opts = o.withDefaults()
-	b.shareTokens, b.floorTokens = min(b.shareTokens, b.opts.Burst), min(b.floorTokens, b.opts.Floor)
+	b.shareTokens, b.floorTokens = min(b.shareTokens, b.opts.Burst), min(b.floorTokens, b.maxFloorTokens())
 }
 
+// maxFloorTokens returns the number of unused retries of the floor that are kept: those of
+// a second, at least one.
+func (b *Budget) maxFloorTokens() float64 { return max(b.opts.Floor, 1) }
+
 func (o BudgetOptions) withDefaults() BudgetOptions {
 	if o.Share <= 0 {
 		o.Share = defaultRetryShare
@@ -55,6 +60,7 @@
 	if o.Burst <= 0 {
 		o.Burst = defaultRetryBurst
 	}
+	o.Burst = max(o.Burst, 1)
 	return o
 }
 
@@ -88,7 +94,7 @@
 
 func (b *Budget) refill(now time.Time) {
 	if elapsed := now.Sub(b.lastRefill); !b.lastRefill.IsZero() && elapsed > 0 {
-		b.floorTokens = min(b.floorTokens+elapsed.Seconds()*b.opts.Floor, b.opts.Floor)
+		b.floorTokens = min(b.floorTokens+elapsed.Seconds()*b.opts.Floor, b.maxFloorTokens())
 	}
 	if now.After(b.lastRefill) {
 		b.lastRefill = now
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -24,10 +24,6 @@
 	// host changes within 300 ms and is sent to recent callers only, so an agent has
 	// better information on few targets that it calls often than on many.
 	subsetSize = 6
-	// budgetShare is the part of the permitted retries that agents use. Calls that a
-	// target makes while it runs a retry count as retries as well, and the retries of
-	// two windows of the agents may fall into one window.
-	budgetShare = 0.5
 )
 
 // balancer chooses targets. It holds the known agents, and for each service the
@@ -118,14 +114,10 @@
 }
 
 // retryOptions returns this agent's part of the retries that n agents may make together.
-// Half of the retries beyond the share is allowed as a burst, half as a rate.
 func (b *balancer) retryOptions(n int) retry.BudgetOptions {
-	extra := budgetShare * float64(b.settings.RetryExtra) / float64(max(n, 1))
-	return retry.BudgetOptions{
-		Share: budgetShare * b.settings.RetryShare,
-		Floor: extra / 2 / b.settings.RetryWindow.Seconds(),
-		Burst: extra / 2,
-	}
+	return retry.FleetLimit{
+		Share: b.settings.RetryShare, Extra: b.settings.RetryExtra, Window: b.settings.RetryWindow,
+	}.Part(n)
 }
 
 // targets returns the targets of a service, with the lock held.
