io/agent: write fewer records around planned stops

Change: a record that says draining covers the leaving of the same start. The stop of an agent isn't recorded, its callers hear of it directly; the next start puts a running target in service with one conditional write. Tried and dropped: leaving out a target that wasn't reached for a second.

--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -173,6 +173,15 @@
 	return cur, state, ok
 }
 
+// announcedState returns the target and the state that it has announced itself, Down if
+// there is none.
+func (t *localTarget) announcedState() (beat.Announcement, types.TargetState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cur, _ := t.announced.Current()
+	return cur, t.announced.State()
+}
+
 // load returns the load of the target, with the lock held.
 func (t *localTarget) load() mesh.Load {
 	r := t.gate.Report()
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -55,14 +55,10 @@
 	}, s, nil
 }
 
-// currentRecord returns the value that the record of this agent should have now.
-func (a *Agent) currentRecord() storedRecord {
-	cur, state, ok := a.target.current()
-	if !ok {
-		state = types.Down
-	}
-	return a.recordOf(cur, state)
-}
+// currentRecord returns the value that the record of this agent should have now. A stop
+// of the agent isn't recorded: those that call its target hear of it directly, and the
+// target is in service again at the next start.
+func (a *Agent) currentRecord() storedRecord { return a.recordOf(a.target.announcedState()) }
 
 // recordOf returns the record of this agent with a target.
 func (a *Agent) recordOf(cur beat.Announcement, state types.TargetState) storedRecord {
@@ -73,6 +69,16 @@
 	}
 }
 
+// covers reports whether a stored record need not be replaced by rec: it is the same, or
+// says that the target drains while rec says that the same start of it has left. Neither
+// gets calls.
+func (s storedRecord) covers(rec storedRecord) bool {
+	if types.TargetState(s.State) == types.Draining && types.TargetState(rec.State) == types.Down {
+		rec.State, rec.TargetSequence = s.State, s.TargetSequence
+	}
+	return s == rec
+}
+
 // announcement returns the target that a record describes and whether it is gone.
 func (s storedRecord) announcement() (beat.Announcement, bool) {
 	return beat.Announcement{
--- a/io/agent/registration.go
+++ b/io/agent/registration.go
@@ -122,7 +122,7 @@
 func (r *registration) awaitWrite(ctx context.Context) bool {
 	for {
 		r.mu.Lock()
-		same, done := r.isCurrent && r.written == r.value(), r.writeDone
+		same, done := r.isCurrent && r.written.covers(r.value()), r.writeDone
 		r.mu.Unlock()
 		if same {
 			return true
@@ -163,7 +163,7 @@
 	for {
 		rec := r.value()
 		r.mu.Lock()
-		same := r.isCurrent && r.written == rec
+		same := r.isCurrent && r.written.covers(rec)
 		if r.isDeleted {
 			r.rev, r.isRevKnown, r.isDeleted = 0, true, false
 		}
@@ -211,14 +211,14 @@
 }
 
 // withdraw deletes the record if its target has left. Otherwise the record stays for the
-// next start of this agent; it says that the target drains. withdraw waits until run has
-// returned, so the context of run must have ended.
+// next start of this agent. withdraw waits until run has returned, so the context of run
+// must have ended.
 func (r *registration) withdraw(ctx context.Context) error {
 	<-r.stopped
 	r.mu.Lock()
-	hasLeft := r.isCurrent && types.TargetState(r.written.State) == types.Down
+	isStored := r.isCurrent
 	r.mu.Unlock()
-	if !hasLeft {
+	if !isStored || types.TargetState(r.value().State) != types.Down {
 		return nil
 	}
 	return r.store.Delete(ctx, r.key, r.rev)
--- a/io/agent/restore.go
+++ b/io/agent/restore.go
@@ -14,39 +14,40 @@
 // claimRecord makes the record of an earlier start of this agent known, with the first
 // announcement of the target in this start. It returns false if the store is unavailable.
 func (a *Agent) claimRecord(ctx context.Context, ann beat.Announcement) bool {
-	a.restoring.Lock()
-	defer a.restoring.Unlock()
-	if a.isRestored.Load() {
-		return true
-	}
 	state := types.Up
 	if ann.Draining {
 		state = types.Draining
 	}
-	previous, err := a.registration.claim(ctx, a.recordOf(ann, state), func(previous *storedRecord) bool {
-		return follows(ann, previous)
+	return a.restoreFrom(func() (*storedRecord, error) {
+		return a.registration.claim(ctx, a.recordOf(ann, state), func(previous *storedRecord) bool {
+			return follows(ann, previous)
+		})
 	})
-	if err != nil {
-		return false
-	}
-	a.restoreTarget(previous)
-	return true
 }
 
 // readRecord reads the record of an earlier start of this agent if it isn't known yet. It
 // returns false if the store is unavailable.
 func (a *Agent) readRecord(ctx context.Context) bool {
+	isKnown := a.restoreFrom(func() (*storedRecord, error) { return a.registration.read(ctx) })
+	if isKnown {
+		a.registration.begin()
+	}
+	return isKnown
+}
+
+// restoreFrom restores the target from the record that source returns, unless the record
+// of an earlier start is known already. It returns false if source fails.
+func (a *Agent) restoreFrom(source func() (*storedRecord, error)) bool {
 	a.restoring.Lock()
 	defer a.restoring.Unlock()
 	if a.isRestored.Load() {
 		return true
 	}
-	previous, err := a.registration.read(ctx)
+	previous, err := source()
 	if err != nil {
 		return false
 	}
 	a.restoreTarget(previous)
-	a.registration.begin()
 	return true
 }
 
@@ -74,7 +75,8 @@
 
 // restoreRunning restores the target of a listed record of an earlier start if it is
 // still running, so that a restart of the agent alone does not take the target out of
-// service until its next announcement. The listing may be stale, so the record is read.
+// service until its next announcement. The listing may be stale: the record of this start
+// is only written if it shows the latest one, else the latest one is read.
 func (a *Agent) restoreRunning(ctx context.Context, rec *storedRecord) {
 	if types.TargetState(rec.State) != types.Up {
 		return
@@ -82,7 +84,10 @@
 	for !a.isRestored.Load() && ctx.Err() == nil {
 		if path := a.serviceInfo(types.ServiceName(rec.Service)).HealthPath; path != "" {
 			if a.target.isRunning(ctx, types.TargetID(rec.Target), path) {
-				a.readRecord(ctx)
+				ann, _ := rec.announcement()
+				if a.claimRecord(ctx, ann) {
+					a.registration.begin()
+				}
 			}
 			return
 		}
