io/agent: tell long configurations through a few agents

By the log, agents had started after 0.3 s and had their configuration in force after 1.1 s; until then they refuse all requests. Each long change was read by all in the same way. Ruled out: the listing of the records (30 MB in all, done 0.5 s earlier), the processor time of decoding. Many records learned together have one line in the log.

--- a/core/relay/copy.go
+++ b/core/relay/copy.go
@@ -37,6 +37,12 @@
 // Revision returns the revision up to which all changes are known.
 func (c *Copy) Revision() int64 { return c.revision }
 
+// Get returns the latest known state of a key, and false if none is known.
+func (c *Copy) Get(key string) (Item, bool) {
+	it, ok := c.items[key]
+	return it, ok
+}
+
 // Has reports whether a key is known to exist.
 func (c *Copy) Has(key string) bool {
 	it, ok := c.items[key]
@@ -58,6 +64,9 @@
 	return news
 }
 
+// Fill sets the value of an item that was omitted before.
+func (c *Copy) Fill(it Item) { c.items[it.Key] = it }
+
 // Replace takes a whole listing as of a revision and returns what changed by it,
 // keys that are gone included. A listing older than the copy is ignored, but
 // for single items that are newer.
--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -232,11 +232,15 @@
 
 // IsReader reports whether this daemon is one of those that wait at the store:
 // the first ones of the order that aren't absent.
-func (s *Sources) IsReader(now time.Time) bool {
+func (s *Sources) IsReader(now time.Time) bool { return s.isAmong(now, s.opts.Readers) }
+
+// isAmong reports whether this daemon is one of the first k of the order that aren't
+// absent.
+func (s *Sources) isAmong(now time.Time, k int) bool {
 	before := 0
 	for _, n := range s.nodes {
 		if n.name == s.opts.Self {
-			return before < s.opts.Readers
+			return before < k
 		}
 		if !now.Before(n.absent) {
 			before++
@@ -248,17 +252,28 @@
 // reader returns the daemon to ask, "" for none: of the first ones that may be
 // asked one by a hash with the own name, so that askers spread over them.
 func (s *Sources) reader(now time.Time) string {
+	return s.choose(s.opts.Self, s.opts.Readers, func(n node) bool { return now.Before(n.absent) || now.Before(n.old) })
+}
+
+// choose returns the daemon that another one asks: of the first k ones of the order that
+// are neither itself nor left out, the one with the highest affinity. It returns "" if
+// there is none.
+func (s *Sources) choose(asker string, k int, isLeftOut func(n node) bool) string {
 	var best string
 	var weight uint64
 	seen := 0
 	for _, n := range s.nodes {
-		if n.name == s.opts.Self || now.Before(n.absent) || now.Before(n.old) {
+		if n.name == asker || isLeftOut(n) {
 			continue
 		}
-		if best == "" || n.affinity > weight {
-			best, weight = n.name, n.affinity
+		w := n.affinity
+		if asker != s.opts.Self {
+			w = affinity(asker, n.name)
+		}
+		if best == "" || w > weight {
+			best, weight = n.name, w
 		}
-		if seen++; seen == s.opts.Readers {
+		if seen++; seen == k {
 			break
 		}
 	}
@@ -268,21 +283,8 @@
 // Serves reports whether another daemon asks this one, as far as both have reached the
 // same daemons. A reader that another one asks hears from it several times a second.
 func (s *Sources) Serves(now time.Time, name string) bool {
-	var best string
-	var weight uint64
-	seen := 0
-	for _, n := range s.nodes {
-		if n.name == name || now.Before(n.absent) {
-			continue
-		}
-		if w := affinity(name, n.name); best == "" || w > weight {
-			best, weight = n.name, w
-		}
-		if seen++; seen == s.opts.Readers {
-			break
-		}
-	}
-	return best == s.opts.Self
+	asked := s.choose(name, s.opts.Readers, func(n node) bool { return now.Before(n.absent) })
+	return asked == s.opts.Self
 }
 
 // affinity orders the readers for the daemon that asks.
--- a/core/relay/sources_test.go
+++ b/core/relay/sources_test.go
@@ -233,3 +233,30 @@
 	}
 	is.Equal(reads, 2)
 }
+
+// Guards against long values that all daemons read from the store, against a teller that
+// has to tell most of them, and against a lost one that keeps its askers from them.
+func TestTellersShareTheAskers(t *testing.T) {
+	for _, tc := range []struct{ daemons, tellers int }{{1, 1}, {12, 2}, {295, 15}, {1000, 50}} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		all := fleet(tc.daemons)
+		asked := map[string]int{}
+		for name, s := range all {
+			teller := s.Teller(now)
+			is.Equal(teller == "", s.IsTeller(now))
+			if teller == "" {
+				asked[name] += 0
+				continue
+			}
+			is.True(all[teller].IsTeller(now))
+			asked[teller]++
+			s.Failed(now, relay.Source{Node: teller})
+			is.True(s.Teller(now) != teller)
+		}
+		is.Equal(len(asked), tc.tellers)
+		for _, n := range asked {
+			is.True(n <= 3*tc.daemons/tc.tellers)
+		}
+	}
+}
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"context"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"trefoilthread/core/beat"
@@ -55,6 +57,15 @@
 // ApplyItems exposes applyItems.
 func ApplyItems(a *Agent, items []relay.Item) { a.applyItems(items) }
 
+// ReadLongTable reads a configuration that is too long to be told, of a revision or later,
+// and returns the version in force.
+func ReadLongTable(ctx context.Context, a *Agent, revision int64) int64 {
+	a.isTableLong.Store(true)
+	a.tableWanted.Store(revision)
+	a.readTable(ctx, 0)
+	return a.table.version()
+}
+
 // CountRequest counts a request for a service, which starts the statistics of it.
 func CountRequest(a *Agent, name types.ServiceName) { a.balancer.countRequest(name, "lookup") }
 
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -12,25 +12,33 @@
 // random, at least half of this, to spread the reads of all agents.
 const maxFetchDelay = 200 * time.Millisecond
 
+// maxLongFetchDelay takes the place of maxFetchDelay for a long configuration.
+const maxLongFetchDelay = time.Second
+
 // longTableBytes is the length of a configuration above which an agent waits longer for
 // the change before it reads the store.
 const longTableBytes = 64 << 10
 
 // maxReadDelay is the longest delay before a long configuration is read; the shortest is
 // half of it. Versions in quick succession share one read, since a read takes a quarter
-// of a second on a link of 10 Mbit/s.
-const maxReadDelay = 500 * time.Millisecond
+// of a second on a link of 10 Mbit/s. Others wait for it at the agents that tell it.
+const maxReadDelay = 200 * time.Millisecond
 
 // readInitialTable reads the configuration at the start, in parallel to the queries to
 // the readers: when all agents start together, the readers may be the last to have it.
-// The listing may be stale, because the readers pass on newer versions.
+// It may be stale, because the readers pass on newer versions.
 func (a *Agent) readInitialTable(ctx context.Context) {
+	if it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, 0); err == nil {
+		a.applyTable(it.Value, it.Revision, "told")
+		return
+	}
 	it, err := a.listTable(ctx)
 	if err != nil {
 		a.log.WithError(err).Warn("configuration not read at the start")
 		return
 	}
 	if it.Revision > 0 {
+		a.mirror.hold(it)
 		a.applyTable(it.Value, it.Revision, "start")
 	}
 }
@@ -60,19 +68,34 @@
 		case v := <-a.newerVersions:
 			pause := maxFetchDelay
 			if a.isTableLong.Load() {
-				pause = 2 * maxReadDelay // its change requests a read as well
+				pause = maxLongFetchDelay // its change requests a read as well
 			}
 			sleep(ctx, a.clock, jitterUpTo(pause))
 			if v > a.table.version() {
 				a.readTable(ctx, v)
 			}
 		case <-a.tableReads:
+			if a.askTable(ctx) {
+				continue
+			}
 			sleep(ctx, a.clock, jitterUpTo(maxReadDelay))
 			a.readTable(ctx, 0)
 		}
 	}
 }
 
+// askTable asks another agent for a configuration that was too long to be sent with a
+// change, and reports whether it was told.
+func (a *Agent) askTable(ctx context.Context) bool {
+	wanted := a.tableWanted.Load()
+	it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, wanted-1)
+	if err != nil {
+		return false
+	}
+	a.applyTable(it.Value, it.Revision, "told")
+	return true
+}
+
 // readTable reads the configuration from the store. heard is the version that another
 // agent has, 0 if unknown; then a failed read is repeated. All agents read a long
 // configuration, so a stale read is tried first, at a tenth of the price.
@@ -90,6 +113,7 @@
 		}
 		return
 	}
+	a.mirror.hold(it)
 	a.applyTable(it.Value, it.Revision, "read")
 }
 
@@ -102,6 +126,7 @@
 		a.metrics.countEvent("table_reads_stale")
 		return false
 	}
+	a.mirror.hold(it)
 	a.applyTable(it.Value, it.Revision, "staleRead")
 	return heard <= a.table.version()
 }
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -262,8 +262,8 @@
 }
 
 // prepareItem returns an item as the copy holds it, with a long value compressed, and
-// the value as the store has it. Only readers keep long values that they have read, as
-// only readers are queried.
+// the value as the store has it. Only tellers keep long values that they have read, as
+// only they are asked for them.
 func (m *mirror) prepareItem(it relay.Item) (kept relay.Item, value []byte) {
 	var err error
 	switch {
@@ -273,7 +273,7 @@
 		return it, it.Value
 	default:
 		value = it.Value
-		if m.isReader() {
+		if m.isTeller() {
 			it.Value, err = compress(value)
 			it.Packed = true
 		} else {
@@ -287,6 +287,14 @@
 	return it, value
 }
 
+// isTeller reports whether other agents ask this one for long values.
+func (m *mirror) isTeller() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sources.IsTeller(m.clock.Now())
+}
+
+// isReader reports whether other agents ask this one for changes.
 func (m *mirror) isReader() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -58,12 +58,25 @@
 		}
 		return changed
 	})
+	a.logLearned(records)
+	a.refreshSources()
+}
+
+// maxLearnedLines is the number of records learned together up to which each has a line in
+// the log. A starting agent learns hundreds of them while its callers wait.
+const maxLearnedLines = 8
+
+// logLearned logs records of other agents that were learned together.
+func (a *Agent) logLearned(records []roster.Record) {
+	if n := len(records); n > maxLearnedLines {
+		a.log.WithField("records", n).WithField("revision", records[n-1].Sequence).Info("records learned")
+		return
+	}
 	for _, rec := range records {
 		a.log.WithFields(log.Fields{
 			"node": rec.Node, "revision": rec.Sequence, "target": string(rec.Target.ID), "state": rec.Target.State.String(),
 		}).Info("record learned")
 	}
-	a.refreshSources()
 }
 
 // markMissing marks agents whose records are no longer in the store.
--- a/io/agent/query.go
+++ b/io/agent/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"trefoilthread/core/relay"
 	"trefoilthread/io/mesh"
 )
 
@@ -17,7 +18,7 @@
 	defer cancel()
 	for {
 		m.mu.Lock()
-		news := m.newsSince(q.Revision)
+		news := m.answer(q)
 		changed := m.changed
 		m.mu.Unlock()
 		if len(news.Items) > 0 || ctx.Err() != nil {
@@ -30,6 +31,25 @@
 	}
 }
 
+// answer returns what the copy has for a query, with the lock held.
+func (m *mirror) answer(q *mesh.Query) *mesh.News {
+	if q.Key == "" {
+		return m.newsSince(q.Revision)
+	}
+	it, ok := m.copy.Get(q.Key)
+	if !ok || it.Revision <= q.Revision || it.Deleted || it.Omitted {
+		return &mesh.News{}
+	}
+	return &mesh.News{Items: []mesh.Item{toMeshItem(it)}}
+}
+
+// toMeshItem converts an item of the copy.
+func toMeshItem(it relay.Item) mesh.Item {
+	return mesh.Item{
+		Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Packed: it.Packed, Omitted: it.Omitted,
+	}
+}
+
 // newsSince returns the changes in the copy after a revision, with the lock held.
 func (m *mirror) newsSince(after int64) *mesh.News {
 	news := &mesh.News{Revision: m.copy.Revision(), AgeMs: m.sources.Age(m.clock.Now()).Milliseconds()}
@@ -43,9 +63,7 @@
 		if len(it.Value) > limit {
 			it.Value, it.Packed, it.Omitted = nil, false, true
 		}
-		news.Items = append(news.Items, mesh.Item{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Packed: it.Packed, Omitted: it.Omitted,
-		})
+		news.Items = append(news.Items, toMeshItem(it))
 	}
 	return news
 }
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -93,9 +93,10 @@
 	Bulk    bool   `cbor:"4,keyasint,omitempty"` // the connection carries calls with long bodies only
 }
 
-// Query asks for what is in the store.
+// Query asks for what is in the store: for all changes, or for one key.
 type Query struct {
-	Revision int64 `cbor:"1,keyasint,omitempty"` // all changes up to this one are known to the sender
+	Revision int64  `cbor:"1,keyasint,omitempty"` // all changes up to this one are known to the sender
+	Key      string `cbor:"2,keyasint,omitempty"` // only a later state of this key is asked for, with its value
 }
 
 // News answers a Query.
