io/agent: ask another agent for a configuration that was heard of, then the store

Change: an agent that hears of a newer version asks the agent that tells long values first (450 ms at most), and reads the store if that has none.

--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -28,7 +28,7 @@
 // the readers: when all agents start together, the readers may be the last to have it.
 // It may be stale, because the readers pass on newer versions.
 func (a *Agent) readInitialTable(ctx context.Context) {
-	if it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, 0); err == nil {
+	if it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, 0, tellTimeout); err == nil {
 		a.applyTable(it.Value, it.Revision, "told")
 		return
 	}
@@ -71,11 +71,14 @@
 				pause = maxLongFetchDelay // its change requests a read as well
 			}
 			sleep(ctx, a.clock, jitterUpTo(pause))
-			if v > a.table.version() {
+			if v <= a.table.version() {
+				continue // it has come meanwhile
+			}
+			if !a.askTable(ctx, a.tableApplied.Load(), heardTimeout) || v > a.table.version() {
 				a.readTable(ctx, v)
 			}
 		case <-a.tableReads:
-			if a.askTable(ctx) {
+			if a.askTable(ctx, a.tableWanted.Load()-1, tellTimeout) {
 				continue
 			}
 			sleep(ctx, a.clock, jitterUpTo(maxReadDelay))
@@ -84,11 +87,10 @@
 	}
 }
 
-// askTable asks another agent for a configuration that was too long to be sent with a
-// change, and reports whether it was told.
-func (a *Agent) askTable(ctx context.Context) bool {
-	wanted := a.tableWanted.Load()
-	it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, wanted-1)
+// askTable asks another agent for a configuration later than a revision, and reports
+// whether it was told.
+func (a *Agent) askTable(ctx context.Context, after int64, timeout time.Duration) bool {
+	it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, after, timeout)
 	if err != nil {
 		return false
 	}
--- a/io/agent/tell.go
+++ b/io/agent/tell.go
@@ -15,6 +15,9 @@
 	// tellTimeout bounds the time in which another agent tells a long value. At the start
 	// of all VMs together it starts and reads the value itself meanwhile.
 	tellTimeout = 900 * time.Millisecond
+	// heardTimeout takes its place for a value that another agent has already; the store
+	// has to be read in time if the one that is asked is behind as well.
+	heardTimeout = 450 * time.Millisecond
 	// tellRetryDelay is the delay before an agent is asked again.
 	tellRetryDelay = 100 * time.Millisecond
 )
@@ -40,15 +43,16 @@
 }
 
 // ask asks another agent for the state of a key later than a revision. It fails if this
-// agent is to read the store itself, or if the other one does not have the value in time.
-func (m *mirror) ask(ctx context.Context, key string, after int64) (store.Item, error) {
+// agent is to read the store itself, or if the other one does not have the value within
+// the timeout.
+func (m *mirror) ask(ctx context.Context, key string, after int64, timeout time.Duration) (store.Item, error) {
 	m.mu.Lock()
 	node := m.sources.Teller(m.clock.Now())
 	m.mu.Unlock()
 	if node == "" {
 		return store.Item{}, errNotTold
 	}
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for {
 		it, err := m.askOnce(ctx, node, key, after)
