io/agent: spread the first reads of the configuration instead of waiting for a teller

Change: a starting agent asks its teller and reads the store after a random part of 3 ms for each agent, whichever comes first. Also: the line of a call's end has the pace of the target's host.

--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -145,6 +145,9 @@
 // bytesPerMbit converts the unit of links.
 const bytesPerMbit = 1e6 / 8
 
+// Len returns the number of known daemons, this one included.
+func (s *Sources) Len() int { return len(s.nodes) }
+
 // IsAlone reports whether no other daemon is known.
 func (s *Sources) IsAlone() bool { return len(s.nodes) == 1 }
 
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"trefoilthread/io/store"
@@ -24,13 +25,23 @@
 // of a second on a link of 10 Mbit/s. Others wait for it at the agents that tell it.
 const maxReadDelay = 200 * time.Millisecond
 
+// initialReadSpread is the time for each agent over which the first reads of all agents are
+// spread while they ask others. It is what a configuration of 370 KB takes on a link of
+// 1,000 Mbit/s, the store's.
+const initialReadSpread = 3 * time.Millisecond
+
 // readInitialTable reads the configuration at the start, in parallel to the queries to
 // the readers: when all agents start together, the readers may be the last to have it.
 // It may be stale, because the readers pass on newer versions.
 func (a *Agent) readInitialTable(ctx context.Context) {
-	if it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, 0, tellTimeout); err == nil {
-		a.applyTable(it.Value, it.Revision, "told")
-		return
+	told := make(chan bool, 1)
+	go func() { told <- a.askTable(ctx, 0, tellTimeout) }()
+	select {
+	case isTold := <-told:
+		if isTold {
+			return
+		}
+	case <-a.clock.After(rand.N(time.Duration(a.mirror.nodeCount()) * initialReadSpread)):
 	}
 	it, err := a.listTable(ctx)
 	if err != nil {
--- a/io/agent/logging.go
+++ b/io/agent/logging.go
@@ -77,7 +77,7 @@
 	t.log.WithFields(log.Fields{
 		"request": head.ID, "service": head.Service, "route": head.Route, "target": head.Target, "result": resultNames[ans.Result],
 		"reason": ans.Reason, "tookMs": took.Milliseconds(), "leftMs": head.RemainingMs - took.Milliseconds(),
-		"running": ans.Load.InFlight, "waiting": ans.Load.Queued, "limit": ans.Load.Limit,
+		"running": ans.Load.InFlight, "waiting": ans.Load.Queued, "limit": ans.Load.Limit, "pace": ans.Load.Pace,
 		"latencyMs": ans.Load.LatencyUs / 1000, "config": head.Config,
 	}).Info("call ended")
 }
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -287,6 +287,13 @@
 	return it, value
 }
 
+// nodeCount returns the number of known agents, this one included.
+func (m *mirror) nodeCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sources.Len()
+}
+
 // isTeller reports whether other agents ask this one for long values.
 func (m *mirror) isTeller() bool {
 	m.mu.Lock()
