--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -28,7 +28,10 @@
 //
 // A configuration of a thousand routes takes a link of 10 Mbit/s a third of a
 // second, and a read each. Readers tell it compressed, as long as that keeps
-// their links busy for a short time only; else all read it from the store.
+// their links busy for a short time only. Longer ones are read from the store by the
+// tellers, the first ones of the order, one daemon in twenty. The others ask a teller, and
+// read the store only if it doesn't have the value in time: if all of 300 daemons read it
+// together, the store's own link is busy for a second.
 //
 // # Usage
 //
--- a/core/roster/doc.go
+++ b/core/roster/doc.go
@@ -1,8 +1,8 @@
 // Package roster is one daemon's view of the other daemons and their targets.
 //
 // It has two sources. The records in the store list the daemons. They may be out
-// of date during a store outage, and a record is deleted when its daemon could
-// not renew its lease. Direct contact, that is an answer or a message of a
+// of date during a store outage, and a record may be deleted while its daemon
+// can't be reached. Direct contact, that is an answer or a message of a
 // daemon, shows that it is alive and whether its target takes calls.
 //
 // # Replacement and removal
@@ -16,7 +16,7 @@
 //
 // After a restart of all VMs the records in the store describe earlier starts
 // for up to a second. Those of VMs whose addresses have passed to others stay
-// for the lease time. A daemon that is called for an earlier target therefore
+// until they are deleted. A daemon that is called for an earlier target therefore
 // answers with a description of the present one, and LearnDirect uses that until the
 // next record. A daemon that is found at an address replaces any other with that
 // address.
--- a/io/agent/doc.go
+++ b/io/agent/doc.go
@@ -7,8 +7,8 @@
 // target itself. The decisions are those of core: vhost (which service), route
 // (which target), retry (whether to send again), admit (whether to run now),
 // roster and beat (which agents and targets exist), relay (from which agent or
-// store to read changes), pace and probe (how fast the target's host is), poison
-// (which requests crash targets).
+// store to read changes), prune (which agents are gone), pace and probe (how fast the
+// target's host is), poison (which requests crash targets).
 //
 // # State and its owners
 //
@@ -16,7 +16,8 @@
 //	activeTable   configuration in force, decoded from the operator's document in the store
 //	balancer      other agents, their targets, statistics of this agent's calls, retry budgets
 //	localTarget   the target on this VM, its admission gate and its connections
-//	registration  this agent's record in the store and its lease
+//	registration  this agent's record in the store
+//	cleaner       which other agents are gone, so that their records are deleted
 //	suspects      requests that were running when a target crashed
 //
 // None of it is kept on disk. A restarted agent reads it again from the store, from
--- a/io/httpw/doc.go
+++ b/io/httpw/doc.go
@@ -14,6 +14,13 @@
 // space before a colon, control characters, and chunk sizes that are no plain
 // hexadecimal number. What is written has exactly one framing.
 //
+// # Bounds
+//
+// Each part of a message has a bound, so bytes that come without end are an error soon:
+// Limits for the header and the body, and constants for interim responses, chunk lines,
+// their extensions and trailers. The bodies that several connections hold at a time take
+// memory from a Budget beyond their first 64 KB.
+//
 // # Usage
 //
 //	br := bufio.NewReader(conn)
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -1,8 +1,9 @@
 // Package mesh carries calls between daemons over kept TCP connections.
 //
-// A daemon keeps one connection to each daemon it calls. Calls share it: each
-// frame names its call, so a slow call holds no other up, and a canceled call
-// costs one frame instead of a connection. Messages are CBOR and whole: a call
+// A daemon keeps one connection to each daemon it calls, and a second one for calls
+// with long bodies, behind which others would wait. Calls share them: each frame names
+// its call, so a slow call holds no other up, and a canceled call costs one frame instead
+// of a connection. Messages are CBOR and whole: a call
 // is delivered only when all its bytes are there, and so is its answer.
 //
 // # Versions
@@ -18,7 +19,8 @@
 // A connection that has gone silent is told by a ping: when calls are open and
 // nothing has come for Options.Silence, a ping is sent, and without any byte
 // for another Silence the connection is closed. Its open calls end with
-// ErrBroken: each of them may have run.
+// ErrBroken: each of them may have run. Who reads a long frame sends pongs meanwhile,
+// and counts its parts as signs of life.
 //
 // # Proof that nothing ran
 //
