--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -112,8 +112,8 @@
 }
 
 // readTable reads the configuration from the store. heard is the version that another
-// agent has, 0 if unknown; then a failed read is repeated. All agents read a long
-// configuration, so a stale read is tried first, at a tenth of the price.
+// agent has, 0 if unknown; then a failed read is repeated. Several agents read
+// a long configuration, so a stale read is tried first, at a tenth of the price.
 func (a *Agent) readTable(ctx context.Context, heard int64) {
 	if a.isTableLong.Load() && a.readStaleTable(ctx, heard) {
 		return
