core/relay, io/agent: leave out agents that have lost the store

Callers could see a configuration late while the store turned away the two agents that read for the others: their copies were told with a growing age only, each asker went back to them within a second, and all copies grew to 1.5 s and, with the query that was waiting then, to 1.9 s old again and again, against two seconds in which a configuration has to be in force.

An agent says in its answer that it has lost the store, and at once to those whose queries wait. They leave it out for 3 s, so that the next ones in the order read. If the asker has lost the store as well, or more than four others have, the store is away for all: then nobody is left out, and queries wait as before, so that an outage brings no more calls.

--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -13,7 +13,8 @@
 // All daemons order the known ones by the speed of their links, and by a hash of
 // their names where that is the same. The first ones are the readers. A daemon
 // that can't be reached is left out of the order for a while, so the next one
-// moves up. A daemon whose copy has become too old reads by itself, whatever its
+// moves up. So is one that answers that it has lost the store, which may turn away
+// some daemons and serve the others. A daemon whose copy has become too old reads by itself, whatever its
 // place: then the readers can't reach the store, or this daemon can't reach the
 // readers. Each answer tells how old its information is, so a reader that was
 // cut off from the store is noticed, and may itself learn from others.
--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -28,6 +28,8 @@
 	unreachedTime = 3 * time.Second
 	// oldTime is how long a daemon isn't asked again whose copy was too old.
 	oldTime = time.Second
+	// lostTime is how long a daemon is left out that has lost the store itself.
+	lostTime = 3 * time.Second
 	// readGap and askGap let changes in quick succession share a call to the store
 	// or a query.
 	readGap = 200 * time.Millisecond
@@ -96,6 +98,7 @@
 	affinity uint64    // with this daemon; the readers are chosen from by it
 	absent   time.Time // not reached, left out until then
 	old      time.Time // its copy was too old, not asked until then
+	lost     time.Time // it had lost the store, left out until then
 }
 
 // NewSources returns Sources that know no other daemon.
@@ -234,28 +237,35 @@
 }
 
 // IsReader reports whether this daemon is one of those that wait at the store:
-// the first ones of the order that aren't absent.
+// the first ones of the order that aren't left out.
 func (s *Sources) IsReader(now time.Time) bool { return s.isAmong(now, s.opts.Readers) }
 
 // isAmong reports whether this daemon is one of the first k of the order that aren't
-// absent.
+// left out.
 func (s *Sources) isAmong(now time.Time, k int) bool {
-	before := 0
+	before, isOutage := 0, s.IsOutage(now)
 	for _, n := range s.nodes {
 		if n.name == s.opts.Self {
 			return before < k
 		}
-		if !now.Before(n.absent) {
+		if !n.isOut(now, isOutage) {
 			before++
 		}
 	}
 	return true
 }
 
+// isOut reports whether a daemon is left out of the order. One that has lost the store
+// isn't left out if the store is away for all.
+func (n node) isOut(now time.Time, isOutage bool) bool {
+	return now.Before(n.absent) || now.Before(n.lost) && !isOutage
+}
+
 // reader returns the daemon to ask, "" for none: of the first ones that may be
 // asked one by a hash with the own name, so that askers spread over them.
 func (s *Sources) reader(now time.Time) string {
-	return s.choose(s.opts.Self, s.opts.Readers, func(n node) bool { return now.Before(n.absent) || now.Before(n.old) })
+	isOutage := s.IsOutage(now)
+	return s.choose(s.opts.Self, s.opts.Readers, func(n node) bool { return n.isOut(now, isOutage) || now.Before(n.old) })
 }
 
 // choose returns the daemon that another one asks: of the first k ones of the order that
--- a/core/relay/tellers.go
+++ b/core/relay/tellers.go
@@ -14,7 +14,7 @@
 }
 
 // IsTeller reports whether this daemon tells others long values: it is one of the first
-// ones of the order that aren't absent.
+// ones of the order that aren't left out.
 func (s *Sources) IsTeller(now time.Time) bool { return s.isAmong(now, s.tellers()) }
 
 // Teller returns the daemon to ask for a long value, "" if this one is to read it from the
@@ -23,5 +23,6 @@
 	if s.IsTeller(now) {
 		return ""
 	}
-	return s.choose(s.opts.Self, s.tellers(), func(n node) bool { return now.Before(n.absent) })
+	isOutage := s.IsOutage(now)
+	return s.choose(s.opts.Self, s.tellers(), func(n node) bool { return n.isOut(now, isOutage) })
 }
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -4,12 +4,15 @@
 	"context"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
 
 	"trefoilthread/core/beat"
 	"trefoilthread/core/relay"
 	"trefoilthread/core/roster"
 	"trefoilthread/core/types"
+	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/store"
 )
 
 // Names for the tests of package agent_test.
@@ -80,3 +83,24 @@
 	}
 	return nodeKey(node), value
 }
+
+// Mirror exposes mirror.
+type Mirror = mirror
+
+// NewMirror returns a mirror of the keys of agent records that knows no other agent.
+func NewMirror(st store.Store, clock clockwork.Clock) *Mirror {
+	return newMirror(mirrorOptions{
+		store: st, clock: clock, log: logs.Discard(), self: "self", prefix: nodePrefix,
+		wants:    func(string) bool { return true },
+		onChange: func([]relay.Item) {},
+		onListed: func(int64, func(string) bool) {},
+	})
+}
+
+// ReadStore exposes readStore, from the revision that is known.
+func (m *mirror) ReadStore(ctx context.Context) { m.readStore(ctx, m.copy.Revision()) }
+
+// ServeQuery exposes serveQuery.
+func (m *mirror) ServeQuery(ctx context.Context, q *mesh.Query) *mesh.News {
+	return m.serveQuery(ctx, q)
+}
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -58,7 +58,7 @@
 	mu      sync.Mutex
 	copy    *relay.Copy
 	sources *relay.Sources
-	changed chan struct{} // closed at the next change
+	changed chan struct{} // closed at the next change, or when the store is lost
 
 	// The fields below belong to run.
 	needsList   bool // all keys have to be read again
@@ -178,11 +178,18 @@
 	if err != nil {
 		m.mu.Lock()
 		m.sources.Failed(m.clock.Now(), relay.Source{Store: true})
+		m.wakeQueries()
 		m.mu.Unlock()
 	}
 	return err == nil
 }
 
+// wakeQueries has the queries that wait look at the copy again, with the lock held.
+func (m *mirror) wakeQueries() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // queryAgent queries another agent and returns the pause until the next step.
 func (m *mirror) queryAgent(ctx context.Context, from relay.Source, after int64) time.Duration {
 	if m.needsList {
@@ -194,7 +201,10 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	news, err := m.sendQuery(bounded, from.Node, &mesh.Query{Revision: after})
+	m.mu.Lock()
+	isOutage := m.sources.IsOutage(m.clock.Now())
+	m.mu.Unlock()
+	news, err := m.sendQuery(bounded, from.Node, &mesh.Query{Revision: after, Wait: isOutage})
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -215,6 +225,12 @@
 	if news.Whole {
 		m.needsList = false
 	}
+	if news.Lost {
+		m.mu.Lock()
+		m.sources.LostStore(m.clock.Now(), from)
+		m.mu.Unlock()
+		m.log.WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).Info("agent has lost the store")
+	}
 	return m.apply(from, time.Duration(news.AgeMs)*time.Millisecond, items, news.Revision, news.Whole)
 }
 
@@ -239,8 +255,7 @@
 		news = m.copy.Apply(kept, rev)
 	}
 	if len(news) > 0 {
-		close(m.changed)
-		m.changed = make(chan struct{})
+		m.wakeQueries()
 	}
 	pause := m.sources.Learned(m.clock.Now(), from, age, len(items))
 	has := m.copy.Has
--- a/io/agent/query.go
+++ b/io/agent/query.go
@@ -11,8 +11,8 @@
 // queryHoldTime is how long a query of another agent waits for changes.
 const queryHoldTime = 400 * time.Millisecond
 
-// serveQuery answers a query of another agent, at once if there are changes, else after
-// queryHoldTime.
+// serveQuery answers a query of another agent, at once if there are changes or this agent
+// has lost the store, else after queryHoldTime.
 func (m *mirror) serveQuery(ctx context.Context, q *mesh.Query) *mesh.News {
 	ctx, cancel := context.WithTimeout(ctx, queryHoldTime)
 	defer cancel()
@@ -21,7 +21,7 @@
 		news := m.answer(q)
 		changed := m.changed
 		m.mu.Unlock()
-		if len(news.Items) > 0 || ctx.Err() != nil {
+		if len(news.Items) > 0 || news.Lost && !q.Wait || ctx.Err() != nil {
 			return news
 		}
 		select {
@@ -52,7 +52,10 @@
 
 // newsSince returns the changes in the copy after a revision, with the lock held.
 func (m *mirror) newsSince(after int64) *mesh.News {
-	news := &mesh.News{Revision: m.copy.Revision(), AgeMs: m.sources.Age(m.clock.Now()).Milliseconds()}
+	now := m.clock.Now()
+	news := &mesh.News{
+		Revision: m.copy.Revision(), AgeMs: m.sources.Age(now).Milliseconds(), Lost: m.sources.IsStoreLost(now),
+	}
 	if news.Revision == 0 {
 		return news // the copy is empty
 	}
--- a/io/agent/tell.go
+++ b/io/agent/tell.go
@@ -38,8 +38,7 @@
 	} else if len(m.copy.Apply([]relay.Item{kept}, 0)) == 0 {
 		return
 	}
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.wakeQueries()
 }
 
 // ask asks another agent for the state of a key later than a revision. It fails if this
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -97,6 +97,7 @@
 type Query struct {
 	Revision int64  `cbor:"1,keyasint,omitempty"` // all changes up to this one are known to the sender
 	Key      string `cbor:"2,keyasint,omitempty"` // only a later state of this key is asked for, with its value
+	Wait     bool   `cbor:"3,keyasint,omitempty"` // wait for news also if the receiver has lost the store
 }
 
 // News answers a Query.
@@ -105,6 +106,7 @@
 	Items    []Item `cbor:"2,keyasint,omitempty"`
 	Revision int64  `cbor:"3,keyasint,omitempty"` // all changes up to this one are known now
 	AgeMs    int64  `cbor:"4,keyasint,omitempty"` // later changes may be missing if they are not older than this
+	Lost     bool   `cbor:"5,keyasint,omitempty"` // the sender has lost the store
 }
 
 // Item is one key of the store.
