io/agent: don't wait for changes in the first call of a series to the store

An agent that the store doesn't answer was kept from asking others for 1.5 s by each of its own calls, as a call waits for changes for 0.7 s and for its answer 0.8 s more. A call that doesn't follow an answer of the store within 1.5 s returns at once now; it ends after 0.8 s if there is no answer.

TestFirstStoreCallOfASeriesDoesNotWait failed before.

--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -20,6 +20,10 @@
 	// time in which a store that leaves waiting calls without an answer goes unnoticed,
 	// and with queryHoldTime the age of the copies of other agents.
 	storeWaitTime = 700 * time.Millisecond
+	// storeSeriesGap is the longest time after an answer of the store in which the next call
+	// waits for changes. Another call returns at once, so that a store that doesn't answer
+	// keeps the agent from asking others for a short time only.
+	storeSeriesGap = 1500 * time.Millisecond
 	// firstQueryTimeout bounds a query while there is no copy yet: the reader may have
 	// gone since the listing that named it.
 	firstQueryTimeout = 450 * time.Millisecond
@@ -61,8 +65,9 @@
 	changed chan struct{} // closed at the next change, or when the store is lost
 
 	// The fields below belong to run.
-	needsList   bool // all keys have to be read again
-	isStoreLost bool // the latest call to the store failed
+	needsList   bool      // all keys have to be read again
+	isStoreLost bool      // the latest call to the store failed
+	answeredAt  time.Time // latest answer of the store
 	source      string
 }
 
@@ -136,7 +141,10 @@
 	if m.needsList {
 		return m.listStore(ctx)
 	}
-	wait := storeWaitTime - rand.N(storeWaitTime/10) // spreads the calls of agents that started together
+	var wait time.Duration
+	if m.clock.Since(m.answeredAt) < storeSeriesGap {
+		wait = storeWaitTime - rand.N(storeWaitTime/10) // spreads the calls of agents that started together
+	}
 	events, rev, err := m.store.Changes(ctx, "", after, wait)
 	if errors.Is(err, store.ErrCompacted) {
 		m.needsList = true
@@ -175,7 +183,9 @@
 		m.log.WithError(err).WithField("copyAgeMs", m.age().Milliseconds()).Warn("store lost")
 	}
 	m.isStoreLost = err != nil
-	if err != nil {
+	if err == nil {
+		m.answeredAt = m.clock.Now()
+	} else {
 		m.mu.Lock()
 		m.sources.Failed(m.clock.Now(), relay.Source{Store: true})
 		m.wakeQueries()
@@ -208,7 +218,9 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	if err != nil {
+	if err == nil {
+		m.answeredAt = m.clock.Now()
+	} else {
 		m.mu.Lock()
 		m.sources.Failed(m.clock.Now(), from)
 		m.mu.Unlock()
--- a/io/agent/mirror_test.go
+++ b/io/agent/mirror_test.go
@@ -34,3 +34,32 @@
 	m.ReadStore(t.Context())
 	is.True(!m.ServeQuery(ended, &mesh.Query{Revision: 5}).Lost)
 }
+
+// Guards against an agent that is kept from asking others for 1.5 s at a time, because each
+// of its calls waits at a store that doesn't answer it.
+func TestFirstStoreCallOfASeriesDoesNotWait(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	var waits []bool
+	var failure error
+	m := agent.NewMirror(store.Store{
+		List: func(context.Context, string, bool) ([]store.Item, int64, error) { return nil, 5, nil },
+		Changes: func(_ context.Context, _ string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+			waits = append(waits, wait > 0)
+			return nil, after, failure
+		},
+	}, clock)
+	read := func(later time.Duration) bool {
+		clock.Advance(later)
+		m.ReadStore(t.Context())
+		return waits[len(waits)-1]
+	}
+	m.ReadStore(t.Context()) // lists
+	is.True(read(200 * time.Millisecond))
+	failure = store.ErrUnavailable
+	is.True(read(200 * time.Millisecond))
+	is.True(!read(1500 * time.Millisecond))
+	failure = nil
+	is.True(!read(2 * time.Second))
+	is.True(read(200 * time.Millisecond))
+}
