core/route: ignore a reported limit that is over a second old

A target that had reported a low limit was compared by it until its next answer. If the others had room, it wasn't chosen, and so couldn't report the end of the limit. Found while a rate limit of targets was added, whose end is a step and not a slow growth.

TestOldLimitIsIgnored failed before (score of the limited target still higher after 1.5 s) and passes.

--- a/core/route/member.go
+++ b/core/route/member.go
@@ -27,6 +27,9 @@
 	// reported at once, but a target notices them only while it runs calls.
 	slowdownHalfLife = time.Second
 
+	// limitMaxAge is the age from which on a reported limit is ignored.
+	limitMaxAge = time.Second
+
 	// drainHold bounds how long a report that says draining overrides the
 	// membership, which may never show a drain that was canceled.
 	drainHold = 30 * time.Second
@@ -171,10 +174,11 @@
 }
 
 // slots returns the number of calls that the target runs at a time: its slots, or
-// the reported concurrency limit if that is lower.
-func (m *member) slots() float64 {
+// the reported limit if that is lower. An old report doesn't count: a target that isn't
+// chosen because of its limit couldn't report the end of it.
+func (m *member) slots(now time.Duration) float64 {
 	n := max(1, m.target.Slots())
-	if m.limit > 0 {
+	if m.limit > 0 && now-m.reportedAt < limitMaxAge {
 		n = min(n, m.limit)
 	}
 	return float64(n)
