core/admit, io/agent: start no more calls a second than a target takes

No caller would have noticed before the target failed.

Cause: the header was unknown. The gate limits how many calls run at a time, and 12 places with calls of 90 ms start up to 130 a second. All calls for a target pass the gate beside it, whatever VM they came from, so that is the place to count them.

Change: the gate has a limit of starts. Calls beyond it wait for their turn or are refused at once, the estimate of the wait counts it, and reports name the places that it leaves, so that entry agents place by it. It is read from answers and health checks, and ends with an answer that names none. A target that names 0 gets a call every four seconds, as only an answer can say that this has ended.

--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -12,6 +12,11 @@
 // keeps its slot until Done, because the target may still be working on it and
 // cannot be asked; another call in that slot could exceed the target's slots.
 //
+// A target in need may name the number of calls a second that it takes. SetRate
+// limits the starts to that; a quarter of a second of unused starts is made up
+// for. The limit counts in the estimated wait of a call, and in the reported
+// number of slots.
+//
 // # Order
 //
 // A call is either urgent or normal, and each of these two groups has a queue.
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"trefoilthread/core/limit"
 	"trefoilthread/core/types"
 )
@@ -11,6 +13,7 @@
 type Gate struct {
 	opts           Options
 	limit          *limit.Limit
+	rate           *rate.Limiter // of starts, nil if there is no limit
 	entries        []*entry
 	free           []*entry
 	urgent         queue
@@ -123,11 +126,11 @@
 		g.release(e)
 		return g.refusal(reasonGoal), Refuse
 	}
-	if !delayed && g.hasSlot(e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
-		g.start(e)
+	if !delayed && g.hasSlot(now, e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
+		g.start(now, e)
 		return e.ticket(), Run
 	}
-	if g.missesGoal(now, e, g.estimatedWait(e)) {
+	if g.missesGoal(now, e, g.estimatedWait(now, e)) {
 		if c.PromptOnly() {
 			g.release(e)
 			return g.refusal(reasonGoal), Refuse
@@ -138,7 +141,7 @@
 		}
 		e.demote()
 	}
-	if remaining < g.estimatedWait(e)+service {
+	if remaining < g.estimatedWait(now, e)+service {
 		g.release(e)
 		return g.refusal(reasonDeadline), Refuse
 	}
@@ -228,7 +231,7 @@
 func (g *Gate) Report() types.ReportSpec {
 	return types.ReportSpec{
 		InFlight: g.running, Queued: g.waiting(),
-		Limit: g.maxRunning(), Latency: g.limit.Latency(), Draining: g.draining,
+		Limit: g.effectiveSlots(), Latency: g.limit.Latency(), Draining: g.draining,
 	}
 }
 
--- a/core/admit/grant.go
+++ b/core/admit/grant.go
@@ -24,13 +24,15 @@
 // maxRunning returns the number of calls that may run at a time now.
 func (g *Gate) maxRunning() int { return min(g.limit.Value(), g.opts.Connections) }
 
-// hasSlot reports whether a slot is free for an urgent or a normal call.
-func (g *Gate) hasSlot(urgent bool) bool {
+// hasSlot reports whether a slot is free for an urgent or a normal call, and the rate
+// limit allows a start.
+func (g *Gate) hasSlot(now time.Time, urgent bool) bool {
 	n := g.maxRunning()
-	return g.running < n && (urgent || g.runningNormal < n-g.opts.reservedSlots(n))
+	return g.allowsStart(now) && g.running < n && (urgent || g.runningNormal < n-g.opts.reservedSlots(n))
 }
 
-func (g *Gate) start(e *entry) {
+func (g *Gate) start(now time.Time, e *entry) {
+	g.recordStart(now)
 	e.running, e.pace = true, g.pace
 	g.running++
 	g.runningPaceSum += e.pace
@@ -42,8 +44,8 @@
 // grant starts waiting calls in free slots and returns all pending events.
 func (g *Gate) grant(now time.Time) []Event {
 	for {
-		urgent := g.urgent.Len() > 0 && g.hasSlot(true)
-		normal := g.normal.Len() > 0 && g.hasSlot(false)
+		urgent := g.urgent.Len() > 0 && g.hasSlot(now, true)
+		normal := g.normal.Len() > 0 && g.hasSlot(now, false)
 		if !urgent && !normal {
 			return g.Pending()
 		}
@@ -64,7 +66,7 @@
 			return g.Pending()
 		}
 		q.remove(e)
-		g.start(e)
+		g.start(now, e)
 		if e.urgent {
 			g.urgentStreak = min(g.urgentStreak+1, maxUrgentStreak)
 		} else {
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -24,14 +24,15 @@
 
 // estimatedWait returns the estimated time until e would start if it joined its
 // queue now.
-func (g *Gate) estimatedWait(e *entry) time.Duration {
+func (g *Gate) estimatedWait(now time.Time, e *entry) time.Duration {
 	grants := g.queueOf(e).countAhead(e) + 1
 	if e.urgent {
 		grants += min(g.normal.Len(), grants/g.urgentStreakLimit())
 	} else {
 		grants += min(g.urgent.Len(), grants*g.urgentStreakLimit())
 	}
-	return g.meanServiceTime() * time.Duration(grants) / time.Duration(max(g.maxRunning(), 1))
+	bySlots := g.meanServiceTime() * time.Duration(grants) / time.Duration(max(g.maxRunning(), 1))
+	return max(bySlots, g.rateDelay(now, grants))
 }
 
 // missesDeadline reports whether a waiting call would miss its deadline if it
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -60,6 +60,7 @@
 	stopping  bool      // this agent is stopping
 	downUntil time.Time // no calls until then, as the target accepted no connection
 	pace      pace.Tracker
+	rate      float64 // calls a second that the target takes, 0 if it has named no limit
 
 	probeDone   chan struct{} // closed when the health check in flight has ended, nil if there is none
 	nextProbeAt time.Time     // no health check before this time
@@ -128,6 +129,8 @@
 func (t *localTarget) reset(cur beat.Announcement) {
 	t.pace = pace.Tracker{}
 	t.setGatePace()
+	t.rate = 0
+	t.gate.SetRate(t.clock.Now(), 0)
 	t.downUntil = time.Time{}
 	if cur.Address != "" {
 		t.client.SetAddr(cur.Address)
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -71,8 +71,7 @@
 	if err != nil {
 		return false // the target has ended as well, or announces itself later
 	}
-	found, _ := t.wire.ReadHealth(resp)
-	return found == id
+	return t.wire.ReadHealth(resp).Target == id
 }
 
 // runProbe makes a health check. It is independent of the context of the call that needs
@@ -81,25 +80,25 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	resp, err := t.client.Do(ctx, t.wire.HealthRequest(path))
-	var id types.TargetID
-	var pace float64
+	var h HealthInfo
 	if err == nil {
-		id, pace = t.wire.ReadHealth(resp)
+		h = t.wire.ReadHealth(resp)
 	} else {
 		// The target may have closed its idle connections without notice. A request that
 		// may run only once would be lost on the next of them.
 		t.client.Flush()
 	}
-	if id == cur.ID {
-		t.setPace(pace)
+	if err == nil && h.Target == cur.ID {
+		t.setPace(h.Pace)
+		t.setRate(cur.ID, h.Rate, false)
 	}
 	t.mu.Lock()
 	t.metrics.countEvent("probes")
 	switch {
-	case err != nil || id != cur.ID:
+	case err != nil || h.Target != cur.ID:
 		t.metrics.countEvent("probes_failed")
 		t.nextProbeAt = t.clock.Now().Add(probeRetryDelay)
-	case pace == 0:
+	case h.Pace == 0:
 		t.pace.ObserveNone()
 	}
 	close(t.probeDone)
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -45,7 +45,7 @@
 	req := t.wire.TargetRequest(head, left)
 	t.suspects.begin(fp)
 	resp, err := t.client.Do(ctx, req)
-	ans, failed := t.answer(ctx, resp, err)
+	ans, failed := t.answer(ctx, types.TargetID(head.Target), resp, err)
 	t.suspects.end(fp, ans.Result)
 	t.mu.Lock()
 	events := t.gate.Done(t.clock.Now(), ticket, t.clock.Since(start), failed)
@@ -168,8 +168,9 @@
 	return ans
 }
 
-// answer converts the target's response, and reports whether the target failed.
-func (t *localTarget) answer(ctx context.Context, resp *httpw.Response, err error) (*mesh.Answer, bool) {
+// answer converts the response of the target with an id, and reports whether the target
+// failed.
+func (t *localTarget) answer(ctx context.Context, id types.TargetID, resp *httpw.Response, err error) (*mesh.Answer, bool) {
 	switch {
 	case errors.Is(err, local.ErrRefused):
 		t.markDown(true)
@@ -186,6 +187,7 @@
 	}
 	v := t.wire.ReadResponseInfo(resp)
 	t.setPace(v.Pace)
+	t.setRate(id, v.Rate, v.Valid && !v.Failed)
 	switch {
 	case v.NotRun:
 		return t.declined(resp.Status), true
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -28,6 +28,16 @@
 	// Pace is how long work takes on the target's VM at the moment: 1 as usual, 2 if it
 	// takes twice as long, 0 if the response does not say.
 	Pace float64
+	// Rate is the number of requests a second that the target takes from all agents
+	// together, 0 if the response names none.
+	Rate float64
+}
+
+// HealthInfo is what the response to a health check says.
+type HealthInfo struct {
+	Target types.TargetID // the one that responds
+	Pace   float64        // as in ResponseInfo
+	Rate   float64        // as in ResponseInfo
 }
 
 // Wire converts between the messages of the agent and those of the platform.
@@ -44,9 +54,8 @@
 	ReadResponseInfo func(resp *httpw.Response) ResponseInfo
 	// HealthRequest returns a health check request for a path.
 	HealthRequest func(path string) *httpw.Request
-	// ReadHealth returns the target that answered a health check and the pace of its
-	// host, 0 if the response does not say.
-	ReadHealth func(resp *httpw.Response) (types.TargetID, float64)
+	// ReadHealth reads the response to a health check.
+	ReadHealth func(resp *httpw.Response) HealthInfo
 	// Refusal returns the response to a request that has not run and never will; retry
 	// is the time after which the caller may repeat it.
 	Refusal func(reason string, retry time.Duration) *httpw.Response
