core/beat, io/agent: take a target that says in a response that it leaves out of service

A target that leaves says so in its responses too now (DRAIN). The header was unknown: a target that announces its leaving late, or by its last message only, got calls until then.

Change: the agent beside the target reads it from responses and health checks, drains the gate, records it and tells the callers, as for a heartbeat that says draining. A later heartbeat that doesn't say so, or a restart of the agent, doesn't undo it; another start of the target does.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -17,8 +17,14 @@
 	Slots    int
 	Draining bool
 	Cold     time.Duration // remaining time of the target's cold start
+	// Leaving means that the target has said in a response that it leaves. Unlike Draining
+	// it isn't part of a heartbeat and holds until the end of this start.
+	Leaving bool
 }
 
+// takesNoCalls reports whether the target takes no new calls.
+func (a Announcement) takesNoCalls() bool { return a.Draining || a.Leaving }
+
 // Verdict is the effect of a message.
 type Verdict uint8
 
@@ -64,8 +70,9 @@
 		return Stale
 	}
 	old := b.current
+	a.Leaving = old.Leaving
 	b.current = a
-	if old.Draining != a.Draining || old.Slots != a.Slots || old.Service != a.Service || old.Address != a.Address {
+	if old.takesNoCalls() != a.takesNoCalls() || old.Slots != a.Slots || old.Service != a.Service || old.Address != a.Address {
 		return Changed
 	}
 	return Same
@@ -89,6 +96,23 @@
 	return Changed
 }
 
+// NoteLeaving handles a response in which the target with an id says that it leaves. Its
+// later heartbeats don't undo that.
+func (b *Tracker) NoteLeaving(id types.TargetID) Verdict {
+	switch {
+	case !b.known || b.gone || id != b.current.ID:
+		return Stale
+	case b.current.Leaving:
+		return Same
+	}
+	wasDraining := b.current.Draining
+	b.current.Leaving = true
+	if wasDraining {
+		return Same
+	}
+	return Changed
+}
+
 // isOlder reports whether a is from an earlier start than the current one.
 func (b *Tracker) isOlder(a Announcement) bool {
 	return a.Born != 0 && a.Born < b.current.Born
@@ -109,7 +133,7 @@
 	switch {
 	case !b.known || b.gone:
 		return types.Down
-	case b.current.Draining:
+	case b.current.takesNoCalls():
 		return types.Draining
 	}
 	return types.Up
--- a/core/beat/beat_test.go
+++ b/core/beat/beat_test.go
@@ -40,6 +40,28 @@
 	is.Equal(b.State(), types.Down)
 }
 
+// Guards against a target that has said in a response that it leaves, and gets calls again
+// because of a heartbeat that doesn't say so, or after a restart of the daemon.
+func TestLeavingIsNotUndone(t *testing.T) {
+	is := is.New(t)
+	b := beat.New()
+	b.Announce(announcement("a", 100, 5))
+	is.Equal(b.NoteLeaving("b"), beat.Stale)
+	is.Equal(b.State(), types.Up)
+	is.Equal(b.NoteLeaving("a"), beat.Changed)
+	is.Equal(b.NoteLeaving("a"), beat.Same)
+	is.Equal(b.Announce(announcement("a", 100, 6)), beat.Same)
+	is.Equal(b.Announce(draining(announcement("a", 100, 7))), beat.Same)
+	is.Equal(b.State(), types.Draining)
+	recorded, _ := b.Current()
+	later := beat.New()
+	later.Restore(recorded, false)
+	is.Equal(later.Announce(announcement("a", 100, 8)), beat.Same)
+	is.Equal(later.State(), types.Draining)
+	is.Equal(later.Announce(announcement("a", 200, 1)), beat.Changed) // another start
+	is.Equal(later.State(), types.Up)
+}
+
 // Guards against a restarted target with the same id that is taken for its earlier
 // start, because its sequence numbers begin again.
 func TestRestartUnderTheSameID(t *testing.T) {
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -91,6 +91,11 @@
 	return t.apply("leave", id, func() beat.Verdict { return t.announced.Leave(id, born) })
 }
 
+// noteLeaving handles a response in which the target with an id says that it leaves.
+func (t *localTarget) noteLeaving(id types.TargetID) {
+	t.apply("response", id, func() beat.Verdict { return t.announced.NoteLeaving(id) })
+}
+
 // restore sets the target from the record of an earlier start of this agent.
 func (t *localTarget) restore(a beat.Announcement, gone bool) {
 	t.apply("record", a.ID, func() beat.Verdict { return t.announced.Restore(a, gone) })
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -62,7 +62,7 @@
 	return cur, path
 }
 
-// isRunning reports whether the target with an id answers a health check. It is meant for
+// isRunning reports whether the target with an id answers a health check and doesn't leave. It is meant for
 // the start, when no calls are running.
 func (t *localTarget) isRunning(ctx context.Context, id types.TargetID, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -71,7 +71,8 @@
 	if err != nil {
 		return false // the target has ended as well, or announces itself later
 	}
-	return t.wire.ReadHealth(resp).Target == id
+	h := t.wire.ReadHealth(resp)
+	return h.Target == id && !h.Leaving
 }
 
 // runProbe makes a health check. It is independent of the context of the call that needs
@@ -91,6 +92,9 @@
 	if err == nil && h.Target == cur.ID {
 		t.setPace(h.Pace)
 		t.setRate(cur.ID, h.Rate, false)
+		if h.Leaving {
+			t.noteLeaving(cur.ID)
+		}
 	}
 	t.mu.Lock()
 	t.metrics.countEvent("probes")
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -29,6 +29,7 @@
 	Born           uint64  `cbor:"born,omitempty"`
 	TargetSequence uint64  `cbor:"tseq,omitempty"`
 	State          uint8   `cbor:"state"`
+	Leaving        bool    `cbor:"leaving,omitempty"` // the target has said in a response that it leaves
 }
 
 // errInvalidRecord means that a record cannot be read or lacks required values.
@@ -65,7 +66,7 @@
 	return storedRecord{
 		Boot: a.boot, Address: a.opts.Settings.advertisedAddress(), DataCentre: string(a.opts.Settings.DataCentre),
 		Link: a.opts.Settings.Link, Target: string(cur.ID), Service: string(cur.Service), TargetAddress: cur.Address,
-		Slots: cur.Slots, Born: cur.Born, TargetSequence: cur.Sequence, State: uint8(state),
+		Slots: cur.Slots, Born: cur.Born, TargetSequence: cur.Sequence, State: uint8(state), Leaving: cur.Leaving,
 	}
 }
 
@@ -74,7 +75,7 @@
 // gets calls.
 func (s storedRecord) covers(rec storedRecord) bool {
 	if types.TargetState(s.State) == types.Draining && types.TargetState(rec.State) == types.Down {
-		rec.State, rec.TargetSequence = s.State, s.TargetSequence
+		rec.State, rec.TargetSequence, rec.Leaving = s.State, s.TargetSequence, s.Leaving
 	}
 	return s == rec
 }
@@ -84,6 +85,6 @@
 	return beat.Announcement{
 		ID: types.TargetID(s.Target), Service: types.ServiceName(s.Service), Address: s.TargetAddress,
 		Slots: s.Slots, Born: s.Born, Sequence: s.TargetSequence,
-		Draining: types.TargetState(s.State) == types.Draining,
+		Draining: types.TargetState(s.State) == types.Draining && !s.Leaving, Leaving: s.Leaving,
 	}, types.TargetState(s.State) == types.Down
 }
--- a/io/agent/restore.go
+++ b/io/agent/restore.go
@@ -63,14 +63,14 @@
 }
 
 // follows reports whether an announcement is accepted after the record of an earlier
-// start.
+// start, and the record of the announcement says what is known after both.
 func follows(ann beat.Announcement, previous *storedRecord) bool {
 	if previous == nil || previous.Target == "" {
 		return true
 	}
 	t := beat.New()
 	t.Restore(previous.announcement())
-	return t.Announce(ann) != beat.Stale
+	return t.Announce(ann) != beat.Stale && (t.State() == types.Draining) == ann.Draining
 }
 
 // restoreRunning restores the target of a listed record of an earlier start if it is
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -188,6 +188,9 @@
 	v := t.wire.ReadResponseInfo(resp)
 	t.setPace(v.Pace)
 	t.setRate(id, v.Rate, v.Valid && !v.Failed)
+	if v.Leaving {
+		t.noteLeaving(id)
+	}
 	switch {
 	case v.NotRun:
 		return t.declined(resp.Status), true
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -31,13 +31,16 @@
 	// Rate is the number of requests a second that the target takes from all agents
 	// together, 0 if the response names none.
 	Rate float64
+	// Leaving means that the target says that it leaves.
+	Leaving bool
 }
 
 // HealthInfo is what the response to a health check says.
 type HealthInfo struct {
-	Target types.TargetID // the one that responds
-	Pace   float64        // as in ResponseInfo
-	Rate   float64        // as in ResponseInfo
+	Target  types.TargetID // the one that responds
+	Pace    float64        // as in ResponseInfo
+	Rate    float64        // as in ResponseInfo
+	Leaving bool           // as in ResponseInfo
 }
 
 // Wire converts between the messages of the agent and those of the platform.
