io/local, platform: don't take a refusal without an id on a kept connection

Report of other operators: a target writes an earlier refusal once more on a kept connection, and a caller is told "not run, try again" for a request that the target runs (REFUSED), or the request runs at a second target (TWICE). It can happen here if the repeated refusal has no id: the client took any refusal without an id as the one to its request, since a target that hasn't read the request can't name it.

Change: such a refusal counts only if it is the first response on its connection. Later ones are dropped like other extra responses, so that the response that follows is delivered. One with the id of an earlier request was dropped before.

--- a/io/local/client.go
+++ b/io/local/client.go
@@ -23,8 +23,9 @@
 
 // Options configure a Client. Belongs and Clock are required.
 type Options struct {
-	// Belongs reports whether a response is to a request.
-	Belongs func(req *httpw.Request, resp *httpw.Response) bool
+	// Belongs reports whether a response is to a request. isFirst means that no response
+	// came on its connection before, so it can't be one to an earlier request.
+	Belongs func(req *httpw.Request, resp *httpw.Response, isFirst bool) bool
 	Clock   clockwork.Clock
 	Limits  httpw.Limits // of responses
 	// DialTimeout bounds the time for a connection; default 250 ms.
@@ -61,6 +62,7 @@
 	br    *bufio.Reader
 	addr  string
 	until time.Time // end of the idle time
+	heard bool      // a response has come
 }
 
 // New returns a client of the target at addr, without connections.
@@ -158,7 +160,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.opts.Belongs(req, resp) {
+		isFirst := !cn.heard
+		cn.heard = true
+		if c.opts.Belongs(req, resp, isFirst) {
 			return resp, nil
 		}
 		if resp.Close {
