io/agent: ignore records with an address or a number out of range

Bytes that are no record were ignored here, and nothing ended. A record with a port that doesn't exist, a negative or huge number of slots, a link that is no number or a start time near the end of its range was taken over: its target got calls that all fail, or all of them.

Change: records are checked for what an agent may write. The bounds of slots and numbers are those of heartbeats (core/types).

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -48,8 +48,13 @@
 func Presence(a *Agent, cur beat.Announcement) *mesh.Presence { return a.presence(cur) }
 
 // RecordsAfterPresence returns the records that a knows after applyPresence.
-func RecordsAfterPresence(a *Agent, p *mesh.Presence) (recs []roster.Record) {
+func RecordsAfterPresence(a *Agent, p *mesh.Presence) []roster.Record {
 	a.applyPresence(types.Target{}, p)
+	return Records(a)
+}
+
+// Records returns the records that a knows.
+func Records(a *Agent) (recs []roster.Record) {
 	a.balancer.updateRoster(func(r *roster.Roster) bool {
 		recs = r.Records()
 		return false
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -43,8 +43,10 @@
 	if err := cbor.Unmarshal(value, &s); err != nil {
 		return roster.Record{}, s, errors.Wrapf(errInvalidRecord, "%s: %v", key, err)
 	}
-	if name == "" || s.Address == "" || s.State > uint8(types.Down) {
-		return roster.Record{}, s, errors.Wrapf(errInvalidRecord, "%s: address %q, state %d", key, s.Address, s.State)
+	if name == "" || !s.isPlausible() {
+		return roster.Record{}, s, errors.Wrapf(
+			errInvalidRecord, "%s: address %q, link %v, slots %d, born %d, state %d", key, s.Address, s.Link, s.Slots, s.Born, s.State,
+		)
 	}
 	return roster.Record{
 		Node: name, Boot: s.Boot, Sequence: uint64(rev), Address: s.Address,
@@ -56,6 +58,17 @@
 	}, s, nil
 }
 
+// maxRecordLink is the highest speed of a link in a record, in Mbit/s.
+const maxRecordLink = 1e6
+
+// isPlausible reports whether an agent may have written the record. Another writer may leave
+// anything under its key.
+func (s storedRecord) isPlausible() bool {
+	return types.IsAddress(s.Address) && s.State <= uint8(types.Down) &&
+		s.Link >= 0 && s.Link <= maxRecordLink && s.Slots >= 0 && s.Slots <= types.MaxSlots &&
+		s.Born <= types.MaxNumber && s.TargetSequence <= types.MaxNumber
+}
+
 // currentRecord returns the value that the record of this agent should have now. A stop
 // of the agent isn't recorded: those that call its target hear of it directly, and the
 // target is in service again at the next start.
