io/mesh, io/agent: write all answers before a stopping agent closes its connections

Callers could get 502 for a payment at the end of a planned stop: the agent beside the target closed its connections as soon as its gate was idle, which is before the answer of the last call is written, and while a call was on its way that had been sent before the notice of the stop arrived (LOST).

--- a/io/agent/stop.go
+++ b/io/agent/stop.go
@@ -38,6 +38,7 @@
 	for !a.target.isIdle() && ctx.Err() == nil {
 		sleep(ctx, a.clock, idleCheckInterval)
 	}
+	a.server.Drain(ctx)
 	a.cancel()
 	a.withdraw()
 	a.server.Close()
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -46,6 +46,9 @@
 	conns map[net.Conn]*inbound
 	ln    net.Listener
 	ended bool
+
+	openCalls  int       // calls without an answer
+	lastCallAt time.Time // arrival of the latest call
 }
 
 // NewServer returns a server that isn't listening yet.
@@ -226,8 +229,14 @@
 	p.mu.Lock()
 	p.calls[id] = cancel
 	p.mu.Unlock()
+	if k == kindAnswer {
+		p.s.noteCall()
+	}
 	go func() {
 		defer p.cancel(id)
+		if k == kindAnswer {
+			defer p.s.endCall()
+		}
 		// An error means that the connection has ended, which the caller
 		// sees as well.
 		_ = p.out.send(k, id, serve(ctx))
