io/peer: answer the calls in progress before the connection to a peer that left is closed

A daemon that stops leaves the membership at once and answers its calls after that. The others closed their connections to it when they heard, and calls in progress there ended as outcomeUnknown: "Application error 0x4 (local): peer left", as seen once in TestRollingRestartIsInvisible.

Change: a connection to a peer that left takes no new calls and is closed when none is in progress on it. A peer that died doesn't keep it open: the stall check closes it.

TestForgottenPeerKeepsItsCalls failed before with that message.

--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -23,10 +23,14 @@
 	err  error         // of the last dial
 }
 
-// liveConn is a connection with its name in the stall tracker.
+// liveConn is a connection with its name in the stall tracker. The fields below the name
+// belong to the watcher.
 type liveConn struct {
 	*quic.Conn
 	id stall.ConnID
+
+	open    int  // exchanges in progress
+	retired bool // is to be closed when none is open
 }
 
 func (n *Node) link(addr string) *link {
@@ -40,14 +44,15 @@
 	return l
 }
 
-// Forget closes the connection to a peer that left the membership.
+// Forget closes the connection to a peer that left the membership, as soon as the calls in
+// progress on it have ended: a peer that stops answers them first.
 func (n *Node) Forget(addr string) {
 	n.mu.Lock()
 	l, ok := n.links[addr]
 	delete(n.links, addr)
 	n.mu.Unlock()
 	if ok {
-		l.close(codeClosing, "peer left")
+		l.retire()
 	}
 }
 
@@ -111,6 +116,17 @@
 	}
 }
 
+// retire closes the connection when no exchange is open on it any more.
+func (l *link) retire() {
+	l.mu.Lock()
+	conn := l.conn
+	l.conn = nil
+	l.mu.Unlock()
+	if conn != nil {
+		l.node.watcher.retire(conn)
+	}
+}
+
 func (l *link) close(code quic.ApplicationErrorCode, why string) {
 	l.mu.Lock()
 	conn := l.conn
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -266,3 +266,30 @@
 	call()
 	is.Equal(runs.Load(), int64(2))
 }
+
+// Guards against calls that are cut off at a peer that stops: it answers them after it has
+// left the membership.
+func TestForgottenPeerKeepsItsCalls(t *testing.T) {
+	is := is.New(t)
+	a := authority(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	server := listen(t, a, peer.Options{Call: func(ctx context.Context, head *wire.CallHead, body *wire.BodyReader) (*wire.Answer, error) {
+		close(started)
+		<-release
+		return echo(ctx, head, body)
+	}})
+	client := listen(t, a, peer.Options{})
+	failed := make(chan error, 1)
+	go func() {
+		ans, err := client.Call(t.Context(), server.Addr(), &wire.CallHead{ID: "x"}, strings.NewReader("whole"))
+		if err == nil {
+			_, err = io.ReadAll(ans.Body)
+			_ = ans.Body.Close()
+		}
+		failed <- err
+	}()
+	<-started
+	client.Forget(server.Addr())
+	close(release)
+	is.NoErr(<-failed)
+}
--- a/io/peer/watcher.go
+++ b/io/peer/watcher.go
@@ -63,6 +63,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.open++
+	c.open++
 	w.tracker.Sent(w.now(), c.id, 1)
 }
 
@@ -71,7 +72,25 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.open--
+	c.open--
 	w.tracker.Progress(w.now(), c.id, 1)
+	w.closeRetired(c)
+}
+
+// retire closes c when no exchange is open on it any more.
+func (w *watcher) retire(c *liveConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.retired = true
+	w.closeRetired(c)
+}
+
+// closeRetired closes c if it is retired and no exchange is open, with the lock held. The
+// close runs by itself, as its end takes the lock.
+func (w *watcher) closeRetired(c *liveConn) {
+	if c.retired && c.open == 0 {
+		go func() { _ = c.CloseWithError(codeClosing, "peer left") }()
+	}
 }
 
 // received notes that something arrived on c.
