io/agent: read the copy of the store's keys under its lock when a listing ends

An agent looked for its own record in the copy without the lock, while the first read of the configuration, in a goroutine of its own, may enter that: the runtime ends a process that does so ("concurrent map read and map write"). Found by reading, while the ways of a late configuration were traced; no run is known to have ended by it.

TestListedKeysAreReadSafely ended that way before.

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
@@ -94,14 +95,25 @@
 
 // NewMirror returns a mirror of the keys of agent records that knows no other agent.
 func NewMirror(st store.Store, clock clockwork.Clock) *Mirror {
+	return NewMirrorWith(st, clock, func(int64, func(string) bool) {})
+}
+
+// NewMirrorWith returns a mirror as NewMirror does, with onListed.
+func NewMirrorWith(st store.Store, clock clockwork.Clock, onListed func(revision int64, has func(key string) bool)) *Mirror {
 	return newMirror(mirrorOptions{
 		store: st, clock: clock, log: logs.Discard(), self: "self", prefix: nodePrefix,
 		wants:    func(string) bool { return true },
 		onChange: func([]relay.Item) {},
-		onListed: func(int64, func(string) bool) {},
+		onListed: onListed,
 	})
 }
 
+// Hold exposes hold.
+func (m *mirror) Hold(it store.Item) { m.hold(it) }
+
+// Age exposes age.
+func (m *mirror) Age() time.Duration { return m.age() }
+
 // ReadStore exposes readStore, from the revision that is known.
 func (m *mirror) ReadStore(ctx context.Context) { m.readStore(ctx, m.copy.Revision()) }
 
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -118,9 +118,9 @@
 	m.apply(relay.Source{}, unknownAge, listedItems(listed), 0, false)
 	m.mu.Lock()
 	pause := m.sources.Introduced(m.clock.Now())
-	isAlone, has := m.sources.IsAlone(), m.copy.Has
+	isAlone := m.sources.IsAlone()
 	m.mu.Unlock()
-	m.onListed(rev, has)
+	m.onListed(rev, m.has)
 	m.onDiscovered(ctx, isAlone)
 	return pause
 }
@@ -270,7 +270,6 @@
 		m.wakeQueries()
 	}
 	pause := m.sources.Learned(m.clock.Now(), from, age, len(items))
-	has := m.copy.Has
 	m.mu.Unlock()
 	m.logSourceChange(from)
 	for i := range news {
@@ -283,11 +282,18 @@
 		m.onChange(news)
 	}
 	if whole {
-		m.onListed(rev, has)
+		m.onListed(rev, m.has)
 	}
 	return pause
 }
 
+// has reports whether a key is known to exist.
+func (m *mirror) has(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.copy.Has(key)
+}
+
 // prepareItem returns an item as the copy holds it, with a long value compressed, and
 // the value as the store has it. Only tellers keep long values that they have read, as
 // only they are asked for them.
--- a/io/agent/mirror_test.go
+++ b/io/agent/mirror_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,3 +65,24 @@
 	is.True(!read(2 * time.Second))
 	is.True(read(200 * time.Millisecond))
 }
+
+// Guards against an agent that ends because it looks for its record in a listing while its
+// first read of the configuration enters that in the same copy.
+func TestListedKeysAreReadSafely(t *testing.T) {
+	const reads = 20_000
+	m := agent.NewMirrorWith(store.Store{
+		List: func(context.Context, string, bool) ([]store.Item, int64, error) { return nil, 5, nil },
+	}, clockwork.NewFakeClock(), func(_ int64, has func(string) bool) {
+		for range reads {
+			has("a")
+		}
+	})
+	var held sync.WaitGroup
+	held.Go(func() {
+		for i := range reads {
+			m.Hold(store.Item{Key: strconv.Itoa(i), Revision: 1, Value: []byte("x")})
+		}
+	})
+	m.ReadStore(t.Context())
+	held.Wait()
+}
