io/agent: count the time of a call in the age of its answer

An agent that was paused while a call waited at the store, or at another agent, read the answer after its pause and took it for a present one; it then told others that its copy was current, though it was as old as the pause. Those that ask it leave it after 0.5 s, so no rule was broken by it.

Change: the age of an answer includes the time of its call beyond the time that the call may wait.

TestAnswersFromBeforeAPauseAreOld failed before.

--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -145,6 +145,7 @@
 	if m.clock.Since(m.answeredAt) < storeSeriesGap {
 		wait = storeWaitTime - rand.N(storeWaitTime/10) // spreads the calls of agents that started together
 	}
+	began := m.clock.Now()
 	events, rev, err := m.store.Changes(ctx, "", after, wait)
 	if errors.Is(err, store.ErrCompacted) {
 		m.needsList = true
@@ -157,17 +158,24 @@
 	for i, ev := range events {
 		items[i] = relay.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision, Deleted: ev.Deleted}
 	}
-	return m.apply(relay.Source{Store: true}, 0, items, rev, false)
+	return m.apply(relay.Source{Store: true}, m.lateness(began, wait), items, rev, false)
+}
+
+// lateness returns how old the answer to a call may be that began at a time and may have
+// waited for a while: an agent that was paused reads answers from before its pause.
+func (m *mirror) lateness(began time.Time, wait time.Duration) time.Duration {
+	return max(0, m.clock.Since(began)-wait)
 }
 
 // listStore reads all keys from the store and returns the pause until the next step.
 func (m *mirror) listStore(ctx context.Context) time.Duration {
+	began := m.clock.Now()
 	listed, rev, err := m.store.List(ctx, "", false)
 	if !m.recordStoreResult(ctx, err) {
 		return 0
 	}
 	m.needsList = false
-	m.apply(relay.Source{Store: true}, 0, listedItems(listed), rev, true)
+	m.apply(relay.Source{Store: true}, m.lateness(began, 0), listedItems(listed), rev, true)
 	return 0 // wait for changes at once
 }
 
@@ -214,6 +222,7 @@
 	m.mu.Lock()
 	isOutage := m.sources.IsOutage(m.clock.Now())
 	m.mu.Unlock()
+	began := m.clock.Now()
 	news, err := m.sendQuery(bounded, from.Node, &mesh.Query{Revision: after, Wait: isOutage})
 	if ctx.Err() != nil {
 		return 0
@@ -243,7 +252,8 @@
 		m.mu.Unlock()
 		m.log.WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).Info("agent has lost the store")
 	}
-	return m.apply(from, time.Duration(news.AgeMs)*time.Millisecond, items, news.Revision, news.Whole)
+	age := time.Duration(news.AgeMs)*time.Millisecond + m.lateness(began, queryHoldTime)
+	return m.apply(from, age, items, news.Revision, news.Whole)
 }
 
 // apply updates the copy with items as of revision rev, calls onChange with those that
--- a/io/agent/mirror_test.go
+++ b/io/agent/mirror_test.go
@@ -86,3 +86,22 @@
 	m.ReadStore(t.Context())
 	held.Wait()
 }
+
+// Guards against an agent that was paused and takes, and tells others, an answer from before
+// its pause for a present one.
+func TestAnswersFromBeforeAPauseAreOld(t *testing.T) {
+	const pause = 5 * time.Second
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := agent.NewMirror(store.Store{
+		List: func(context.Context, string, bool) ([]store.Item, int64, error) { return nil, 5, nil },
+		Changes: func(_ context.Context, _ string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+			clock.Advance(wait + pause)
+			return nil, after, nil
+		},
+	}, clock)
+	m.ReadStore(t.Context())
+	is.Equal(m.Age(), time.Duration(0))
+	m.ReadStore(t.Context())
+	is.True(m.Age() >= pause)
+}
