--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"trefoilthread/core/relay"
@@ -15,22 +13,6 @@
 	"trefoilthread/io/store"
 )
 
-const (
-	// storeWaitTime is how long a call waits at the store for changes. It bounds the
-	// time in which a store that leaves waiting calls without an answer goes unnoticed,
-	// and with queryHoldTime the age of the copies of other agents.
-	storeWaitTime = 700 * time.Millisecond
-	// storeSeriesGap is the longest time after an answer of the store in which the next call
-	// waits for changes. Another call returns at once, so that a store that doesn't answer
-	// keeps the agent from asking others for a short time only.
-	storeSeriesGap = 1500 * time.Millisecond
-	// firstQueryTimeout bounds a query while there is no copy yet: the reader may have
-	// gone since the listing that named it.
-	firstQueryTimeout = 450 * time.Millisecond
-	// querySlack is added to queryHoldTime for the answer to arrive.
-	querySlack = 600 * time.Millisecond
-)
-
 // mirrorOptions configure a mirror. All fields are required.
 type mirrorOptions struct {
 	store store.Store
@@ -108,154 +90,6 @@
 	}
 }
 
-// discover reads the names of the other agents and returns the pause until the next
-// step. The listing may be stale, since later changes follow.
-func (m *mirror) discover(ctx context.Context) time.Duration {
-	listed, rev, err := m.store.List(ctx, m.prefix, true)
-	if !m.recordStoreResult(ctx, err) {
-		return 0
-	}
-	m.apply(relay.Source{}, unknownAge, listedItems(listed), 0, false)
-	m.mu.Lock()
-	pause := m.sources.Introduced(m.clock.Now())
-	isAlone := m.sources.IsAlone()
-	m.mu.Unlock()
-	m.onListed(rev, m.has)
-	m.onDiscovered(ctx, isAlone)
-	return pause
-}
-
-// unknownAge stands for the age of a copy of unknown age. It is above every age limit.
-const unknownAge = time.Hour
-
-func listedItems(listed []store.Item) []relay.Item {
-	items := make([]relay.Item, len(listed))
-	for i, it := range listed {
-		items[i] = relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision}
-	}
-	return items
-}
-
-// readStore reads from the store and returns the pause until the next step.
-func (m *mirror) readStore(ctx context.Context, after int64) time.Duration {
-	if m.needsList {
-		return m.listStore(ctx)
-	}
-	var wait time.Duration
-	if m.clock.Since(m.answeredAt) < storeSeriesGap {
-		wait = storeWaitTime - rand.N(storeWaitTime/10) // spreads the calls of agents that started together
-	}
-	began := m.clock.Now()
-	events, rev, err := m.store.Changes(ctx, "", after, wait)
-	if errors.Is(err, store.ErrCompacted) {
-		m.needsList = true
-		return 0
-	}
-	if !m.recordStoreResult(ctx, err) {
-		return 0
-	}
-	items := make([]relay.Item, len(events))
-	for i, ev := range events {
-		items[i] = relay.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision, Deleted: ev.Deleted}
-	}
-	return m.apply(relay.Source{Store: true}, m.lateness(began, wait), items, rev, false)
-}
-
-// lateness returns how old the answer to a call may be that began at a time and may have
-// waited for a while: an agent that was paused reads answers from before its pause.
-func (m *mirror) lateness(began time.Time, wait time.Duration) time.Duration {
-	return max(0, m.clock.Since(began)-wait)
-}
-
-// listStore reads all keys from the store and returns the pause until the next step.
-func (m *mirror) listStore(ctx context.Context) time.Duration {
-	began := m.clock.Now()
-	listed, rev, err := m.store.List(ctx, "", false)
-	if !m.recordStoreResult(ctx, err) {
-		return 0
-	}
-	m.needsList = false
-	m.apply(relay.Source{Store: true}, m.lateness(began, 0), listedItems(listed), rev, true)
-	return 0 // wait for changes at once
-}
-
-// recordStoreResult records the result of a call to the store and reports whether it
-// succeeded. It logs when the store is lost or regained.
-func (m *mirror) recordStoreResult(ctx context.Context, err error) bool {
-	switch {
-	case ctx.Err() != nil:
-		return false
-	case err == nil && m.isStoreLost:
-		m.log.WithField("copyAgeMs", m.age().Milliseconds()).Info("store regained")
-	case err != nil && !m.isStoreLost:
-		m.log.WithError(err).WithField("copyAgeMs", m.age().Milliseconds()).Warn("store lost")
-	}
-	m.isStoreLost = err != nil
-	if err == nil {
-		m.answeredAt = m.clock.Now()
-	} else {
-		m.mu.Lock()
-		m.sources.Failed(m.clock.Now(), relay.Source{Store: true})
-		m.wakeQueries()
-		m.mu.Unlock()
-	}
-	return err == nil
-}
-
-// wakeQueries has the queries that wait look at the copy again, with the lock held.
-func (m *mirror) wakeQueries() {
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
-// queryAgent queries another agent and returns the pause until the next step.
-func (m *mirror) queryAgent(ctx context.Context, from relay.Source, after int64) time.Duration {
-	if m.needsList {
-		after = 0
-	}
-	wait := queryHoldTime + querySlack
-	if m.age() > unknownAge {
-		wait = firstQueryTimeout
-	}
-	bounded, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	m.mu.Lock()
-	isOutage := m.sources.IsOutage(m.clock.Now())
-	m.mu.Unlock()
-	began := m.clock.Now()
-	news, err := m.sendQuery(bounded, from.Node, &mesh.Query{Revision: after, Wait: isOutage})
-	if ctx.Err() != nil {
-		return 0
-	}
-	if err == nil {
-		m.answeredAt = m.clock.Now()
-	} else {
-		m.mu.Lock()
-		m.sources.Failed(m.clock.Now(), from)
-		m.mu.Unlock()
-		m.log.WithError(err).WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).
-			Info("agent gave no news of the store")
-		return 0
-	}
-	items := make([]relay.Item, len(news.Items))
-	for i, it := range news.Items {
-		items[i] = relay.Item{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Packed: it.Packed, Omitted: it.Omitted,
-		}
-	}
-	if news.Whole {
-		m.needsList = false
-	}
-	if news.Lost {
-		m.mu.Lock()
-		m.sources.LostStore(m.clock.Now(), from)
-		m.mu.Unlock()
-		m.log.WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).Info("agent has lost the store")
-	}
-	age := time.Duration(news.AgeMs)*time.Millisecond + m.lateness(began, queryHoldTime)
-	return m.apply(from, age, items, news.Revision, news.Whole)
-}
-
 // apply updates the copy with items as of revision rev, calls onChange with those that
 // changed it, and returns the pause until the next step. whole means that the items are
 // all keys.
@@ -330,32 +164,10 @@
 	return it, value
 }
 
-// nodeCount returns the number of known agents, this one included.
-func (m *mirror) nodeCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.sources.Len()
-}
-
-// isTeller reports whether other agents ask this one for long values.
-func (m *mirror) isTeller() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.sources.IsTeller(m.clock.Now())
-}
-
-// isReader reports whether other agents ask this one for changes.
-func (m *mirror) isReader() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.sources.IsReader(m.clock.Now())
-}
-
-// serves reports whether another agent asks this one for changes.
-func (m *mirror) serves(now time.Time, node string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.sources.Serves(now, node)
+// wakeQueries has the queries that wait look at the copy again, with the lock held.
+func (m *mirror) wakeQueries() {
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // logSourceChange logs when the changes come from another source than before.
--- /dev/null
+++ b/io/agent/mirrorquery.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"trefoilthread/core/relay"
+	"trefoilthread/io/mesh"
+)
+
+const (
+	// firstQueryTimeout bounds a query while there is no copy yet: the reader may have
+	// gone since the listing that named it.
+	firstQueryTimeout = 450 * time.Millisecond
+	// querySlack is added to queryHoldTime for the answer to arrive.
+	querySlack = 600 * time.Millisecond
+)
+
+// queryAgent queries another agent and returns the pause until the next step.
+func (m *mirror) queryAgent(ctx context.Context, from relay.Source, after int64) time.Duration {
+	if m.needsList {
+		after = 0
+	}
+	wait := queryHoldTime + querySlack
+	if m.age() > unknownAge {
+		wait = firstQueryTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	m.mu.Lock()
+	isOutage := m.sources.IsOutage(m.clock.Now())
+	m.mu.Unlock()
+	began := m.clock.Now()
+	news, err := m.sendQuery(bounded, from.Node, &mesh.Query{Revision: after, Wait: isOutage})
+	if ctx.Err() != nil {
+		return 0
+	}
+	if err == nil {
+		m.answeredAt = m.clock.Now()
+	} else {
+		m.mu.Lock()
+		m.sources.Failed(m.clock.Now(), from)
+		m.mu.Unlock()
+		m.log.WithError(err).WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).
+			Info("agent gave no news of the store")
+		return 0
+	}
+	items := make([]relay.Item, len(news.Items))
+	for i, it := range news.Items {
+		items[i] = relay.Item{
+			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Packed: it.Packed, Omitted: it.Omitted,
+		}
+	}
+	if news.Whole {
+		m.needsList = false
+	}
+	if news.Lost {
+		m.mu.Lock()
+		m.sources.LostStore(m.clock.Now(), from)
+		m.mu.Unlock()
+		m.log.WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).Info("agent has lost the store")
+	}
+	age := time.Duration(news.AgeMs)*time.Millisecond + m.lateness(began, queryHoldTime)
+	return m.apply(from, age, items, news.Revision, news.Whole)
+}
--- /dev/null
+++ b/io/agent/mirrorstore.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilthread/core/relay"
+	"trefoilthread/io/store"
+)
+
+const (
+	// storeWaitTime is how long a call waits at the store for changes. It bounds the
+	// time in which a store that leaves waiting calls without an answer goes unnoticed,
+	// and with queryHoldTime the age of the copies of other agents.
+	storeWaitTime = 700 * time.Millisecond
+	// storeSeriesGap is the longest time after an answer of the store in which the next call
+	// waits for changes. Another call returns at once, so that a store that doesn't answer
+	// keeps the agent from asking others for a short time only.
+	storeSeriesGap = 1500 * time.Millisecond
+)
+
+// discover reads the names of the other agents and returns the pause until the next
+// step. The listing may be stale, since later changes follow.
+func (m *mirror) discover(ctx context.Context) time.Duration {
+	listed, rev, err := m.store.List(ctx, m.prefix, true)
+	if !m.recordStoreResult(ctx, err) {
+		return 0
+	}
+	m.apply(relay.Source{}, unknownAge, listedItems(listed), 0, false)
+	m.mu.Lock()
+	pause := m.sources.Introduced(m.clock.Now())
+	isAlone := m.sources.IsAlone()
+	m.mu.Unlock()
+	m.onListed(rev, m.has)
+	m.onDiscovered(ctx, isAlone)
+	return pause
+}
+
+// unknownAge stands for the age of a copy of unknown age. It is above every age limit.
+const unknownAge = time.Hour
+
+func listedItems(listed []store.Item) []relay.Item {
+	items := make([]relay.Item, len(listed))
+	for i, it := range listed {
+		items[i] = relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision}
+	}
+	return items
+}
+
+// readStore reads from the store and returns the pause until the next step.
+func (m *mirror) readStore(ctx context.Context, after int64) time.Duration {
+	if m.needsList {
+		return m.listStore(ctx)
+	}
+	var wait time.Duration
+	if m.clock.Since(m.answeredAt) < storeSeriesGap {
+		wait = storeWaitTime - rand.N(storeWaitTime/10) // spreads the calls of agents that started together
+	}
+	began := m.clock.Now()
+	events, rev, err := m.store.Changes(ctx, "", after, wait)
+	if errors.Is(err, store.ErrCompacted) {
+		m.needsList = true
+		return 0
+	}
+	if !m.recordStoreResult(ctx, err) {
+		return 0
+	}
+	items := make([]relay.Item, len(events))
+	for i, ev := range events {
+		items[i] = relay.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision, Deleted: ev.Deleted}
+	}
+	return m.apply(relay.Source{Store: true}, m.lateness(began, wait), items, rev, false)
+}
+
+// lateness returns how old the answer to a call may be that began at a time and may have
+// waited for a while: an agent that was paused reads answers from before its pause.
+func (m *mirror) lateness(began time.Time, wait time.Duration) time.Duration {
+	return max(0, m.clock.Since(began)-wait)
+}
+
+// listStore reads all keys from the store and returns the pause until the next step.
+func (m *mirror) listStore(ctx context.Context) time.Duration {
+	began := m.clock.Now()
+	listed, rev, err := m.store.List(ctx, "", false)
+	if !m.recordStoreResult(ctx, err) {
+		return 0
+	}
+	m.needsList = false
+	m.apply(relay.Source{Store: true}, m.lateness(began, 0), listedItems(listed), rev, true)
+	return 0 // wait for changes at once
+}
+
+// recordStoreResult records the result of a call to the store and reports whether it
+// succeeded. It logs when the store is lost or regained.
+func (m *mirror) recordStoreResult(ctx context.Context, err error) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case err == nil && m.isStoreLost:
+		m.log.WithField("copyAgeMs", m.age().Milliseconds()).Info("store regained")
+	case err != nil && !m.isStoreLost:
+		m.log.WithError(err).WithField("copyAgeMs", m.age().Milliseconds()).Warn("store lost")
+	}
+	m.isStoreLost = err != nil
+	if err == nil {
+		m.answeredAt = m.clock.Now()
+	} else {
+		m.mu.Lock()
+		m.sources.Failed(m.clock.Now(), relay.Source{Store: true})
+		m.wakeQueries()
+		m.mu.Unlock()
+	}
+	return err == nil
+}
