--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -14,10 +14,13 @@
 // their names where that is the same. The first ones are the readers. A daemon
 // that can't be reached is left out of the order for a while, so the next one
 // moves up. So is one that answers that it has lost the store, which may turn away
-// some daemons and serve the others. A daemon whose copy has become too old reads by itself, whatever its
-// place: then the readers can't reach the store, or this daemon can't reach the
-// readers. Each answer tells how old its information is, so a reader that was
-// cut off from the store is noticed, and may itself learn from others.
+// some daemons and serve the others. If this daemon has lost the store as well, it
+// is away for all, and the order stays as it is.
+//
+// A daemon whose copy has become too old reads by itself, whatever its place: then
+// the readers can't reach the store, or this daemon can't reach the readers. Each
+// answer tells how old its information is, so a reader that was cut off from the
+// store is noticed, and may itself learn from others.
 //
 // # Starts
 //
@@ -48,6 +51,8 @@
 //		// Nothing to ask for next.Wait.
 //	}
 //	pause := s.Learned(now, next, age, len(items)) // or s.Failed(now, next)
+//	// If the answer says that its daemon has lost the store:
+//	s.LostStore(now, next)
 //	changed := c.Apply(items, revision)
 //
 // The package has no clock and no goroutines; neither type is safe for
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -62,8 +62,8 @@
 	return cur, path
 }
 
-// isRunning reports whether the target with an id answers a health check and doesn't leave. It is meant for
-// the start, when no calls are running.
+// isRunning reports whether the target with an id answers a health check and doesn't leave.
+// It is meant for the start, when no calls are running.
 func (t *localTarget) isRunning(ctx context.Context, id types.TargetID, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
