io/agent: an answer of another agent begins no series of store calls

So an agent that asks others still waited in its own call at a store that doesn't answer it, and was kept from listening to others for 1.5 s, as before.

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -117,6 +117,12 @@
 // ReadStore exposes readStore, from the revision that is known.
 func (m *mirror) ReadStore(ctx context.Context) { m.readStore(ctx, m.copy.Revision()) }
 
+// QueryAgent exposes queryAgent, with the answer of the other agent.
+func (m *mirror) QueryAgent(ctx context.Context, node string, news *mesh.News) {
+	m.sendQuery = func(context.Context, string, *mesh.Query) (*mesh.News, error) { return news, nil }
+	m.queryAgent(ctx, relay.Source{Node: node}, m.copy.Revision())
+}
+
 // ServeQuery exposes serveQuery.
 func (m *mirror) ServeQuery(ctx context.Context, q *mesh.Query) *mesh.News {
 	return m.serveQuery(ctx, q)
--- a/io/agent/mirror_test.go
+++ b/io/agent/mirror_test.go
@@ -105,3 +105,23 @@
 	m.ReadStore(t.Context())
 	is.True(m.Age() >= pause)
 }
+
+// Guards against an agent whose own call waits at a store that doesn't answer it, because
+// another agent has answered lately.
+func TestAnswersOfAgentsBeginNoSeries(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	var waited time.Duration
+	m := agent.NewMirror(store.Store{
+		List: func(context.Context, string, bool) ([]store.Item, int64, error) { return nil, 5, nil },
+		Changes: func(_ context.Context, _ string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+			waited = wait
+			return nil, after, nil
+		},
+	}, clock)
+	m.ReadStore(t.Context())
+	clock.Advance(2 * time.Second)
+	m.QueryAgent(t.Context(), "other", &mesh.News{Revision: 5})
+	m.ReadStore(t.Context())
+	is.Equal(waited, time.Duration(0))
+}
--- a/io/agent/mirrorquery.go
+++ b/io/agent/mirrorquery.go
@@ -35,9 +35,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	if err == nil {
-		m.answeredAt = m.clock.Now()
-	} else {
+	if err != nil {
 		m.mu.Lock()
 		m.sources.Failed(m.clock.Now(), from)
 		m.mu.Unlock()
