review: case 4, proper orders are denied after a restart of the daemon

Cause: io/front takes the limits for the next request of a connection before it waits for that request. One that comes seconds later is judged by limits that are no longer in force, after a start by those from before the first config.

What the case shows: one daemon is killed and started again; orders of 2 MiB on connections from the moment of its start get 413 five seconds later, though the config allows 64 MiB.

The deployments of the cases have addresses of their own now, so that cases can run side by side.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 
 // scenarios maps names to what plays them.
 var scenarios = map[string]func(w *world) verdict{
+	"bounds": playBounds,
 	"bytes":  playBytes,
 	"memory": playMemory,
 	"poison": playPoison,
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -135,7 +135,7 @@
 // addNode starts a machine with a target and a daemon.
 func (w *world) addNode(service, zone string, work time.Duration) *node {
 	i := len(w.nodes) + 1
-	n := &node{w: w, name: fmt.Sprintf("a%d", i), zone: zone, service: service, ip: fmt.Sprintf("127.0.77.%d", i)}
+	n := &node{w: w, name: fmt.Sprintf("a%d", i), zone: zone, service: service, ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, 1+os.Getpid()/128%250, i)}
 	w.nodes = append(w.nodes, n)
 	n.target = newTarget(w.rec, n.ip, service, work)
 	n.target.zone = zone
