--- a/review/standin/doc.go
+++ b/review/standin/doc.go
@@ -8,6 +8,7 @@
 //	standin SCENARIO RECORD
 //
 // SCENARIO is the name of a scenario, RECORD the file for what was sent, answered and run.
-// TREFOILD is the path of the daemon's program, TROUBLE=0 leaves the disruption out. The
-// exit status is 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+// TREFOILD is the path of the daemon's program, TROUBLE=0 leaves the disruption out, KEEP=1
+// keeps the logs of the daemons. The exit status is 1 if the rule was broken, 0 if it held,
+// and 2 if the case couldn't run.
 package main
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 var scenarios = map[string]func(w *world) verdict{
 	"bounds": playBounds,
 	"bytes":  playBytes,
+	"forged": playForged,
 	"memory": playMemory,
 	"poison": playPoison,
 }
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -32,6 +32,7 @@
 	closed  bool
 	arrived map[string][]arrival // by id of the request
 	fatal   func(r *http.Request) bool
+	leaving bool // says in all answers that it leaves
 }
 
 // arrival is one arrival of a request.
@@ -117,9 +118,16 @@
 			w.Header().Set("Attempt-Id", attempt)
 		}
 		t.mu.Lock()
+		leaving := t.leaving
 		w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,100", t.running, targetSlots))
 		t.mu.Unlock()
+		if leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		switch expected := r.Header.Get("Expected-Instance"); {
+		case r.URL.Path == healthPath && leaving:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		case r.URL.Path == healthPath:
 			w.Header().Set("Instance-Id", id)
 			return
@@ -198,13 +206,13 @@
 func (t *target) beats() {
 	for {
 		t.mu.Lock()
-		closed, up := t.closed, t.srv != nil
+		closed, up, leaving := t.closed, t.srv != nil, t.leaving
 		t.mu.Unlock()
 		if closed {
 			return
 		}
 		pause := beatInterval
-		if up && !t.beat("ready") {
+		if up && !leaving && !t.beat() {
 			pause = 200 * time.Millisecond // only until its first acknowledgement
 		}
 		time.Sleep(pause)
@@ -212,14 +220,14 @@
 }
 
 // beat sends a heartbeat and reports whether it was acknowledged.
-func (t *target) beat(state string) bool {
+func (t *target) beat() bool {
 	t.mu.Lock()
 	t.seq++
 	id := t.id
 	doc, err := json.Marshal(map[string]any{
 		"address": t.addr, "born": t.born,
 		"instanceInfo": map[string]any{"service": t.service, "version": "v1", "zone": t.zone, "slots": targetSlots},
-		"status":       map[string]any{"state": state, "seq": t.seq, "coldRemainingMs": 0},
+		"status":       map[string]any{"state": "ready", "seq": t.seq, "coldRemainingMs": 0},
 	})
 	t.mu.Unlock()
 	return err == nil && t.post("/trefoilthread/Instances.Heartbeat/"+id, doc)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -97,7 +97,9 @@
 		n.target.close()
 	}
 	_ = w.storeSrv.Close()
-	_ = os.RemoveAll(w.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(w.dir)
+	}
 }
 
 // route is one route of the operator's document.
