--- a/review/standin/bounds.go
+++ b/review/standin/bounds.go
@@ -9,10 +9,12 @@
 	"strings"
 	"sync"
 	"time"
+
+	"trefoilthread/platform/fake"
 )
 
 const (
-	boundsCallers = 20
+	boundsCallers = 40
 	boundsBody    = 2 << 20 // an upload; bodyBytes of the document is 64 MiB
 	boundsPause   = 5 * time.Second
 	boundsWait    = 4 * time.Second // for the daemon to listen again
@@ -21,6 +23,7 @@
 // playBounds kills a daemon and starts it again. Callers connect as soon as it listens,
 // send a lookup and, later on the same connections, a long order.
 func playBounds(w *world) verdict {
+	w.store.SetFault(fake.Slow) // answers after storeDelay, its usual time
 	w.configure([]string{"bookings", "stockroom"}, []route{
 		{Name: "menu", Prefix: "/menu/", Kind: "safe", Timeout: 1000, Goal: 400, Service: "bookings", Attempts: 2, Priority: 2},
 		{Name: "order", Prefix: "/order/", Kind: "unsafe", Timeout: 2000, Goal: 1000, Service: "stockroom", Attempts: 2, Priority: 1},
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -26,6 +26,7 @@
 	configKey    = "op/config"
 	host         = "ficu95.example"
 	healthPath   = "/health"
+	storeDelay   = 4 * time.Millisecond // of an answer of the store, in cases that need it
 )
 
 // maxPlay bounds the time of a case.
@@ -58,7 +59,7 @@
 	if daemon == "" {
 		return nil, errors.New("TREFOILD isn't set")
 	}
-	w := &world{rec: rec, dir: dir, daemon: daemon, trouble: os.Getenv("TROUBLE") != "0", store: fake.NewStore(fake.Options{})}
+	w := &world{rec: rec, dir: dir, daemon: daemon, trouble: os.Getenv("TROUBLE") != "0", store: fake.NewStore(fake.Options{Delay: storeDelay})}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
