review: case 1, send for 0.9 s after the SIGTERM only

Cause: some requests came more than a second after the SIGTERM, when callers may have been told to stay away.

What the case shows: one header byte breaks off the requests of others while a daemon stops.

--- a/review/standin/bytes.go
+++ b/review/standin/bytes.go
@@ -37,15 +37,17 @@
 		mu.Unlock()
 	}
 	var term time.Duration
-	before := int(time.Second / depositInterval)
-	for i := range 2 * before {
-		if i == before && w.trouble {
+	begin := w.rec.since()
+	stopAt := begin + time.Second
+	for i := 0; w.rec.since() < stopAt+sendAfter; i++ {
+		isStopping := w.rec.since() >= stopAt
+		if isStopping && w.trouble && term == 0 {
 			term = w.rec.since()
 			first.signal(syscall.SIGTERM)
 		}
 		open.Add(1)
 		go deposit()
-		if i > before && i%lookupEvery == 0 {
+		if isStopping && i%lookupEvery == 0 {
 			open.Add(1)
 			go func() {
 				defer open.Done()
@@ -61,6 +63,9 @@
 }
 
 const (
+	// sendAfter is how long callers send after the SIGTERM: less than the time between two
+	// readiness checks.
+	sendAfter       = 900 * time.Millisecond
 	depositInterval = 10 * time.Millisecond
 	lookupEvery     = 10 // deposits
 )
