review: case 3, restart a daemon while the store is slow

Cause: the case aimed at the milliseconds before the first config with a try to connect each millisecond.

What the case shows: callers that connect each 100 ms get 413 for proper orders on the same connections 9 s later.

--- a/review/standin/bounds.go
+++ b/review/standin/bounds.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -15,15 +16,16 @@
 
 const (
 	boundsCallers = 40
-	boundsBody    = 2 << 20 // an upload; bodyBytes of the document is 64 MiB
-	boundsPause   = 5 * time.Second
-	boundsWait    = 4 * time.Second // for the daemon to listen again
+	boundsBody    = 2 << 20                // an upload; bodyBytes of the document is 64 MiB
+	boundsPause   = 9 * time.Second        // below four fifths of idleTimeoutMs
+	boundsWait    = 4 * time.Second        // for the daemon to listen again
+	boundsRetry   = 100 * time.Millisecond // between two tries of a caller to connect
+	slowTime      = 4500 * time.Millisecond
 )
 
-// playBounds kills a daemon and starts it again. Callers connect as soon as it listens,
-// send a lookup and, later on the same connections, a long order.
+// playBounds kills a daemon and starts it again while the store is slow. Callers connect
+// again, send a lookup and, later on the same connections, a long order.
 func playBounds(w *world) verdict {
-	w.store.SetFault(fake.Slow) // answers after storeDelay, its usual time
 	w.configure([]string{"bookings", "stockroom"}, []route{
 		{Name: "menu", Prefix: "/menu/", Kind: "safe", Timeout: 1000, Goal: 400, Service: "bookings", Attempts: 2, Priority: 2},
 		{Name: "order", Prefix: "/order/", Kind: "unsafe", Timeout: 2000, Goal: 1000, Service: "stockroom", Attempts: 2, Priority: 1},
@@ -37,6 +39,8 @@
 	time.Sleep(2 * time.Second)
 	first := w.nodes[0]
 	if w.trouble {
+		w.store.SetFault(fake.Slow) // answers after storeDelay
+		time.AfterFunc(slowTime, func() { w.store.SetFault(fake.None) })
 		first.kill()
 		time.AfterFunc(300*time.Millisecond, first.start)
 	}
@@ -76,7 +80,8 @@
 
 // connect connects to a daemon once it listens; nil if it doesn't.
 func (w *world) connect(n *node) net.Conn {
-	for end := time.Now().Add(boundsWait); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	time.Sleep(rand.N(boundsRetry))
+	for end := time.Now().Add(boundsWait); time.Now().Before(end); time.Sleep(boundsRetry) {
 		if c, err := net.DialTimeout("tcp4", n.callers, time.Second); err == nil {
 			return c
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -26,7 +26,7 @@
 	configKey    = "op/config"
 	host         = "ficu95.example"
 	healthPath   = "/health"
-	storeDelay   = 4 * time.Millisecond // of an answer of the store, in cases that need it
+	storeDelay   = 200 * time.Millisecond // of an answer of the slow store, 50 times the usual
 )
 
 // maxPlay bounds the time of a case.
