io/local, io/agent: log responses of a target that belong to another request

Change: a response that is dropped is logged with the request that was waiting, the id in it and its status, and counted. No decision changes.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -96,7 +96,7 @@
 		probes:   newProbes(o.Clock.Now(), o.Settings.ProbesPerSecond),
 		suspects: a.suspects,
 		client: local.New(o.Settings.TargetAddr, local.Options{
-			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits(a.bodies),
+			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits(a.bodies), Dropped: a.recordDropped,
 		}),
 	})
 	a.registration = newRegistration(registrationOptions{
--- a/io/agent/logging.go
+++ b/io/agent/logging.go
@@ -81,3 +81,13 @@
 		"latencyMs": ans.Load.LatencyUs / 1000, "config": head.Config,
 	}).Info("call ended")
 }
+
+// recordDropped logs and counts a response of the target that is not the one to req, a
+// request for the target with an id.
+func (a *Agent) recordDropped(req *httpw.Request, resp *httpw.Response) {
+	a.metrics.countEvent("responses_dropped")
+	asked, _ := a.opts.Wire.ReadRequestInfo(req) // a health check shows as ""
+	a.log.WithFields(log.Fields{
+		"request": asked.ID, "answers": a.opts.Wire.ReadResponseInfo(resp).ID, "status": resp.Status,
+	}).Warn("response of the target belongs to another request")
+}
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -18,6 +18,8 @@
 
 // ResponseInfo is what the target's response says.
 type ResponseInfo struct {
+	// ID is that of the request that the response names, "" if it names none.
+	ID string
 	// NotRun means that the target states that it did not run the request.
 	NotRun bool
 	// Valid means that the response is complete and comes from the target. Other
--- a/io/local/client.go
+++ b/io/local/client.go
@@ -27,6 +27,8 @@
 	// came on its connection before, so it can't be one to an earlier request.
 	Belongs func(req *httpw.Request, resp *httpw.Response, isFirst bool) bool
 	Clock   clockwork.Clock
+	// Dropped is told of a response that is not the one to req; it may be nil.
+	Dropped func(req *httpw.Request, resp *httpw.Response)
 	Limits  httpw.Limits // of responses
 	// DialTimeout bounds the time for a connection; default 250 ms.
 	DialTimeout time.Duration
@@ -73,6 +75,9 @@
 	if o.Idle <= 0 {
 		o.Idle = defaultIdle
 	}
+	if o.Dropped == nil {
+		o.Dropped = func(*httpw.Request, *httpw.Response) {}
+	}
 	return &Client{opts: o, addr: addr}
 }
 
@@ -165,6 +170,7 @@
 		if c.opts.Belongs(req, resp, isFirst) {
 			return resp, nil
 		}
+		c.opts.Dropped(req, resp)
 		if resp.Close {
 			return nil, errors.New("connection ended with a response to another request")
 		}
