io/local, platform: take no refusal without the request's id

Cause: the first response on a connection needed no id if it was a refusal, on the thought that it can't be one to an earlier request. It can come before the request: bytes that a target writes on a new connection without being asked were taken as the response to the request that was sent there, which the target then read and ran.

Change: a response belongs to a request only if it names its id, on each connection. A refusal without one is dropped like other extra responses, and the response that follows is delivered. If none follows, the call ends as broken or at its deadline, which promises nothing.

--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -158,17 +158,12 @@
 }
 
 // declined returns the answer to a call that the target itself refused after the gate
-// admitted it, in a response that names the request with an id. The retry hint is that of
-// the gate.
-func (t *localTarget) declined(status int, id string) *mesh.Answer {
+// admitted it. The retry hint is that of the gate.
+func (t *localTarget) declined(status int) *mesh.Answer {
 	t.mu.Lock()
 	hint := t.retryHint()
 	t.mu.Unlock()
-	reason := "target refused with status " + itoa(int64(status))
-	if id == "" {
-		reason += " in a response without an id"
-	}
-	ans := refused(reason, hint)
+	ans := refused("target refused with status "+itoa(int64(status)), hint)
 	ans.Reached = true
 	return ans
 }
@@ -198,7 +193,7 @@
 	}
 	switch {
 	case v.NotRun:
-		return t.declined(resp.Status, v.ID), true
+		return t.declined(resp.Status), true
 	case !v.Valid:
 		return &mesh.Answer{Result: mesh.Broken, Reason: "response isn't the target's own"}, true
 	}
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -54,8 +54,7 @@
 	// deadline.
 	TargetRequest func(call *mesh.CallHead, left time.Duration) *httpw.Request
 	// Belongs reports whether resp is the response to req, a request of TargetRequest.
-	// isFirst means that no response came on its connection before.
-	Belongs func(req *httpw.Request, resp *httpw.Response, isFirst bool) bool
+	Belongs func(req *httpw.Request, resp *httpw.Response) bool
 	// ReadResponseInfo reads a target's response.
 	ReadResponseInfo func(resp *httpw.Response) ResponseInfo
 	// HealthRequest returns a health check request for a path.
--- a/io/local/client.go
+++ b/io/local/client.go
@@ -23,9 +23,8 @@
 
 // Options configure a Client. Belongs and Clock are required.
 type Options struct {
-	// Belongs reports whether a response is to a request. isFirst means that no response
-	// came on its connection before, so it can't be one to an earlier request.
-	Belongs func(req *httpw.Request, resp *httpw.Response, isFirst bool) bool
+	// Belongs reports whether a response is to a request.
+	Belongs func(req *httpw.Request, resp *httpw.Response) bool
 	Clock   clockwork.Clock
 	// Dropped is told of a response that is not the one to req; it may be nil.
 	Dropped func(req *httpw.Request, resp *httpw.Response)
@@ -64,7 +63,6 @@
 	br    *bufio.Reader
 	addr  string
 	until time.Time // end of the idle time
-	heard bool      // a response has come
 }
 
 // New returns a client of the target at addr, without connections.
@@ -165,9 +163,7 @@
 		if err != nil {
 			return nil, err
 		}
-		isFirst := !cn.heard
-		cn.heard = true
-		if c.opts.Belongs(req, resp, isFirst) {
+		if c.opts.Belongs(req, resp) {
 			return resp, nil
 		}
 		c.opts.Dropped(req, resp)
--- a/io/local/endless_test.go
+++ b/io/local/endless_test.go
@@ -115,7 +115,7 @@
 	c := local.New(ln.Addr().String(), local.Options{
 		Clock:   clockwork.NewRealClock(),
 		Limits:  httpw.Limits{HeaderBytes: 4096, BodyBytes: 1 << 40, Budget: httpw.NewBudget(budget)},
-		Belongs: func(*httpw.Request, *httpw.Response, bool) bool { return true },
+		Belongs: func(*httpw.Request, *httpw.Response) bool { return true },
 	})
 	var callers sync.WaitGroup
 	for range connections {
--- a/io/local/local_test.go
+++ b/io/local/local_test.go
@@ -41,7 +41,7 @@
 	}()
 	return local.New(ln.Addr().String(), local.Options{
 		Clock: clockwork.NewRealClock(), Limits: httpw.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20},
-		Belongs: func(req *httpw.Request, resp *httpw.Response, _ bool) bool {
+		Belongs: func(req *httpw.Request, resp *httpw.Response) bool {
 			return resp.Header.Get("Id") == req.Header.Get("Id")
 		},
 	})
