io/local: don't keep a connection that the end of a context closes

Callers got 502 for a request that its target had read, and a payment may have run without an answer (LOST; not REFUSED, as 502 promises nothing).

Cause: the end of a call's context closes its connection in a goroutine of its own. If the context ends just as the response has come, the call succeeds and the connection is kept; the next request is written on it and is then cut. Health checks, which end after 40 ms, and requests whose caller leaves can meet that moment.

Change: the connection is kept only if its context hadn't ended.

--- a/io/local/client.go
+++ b/io/local/client.go
@@ -111,10 +111,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
 	resp, err := c.exchange(cn, req)
-	if !stop() && err != nil {
+	isOpen := stop()
+	if !isOpen && err != nil {
 		err = errors.Wrapf(ctx.Err(), "%v", err)
 	}
-	if err != nil || !c.keep(cn, resp) {
+	if err != nil || !isOpen || !c.keep(cn, resp) {
 		_ = cn.nc.Close()
 	}
 	return resp, err
