--- a/io/local/context_test.go
+++ b/io/local/context_test.go
@@ -42,6 +42,7 @@
 		var ctx context.Context
 		ctx, cancel = context.WithCancel(t.Context())
 		_, err := c.Do(ctx, &httpw.Request{Method: "POST", Target: fmt.Sprint("/", i)})
+		cancel()
 		is.NoErr(err)
 	}
 }
