--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -127,3 +127,14 @@
 func (m *mirror) ServeQuery(ctx context.Context, q *mesh.Query) *mesh.News {
 	return m.serveQuery(ctx, q)
 }
+
+// Serve runs a call at the target of a, as for another agent.
+func Serve(ctx context.Context, a *Agent, head *mesh.CallHead) *mesh.Answer {
+	return a.target.serve(ctx, head)
+}
+
+// AnnounceTarget applies an announcement of the target of a.
+func AnnounceTarget(a *Agent, x beat.Announcement) { a.target.announce(x) }
+
+// IsTargetIdle reports whether no call runs or waits at the target of a.
+func IsTargetIdle(a *Agent) bool { return a.target.isIdle() }
