--- a/core/admit/events_test.go
+++ b/core/admit/events_test.go
@@ -68,8 +68,7 @@
 }
 
 // Guards against a call with two decisions or none, and a refused call that holds a slot, in a
-// gate with goals whose pace, rate and options change. Such a call would be answered as not run
-// and run, or take a slot for good.
+// gate with goals whose pace, rate and options change.
 func TestEachCallHasOneEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &ends{gate: admit.New(options(t)), now: start, waiting: map[admit.Ticket]bool{}, running: map[admit.Ticket]bool{}}
--- a/io/agent/refused_test.go
+++ b/io/agent/refused_test.go
@@ -149,9 +149,8 @@
 	}
 }
 
-// Guards against a call that an agent refuses and that runs all the same, now or later, and
-// against a slot that is never free again: many calls for few slots that end and are given up
-// at random, at a target that refuses, breaks off, repeats responses, drains and is replaced.
+// Guards against a call that an agent refuses and that runs all the same, also later, and
+// against a slot that is never free again.
 func TestRefusedCallsNeverRun(t *testing.T) {
 	m := newMoodyTarget(t, *refusedSeed)
 	a := agent.New(agent.Options{
--- a/io/local/notsent_test.go
+++ b/io/local/notsent_test.go
@@ -94,9 +94,8 @@
 	_ = c.SetLinger(0)
 }
 
-// Guards against a request that ends with ErrNotSent, which callers take as proof that it
-// never runs, and that the target reads: connections end at random under many requests that
-// give up at random, and the target changes its address.
+// Guards against a request that ends with ErrNotSent, the proof that it never runs, and that
+// the target reads all the same.
 func TestNotSentRequestsNeverArrive(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/io/mesh/unreachable_test.go
+++ b/io/mesh/unreachable_test.go
@@ -175,9 +175,8 @@
 	return min(len(e.unreachable), e.broken, e.answered) >= enoughOfEach
 }
 
-// Guards against a call that ends with ErrUnreachable, which callers take as proof that it
-// never runs, and that the peer serves, also later: connections fail at random under many
-// calls that give up at random.
+// Guards against a call that ends with ErrUnreachable, the proof that it never runs, and that
+// the peer serves all the same, also later.
 func TestUnreachableCallsAreNeverServed(t *testing.T) {
 	ends := &callEnds{served: make(map[string]int)}
 	s, addr := serve(t, ends.serve)
--- a/io/target/notrun_test.go
+++ b/io/target/notrun_test.go
@@ -73,9 +73,8 @@
 	}
 }
 
-// Guards against a call that is reported as proven not to have run and that comes to the
-// target, now or later, against one that comes twice, also where net/http would send it again
-// by itself, and against a slot that is never free again.
+// Guards against a call that is proven not to have run and comes to the target, against one
+// that net/http sends again by itself, and against a slot that is never free again.
 func TestCallsProvenNotRunNeverArrive(t *testing.T) {
 	a := &arrivals{rng: rand.New(rand.NewPCG(*notRunSeed, 0)), came: make(map[string]int)}
 	srv := httptest.NewServer(a)
