io/agent: pass nothing on in a planned stop that its end would cut

In a planned stop, requests that became whole late in the grace were passed on and cut at its end without an answer, or with a 502 of the agent while the target worked: slow uploads and requests behind one that still ran, which arrive after the callers' address is closed. Requests that were passed on earlier were cut as well if they outlasted the stop. From 2.3 s on the target's own calls, of requests that it still ran, found the callers' address closed.

Nothing compared a request's deadline with the end of the stop, and the address was closed at a fixed time.

Others are refused as not run, with the time left as Retry-After. The deadline of what is taken, from callers and from other agents, is moved to the end of the stop, so that a gate refuses what can't end by then.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
+	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/front"
@@ -63,11 +64,12 @@
 	front        *front.Server
 	bodies       *httpw.Budget // memory of long bodies
 
-	service       atomic.Pointer[types.ServiceName]
-	restoring     sync.Mutex  // held while the record of an earlier start becomes known
-	isRestored    atomic.Bool // the record of an earlier start is known, or there is none
-	isSynced      atomic.Bool // the records of all agents are known
-	isStopping    atomic.Bool
+	service atomic.Pointer[types.ServiceName]
+	stop    atomic.Pointer[grace.Stop] // nil until the agent stops
+
+	restoring     sync.Mutex    // held while the record of an earlier start becomes known
+	isRestored    atomic.Bool   // the record of an earlier start is known, or there is none
+	isSynced      atomic.Bool   // the records of all agents are known
 	newerVersions chan int64    // configuration version that another agent has, newer than the one here
 	tableReads    chan struct{} // holds one token if the configuration has to be read from the store
 	tableWanted   atomic.Int64  // revision of the latest configuration that has to be read from the store
@@ -93,6 +95,7 @@
 		clock: o.Clock, log: o.Log, metrics: a.metrics, wire: o.Wire, onChange: a.targetChanged, onPaceChange: a.publishLoad,
 		presence: a.presence,
 		service:  a.serviceInfo,
+		stop:     a.stop.Load,
 		probes:   newProbes(o.Clock.Now(), o.Settings.ProbesPerSecond),
 		suspects: a.suspects,
 		client: local.New(o.Settings.TargetAddr, local.Options{
@@ -117,7 +120,7 @@
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
 		callerService: func() types.ServiceName { return *a.service.Load() }, send: a.send, observeVersion: a.observeVersion,
-		suspects: a.suspects,
+		suspects: a.suspects, stop: a.stop.Load,
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
@@ -157,7 +160,7 @@
 // IsReady reports whether callers should be sent to this agent: it is not stopping,
 // knows the records of all agents and has a configuration.
 func (a *Agent) IsReady() bool {
-	return !a.isStopping.Load() && a.isSynced.Load() && a.table.get() != nil
+	return !a.isStopping() && a.isSynced.Load() && a.table.get() != nil
 }
 
 // KnowsService reports whether the configuration contains a service. It returns true
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
@@ -42,6 +43,14 @@
 	}
 }
 
+// applyStop moves the deadline to the end of a planned stop of this agent if it is later,
+// and returns false if the request has to be refused.
+func (q *request) applyStop(now time.Time, s *grace.Stop) bool {
+	deadline, ok := s.Deadline(now, q.deadline)
+	q.deadline = deadline
+	return ok
+}
+
 // worth returns the value of a response to a request whose route has a rank. The
 // operator gives an order, not values; rank 0 is worth 1, rank 1 a half, rank 2 a third.
 func worth(rank int) float64 { return 1 / float64(1+max(rank, 0)) }
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
+	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
@@ -36,6 +37,8 @@
 	// observeVersion is called with the configuration version of an agent that answered.
 	observeVersion func(version int64)
 	suspects       *suspects
+	// stop returns the planned stop of this agent, nil if there is none.
+	stop func() *grace.Stop
 }
 
 // handle returns the response to one request.
@@ -61,6 +64,10 @@
 		e.logRejected(info, string(q.service), http.StatusServiceUnavailable, "request has crashed targets")
 		return e.wire.Refusal("request has crashed targets", suspectExpiry)
 	}
+	if s := e.stop(); s != nil && !q.applyStop(now, s) {
+		e.logRejected(info, string(q.service), http.StatusServiceUnavailable, "agent is stopping")
+		return e.wire.Refusal("agent is stopping", s.Left(now))
+	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	e.balancer.countRequest(q.service, r.Name())
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -10,6 +10,7 @@
 
 	"trefoilthread/core/admit"
 	"trefoilthread/core/beat"
+	"trefoilthread/core/grace"
 	"trefoilthread/core/pace"
 	"trefoilthread/core/probe"
 	"trefoilthread/core/types"
@@ -42,6 +43,8 @@
 	service func(name types.ServiceName) vhost.ServiceSpec
 	// presence describes the target together with this agent.
 	presence func(cur beat.Announcement) *mesh.Presence
+	// stop returns the planned stop of this agent, nil if there is none.
+	stop func() *grace.Stop
 	// probes is the budget of the health checks.
 	probes *probe.Budget
 }
@@ -51,6 +54,8 @@
 // takes twice as long.
 type localTarget struct {
 	localTargetOptions
+	running context.Context // of calls that continue after their caller has left
+	cut     context.CancelFunc
 
 	mu        sync.Mutex
 	announced *beat.Tracker
@@ -67,8 +72,9 @@
 }
 
 func newLocalTarget(opts localTargetOptions) *localTarget {
+	running, cut := context.WithCancel(context.Background())
 	return &localTarget{
-		localTargetOptions: opts, announced: beat.New(), gate: admit.New(admit.OptionsFor(0, 0)),
+		localTargetOptions: opts, running: running, cut: cut, announced: beat.New(), gate: admit.New(admit.OptionsFor(0, 0)),
 		waiters: make(map[admit.Ticket]chan admit.Event),
 	}
 }
@@ -152,8 +158,8 @@
 	return t.gate.Tick(t.clock.Now())
 }
 
-// stop refuses all further calls.
-func (t *localTarget) stop() {
+// refuseCalls refuses all further calls, as this agent stops.
+func (t *localTarget) refuseCalls() {
 	t.mu.Lock()
 	t.stopping = true
 	events := t.gate.Drain(t.clock.Now())
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -121,7 +121,7 @@
 
 // linkEnded logs lost connections to other agents.
 func (a *Agent) linkEnded(addr string, err error) {
-	if a.isStopping.Load() {
+	if a.isStopping() {
 		return
 	}
 	a.metrics.countEvent("links_lost")
@@ -131,7 +131,7 @@
 // inboundEnded logs lost connections that other agents had opened, except those that
 // they closed.
 func (a *Agent) inboundEnded(addr string, err error) {
-	if a.isStopping.Load() || errors.Is(err, io.EOF) {
+	if a.isStopping() || errors.Is(err, io.EOF) {
 		return
 	}
 	a.log.WithError(err).WithField("address", addr).Info("connection from an agent lost")
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -29,6 +29,9 @@
 func (t *localTarget) admitAndRun(ctx context.Context, head *mesh.CallHead) *mesh.Answer {
 	t.measurePace(ctx)
 	now := t.clock.Now()
+	if s := t.stop(); s != nil {
+		head.RemainingMs = min(head.RemainingMs, s.Left(now).Milliseconds())
+	}
 	call, err := callOf(now, head)
 	if err != nil {
 		return refused("call not understood: "+err.Error(), 0)
@@ -55,10 +58,11 @@
 }
 
 // runContext returns the context of a run. A call that may run only once continues after
-// its caller has left: if it were canceled, nobody would know whether it ran.
+// its caller has left: if it were canceled, nobody would know whether it ran. Only the end
+// of a planned stop of this agent ends it before its deadline.
 func (t *localTarget) runContext(ctx context.Context, call types.Call) (context.Context, context.CancelFunc) {
 	if call.Class().Runs() == types.AtMostOnce {
-		ctx = context.WithoutCancel(ctx)
+		ctx = t.running
 	}
 	return context.WithDeadline(ctx, call.Deadline())
 }
@@ -180,6 +184,8 @@
 	case errors.Is(err, local.ErrNotSent):
 		t.markDown(false)
 		return refused("no connection to the target", 0), true
+	case err != nil && t.running.Err() != nil:
+		return &mesh.Answer{Result: mesh.Broken, Reason: "agent stopped while the target worked"}, false
 	case err != nil && ctx.Err() != nil:
 		return &mesh.Answer{Result: mesh.Expired, Reason: "deadline passed or caller left while the target worked"}, false
 	case err != nil:
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -42,7 +42,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(s.ctx)
 	c := &conn{s: s, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), ctx: ctx, cancel: cancel}
 	c.room = sync.NewCond(&c.mu)
 	return c
--- a/io/front/doc.go
+++ b/io/front/doc.go
@@ -12,6 +12,7 @@
 //
 // Drain makes each further response end its connection. Close stops accepting
 // and closes idle connections; Wait returns when the last request is answered.
+// Cancel ends requests that would last too long; they are answered as well.
 //
 // # Usage
 //
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -207,6 +207,22 @@
 	is.Equal(read(t, bufio.NewReader(c)).Status, 200)
 }
 
+// Guards against requests that are cut without an answer because they outlast a stop.
+func TestCanceledRequestsAreAnswered(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	s, c := serve(t, func(ctx context.Context, _ *httpw.Request) *httpw.Response {
+		close(started)
+		<-ctx.Done()
+		return &httpw.Response{Status: 504}
+	})
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	s.Cancel()
+	is.Equal(read(t, bufio.NewReader(c)).Status, 504)
+}
+
 // Guards against bytes that are no request and get no answer, or are taken for
 // a further one.
 func TestBadRequestsAreAnsweredAndClosed(t *testing.T) {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -33,7 +33,7 @@
 // Options configure a Server. All functions are required.
 type Options struct {
 	// Handle returns the response to a request. Its context ends when the
-	// caller has closed the connection.
+	// caller has closed the connection, or by Cancel.
 	Handle func(ctx context.Context, req *httpw.Request) *httpw.Response
 	// Refuse returns the response to bytes that are no valid request.
 	Refuse func(status int) *httpw.Response
@@ -64,6 +64,8 @@
 // Server accepts connections of callers.
 type Server struct {
 	opts     Options
+	ctx      context.Context // of all requests
+	cancel   context.CancelFunc
 	draining atomic.Bool
 	open     sync.WaitGroup
 
@@ -75,7 +77,8 @@
 
 // New returns a server that isn't listening yet.
 func New(o Options) *Server {
-	return &Server{opts: o, conns: make(map[*conn]struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{opts: o, ctx: ctx, cancel: cancel, conns: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until the server is closed.
@@ -125,6 +128,9 @@
 // Drain makes each further response end its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Cancel ends the context of all requests, whose responses are still written.
+func (s *Server) Cancel() { s.cancel() }
+
 // Close stops accepting connections and closes those without a request. Others
 // end with their next response.
 func (s *Server) Close() {
