io/front: close a connection only behind its latest accepted request

Two pipelined requests were both handed over, then the daemon drained: the response to the first one said that the connection ends, the second one ran to its end and its response was dropped. Callers take what lies behind such a response as not read and send it again, whatever its kind, so that a request that may run once could run twice. A response that asked for the close itself did the same, and a request that became whole while the closing response was written was still handed over. Besides, a connection whose idle time ended while its only response was written was cut in the middle of it, and (by reading only, without a test) one with malformed bytes behind its last response kept its descriptor until the garbage collector ran.

While draining, writeNext marked the oldest response that was due as the last one, and enqueue refused requests only after it had been written.

A connection now has one state for this: closing, the latest request in the queue is the last one. It is set, under the lock, by the request that ends the connection, by the idle time, or when a response is composed while the daemon drains; from then on nothing is accepted. Only the response to the last request of the queue closes.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -22,7 +22,6 @@
 	came  time.Time
 	resp  *httpw.Response
 	ready time.Time // when the response was there
-	last  bool      // the caller expects the connection to end
 }
 
 // conn is one connection of a caller.
@@ -32,12 +31,13 @@
 	br     *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
-	room   *sync.Cond // signals a shorter queue; uses mu
+	room   *sync.Cond // signals a shorter queue, or that it takes no more; uses mu
 
 	mu      sync.Mutex
 	queue   []*exchange // unanswered, oldest first
 	writing bool
 	reading bool // a request has begun to arrive
+	closing bool // the latest request in the queue is the last one of the connection
 	ended   bool // nothing is written any more
 }
 
@@ -58,10 +58,10 @@
 			c.finish(err)
 			return
 		}
-		x := &exchange{req: req, came: c.s.opts.Clock.Now(), last: req.Close}
-		if !c.enqueue(x) {
+		x := &exchange{req: req, came: c.s.opts.Clock.Now()}
+		if !c.enqueue(x, req.Close) {
 			req.Release()
-			c.awaitClose() // the connection has ended with an earlier response
+			c.awaitClose() // the connection ends with an earlier response
 			return
 		}
 		go func() {
@@ -121,18 +121,20 @@
 	_ = c.nc.SetReadDeadline(c.s.opts.Clock.Now().Add(d))
 }
 
-// enqueue adds an exchange, waiting while too many are unanswered.
-func (c *conn) enqueue(x *exchange) bool {
+// enqueue accepts an exchange, waiting while too many are unanswered. It returns false if
+// the connection ends with an earlier one. last means that it ends with this one.
+func (c *conn) enqueue(x *exchange, last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.queue) >= maxPipeline && !c.ended {
+	for len(c.queue) >= maxPipeline && !c.closing && !c.ended {
 		c.room.Wait()
 	}
-	if c.ended {
+	if c.closing || c.ended {
 		return false
 	}
 	c.reading = false
 	c.queue = append(c.queue, x)
+	c.closing = last
 	return true
 }
 
@@ -141,11 +143,11 @@
 func (c *conn) finish(err error) {
 	var bad *httpw.MessageError
 	if errors.As(err, &bad) {
-		x := &exchange{req: new(httpw.Request), came: c.s.opts.Clock.Now(), last: true}
-		if c.enqueue(x) {
+		x := &exchange{req: new(httpw.Request), came: c.s.opts.Clock.Now()}
+		if c.enqueue(x, true) {
 			c.answer(x, c.s.opts.Refuse(bad.Status()))
-			c.awaitClose()
 		}
+		c.awaitClose()
 		return
 	}
 	var timeout net.Error
@@ -158,15 +160,15 @@
 	_ = c.nc.Close()
 }
 
-// markLast makes the newest unanswered request the last one; false if there is
-// none.
+// markLast makes the latest request that is unanswered, or whose response is being written,
+// the last one; false if there is none.
 func (c *conn) markLast() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) == 0 {
+	if c.ended || len(c.queue) == 0 && !c.writing {
 		return false
 	}
-	c.queue[len(c.queue)-1].last = true
+	c.closing = true
 	return true
 }
 
--- a/io/front/doc.go
+++ b/io/front/doc.go
@@ -10,9 +10,12 @@
 //
 // # Shutdown
 //
-// Drain makes each further response end its connection. Close stops accepting
-// and closes idle connections; Wait returns when the last request is answered.
-// Cancel ends requests that would last too long; they are answered as well.
+// A connection ends with the response to the latest request that it has accepted, which
+// is the only one that says so: callers take what they sent behind a closing response as not
+// read and send it again. Drain makes each connection accept nothing more from its next
+// response on. Close stops accepting connections and closes idle ones; Wait returns when the
+// last request is answered. Cancel ends requests that would last too long; they are answered
+// as well.
 //
 // # Usage
 //
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -125,14 +125,15 @@
 	s.open.Done()
 }
 
-// Drain makes each further response end its connection.
+// Drain makes each connection end with the latest request that it has accepted by its next
+// response. Until then it accepts requests.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Cancel ends the context of all requests, whose responses are still written.
 func (s *Server) Cancel() { s.cancel() }
 
-// Close stops accepting connections and closes those without a request. Others
-// end with their next response.
+// Close stops accepting connections and closes those without a request. Others end as after
+// Drain.
 func (s *Server) Close() {
 	s.Drain()
 	s.mu.Lock()
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -23,18 +23,18 @@
 }
 
 // writeNext writes the oldest responses that are there in one go. It is called
-// with the lock held and gives it up while it writes.
+// with the lock held and gives it up while it writes. Only the response to the last request
+// may close the connection: callers send what lies behind it again.
 func (c *conn) writeNext() {
 	var buf []byte
-	last := false
 	n := 0
-	for ; n < len(c.queue) && c.queue[n].resp != nil && !last; n++ {
+	for ; n < len(c.queue) && c.queue[n].resp != nil; n++ {
 		x := c.queue[n]
 		// The response may be shared; only the copy says how this connection
 		// goes on.
 		resp := *x.resp
-		last = x.last || resp.Close || c.s.draining.Load()
-		resp.Close = last
+		c.closing = c.closing || resp.Close || c.s.draining.Load()
+		resp.Close = c.closing && n == len(c.queue)-1
 		buf = httpw.AppendResponse(buf, &resp, x.req.Method)
 	}
 	due := c.queue[:n]
@@ -44,7 +44,7 @@
 	err := c.write(buf)
 	c.noteHeld(due)
 	c.mu.Lock()
-	if err != nil || last {
+	if err != nil || c.closing && len(c.queue) == 0 {
 		c.ended = true
 		c.queue = nil
 		c.room.Broadcast()
@@ -73,8 +73,8 @@
 }
 
 // shut ends the sending side after the last response and leaves the reader the
-// linger time to see the caller's close. Other requests of the connection are
-// canceled: their callers take them as not read.
+// linger time to see the caller's close. After a failed write the requests that are still
+// unanswered are canceled: their caller has gone, or takes no more bytes.
 func (c *conn) shut(err error) {
 	c.cancel()
 	tcp, ok := c.nc.(*net.TCPConn)
