io/local: don't keep a connection that was in use during a flush

Seen as a possibility in a trace, not as a case.

Cause: in the soak's logs a request is sent twice to one VM although the sender excludes targets that were tried: the target there was replaced before its agent knew, answers 421, is announced a few milliseconds later, and is then called under its new id. The agent flushes its connections when a target is announced, but only the idle ones. One that carries another request or a health check at that moment is kept, so that the second attempt can take the connection of the first one, where a late copy of the 421 has its id.

Change: each flush is counted, and a connection from before the last one is closed after its response. This covers the address of the target as well, whose change flushes.

--- a/io/local/client.go
+++ b/io/local/client.go
@@ -55,14 +55,16 @@
 	mu   sync.Mutex
 	addr string
 	idle []*conn // the most recently used last
+	// flushes counts the flushes. Connections from before the last one aren't kept.
+	flushes int
 }
 
 // conn is a connection that carries one request at a time.
 type conn struct {
-	nc    net.Conn
-	br    *bufio.Reader
-	addr  string
-	until time.Time // end of the idle time
+	nc      net.Conn
+	br      *bufio.Reader
+	flushes int       // of the client when the connection was asked for
+	until   time.Time // end of the idle time
 }
 
 // New returns a client of the target at addr, without connections.
@@ -79,7 +81,7 @@
 	return &Client{opts: o, addr: addr}
 }
 
-// SetAddr sets the address of the target and closes the connections to the
+// SetAddr sets the address of the target and flushes the connections to the
 // one before.
 func (c *Client) SetAddr(addr string) {
 	c.mu.Lock()
@@ -88,11 +90,13 @@
 	c.Flush()
 }
 
-// Flush closes idle connections, for a target that has been replaced.
+// Flush closes idle connections, for a target that has been replaced, and those in use after
+// their response. A request that is sent once more gets no copy of its first response.
 func (c *Client) Flush() {
 	c.mu.Lock()
 	old := c.idle
 	c.idle = nil
+	c.flushes++
 	c.mu.Unlock()
 	for _, cn := range old {
 		_ = cn.nc.Close()
@@ -178,9 +182,9 @@
 // take returns a kept connection that is still open, or a new one.
 func (c *Client) take(ctx context.Context) (*conn, error) {
 	for {
-		cn, addr := c.pop()
+		cn, addr, flushes := c.pop()
 		if cn == nil {
-			return c.dial(ctx, addr)
+			return c.dial(ctx, addr, flushes)
 		}
 		if c.opts.Clock.Now().Before(cn.until) && isQuiet(cn) {
 			return cn, nil
@@ -189,26 +193,28 @@
 	}
 }
 
-func (c *Client) pop() (*conn, string) {
+// pop returns the idle connection that was used last, nil if there is none, and what a new
+// one needs.
+func (c *Client) pop() (cn *conn, addr string, flushes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := len(c.idle)
 	if n == 0 {
-		return nil, c.addr
+		return nil, c.addr, c.flushes
 	}
-	cn := c.idle[n-1]
+	cn = c.idle[n-1]
 	c.idle[n-1] = nil
 	c.idle = c.idle[:n-1]
-	return cn, c.addr
+	return cn, c.addr, c.flushes
 }
 
-func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
+func (c *Client) dial(ctx context.Context, addr string, flushes int) (*conn, error) {
 	d := net.Dialer{Timeout: c.opts.DialTimeout}
 	nc, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readSize), addr: addr}, nil
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readSize), flushes: flushes}, nil
 }
 
 // keep stores a connection for the next request if its response allows that.
@@ -220,7 +226,7 @@
 	cn.until = c.opts.Clock.Now().Add(idle)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cn.addr != c.addr {
+	if cn.flushes != c.flushes {
 		return false
 	}
 	c.idle = append(c.idle, cn)
