io/mesh: tell the caller of an answer that isn't sent

Callers saw a 504 after their whole deadline (60 s in a trial with 32 answers of 8 MB at a time) for requests that their target had answered at once. Cause: an agent drops the answer to a call when over 16 MB wait for the connection; the sender's error was taken for the end of the connection, which the caller would have seen. Short answers, refusals too, were dropped as well. Change: frames up to 4 KB are queued beyond that bound, up to twice of it, and an answer that can't be queued is replaced by a short one with the result broken: the request may have run. Its caller gets 502, or an idempotent request is tried elsewhere.

--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -72,6 +72,19 @@
 // Retry returns when a refused call may find room, 0 if unknown.
 func (a *Answer) Retry() time.Duration { return time.Duration(a.RetryMs) * time.Millisecond }
 
+// unsent returns the answer that takes the place of a, which can't be sent because of err:
+// the caller would wait for it until its deadline.
+func (a *Answer) unsent(err error) *Answer {
+	short := &Answer{
+		Result: a.Result, Reason: a.Reason, RetryMs: a.RetryMs, Reached: a.Reached,
+		Load: a.Load, Config: a.Config, Instead: a.Instead,
+	}
+	if a.Result == Answered {
+		short.Result, short.Reason = Broken, "target's response not passed on: "+err.Error()
+	}
+	return short
+}
+
 // Presence is a target with the daemon beside it, as the daemon describes them.
 type Presence struct {
 	Node       string  `cbor:"1,keyasint,omitempty"`
--- a/io/mesh/sender.go
+++ b/io/mesh/sender.go
@@ -9,12 +9,16 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// errBacklog means that the peer has not accepted bytes for too long.
-var errBacklog = errors.New("mesh: peer accepts no bytes")
+// errBacklog means that the peer accepts bytes too slowly.
+var errBacklog = errors.New("mesh: too many bytes wait for the connection")
 
 const (
-	// maxBacklog bounds the bytes that wait for a connection.
+	// maxBacklog is the number of bytes that wait for a connection beyond which no long
+	// frame is queued.
 	maxBacklog = 16 << 20
+	// maxShortFrame is the length in bytes up to which a frame is queued beyond maxBacklog:
+	// the answer to a call for whose long answer there was no room, a ping or a cancel.
+	maxShortFrame = 4 << 10
 	// writeTime bounds one write.
 	writeTime = 5 * time.Second
 )
@@ -41,11 +45,12 @@
 		defer s.mu.Unlock()
 		return s.err
 	}
-	if len(s.pending) > maxBacklog {
-		s.mu.Unlock()
-		return errBacklog
-	}
+	waiting := len(s.pending)
 	buf, err := appendFrame(s.pending, k, call, msg)
+	isShort := len(buf)-waiting <= maxShortFrame
+	if err == nil && (waiting > 2*maxBacklog || waiting > maxBacklog && !isShort) {
+		err = errBacklog
+	}
 	if err != nil {
 		s.mu.Unlock()
 		return err
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -237,9 +237,13 @@
 		if k == kindAnswer {
 			defer p.s.endCall()
 		}
-		// An error means that the connection has ended, which the caller
-		// sees as well.
-		_ = p.out.send(k, id, serve(ctx))
+		msg := serve(ctx)
+		err := p.out.send(k, id, msg)
+		if ans, ok := msg.(*Answer); ok && err != nil {
+			// An error means that the connection has ended, which the caller
+			// sees as well.
+			_ = p.out.send(k, id, ans.unsent(err))
+		}
 	}()
 }
 
