io/mesh, io/front: count long answers and frames until they are passed on

Cause: a response left the budget of bodies as soon as it was read from the target; frames between agents were never counted. A long body was also copied for its frame (twice) and behind the head of the response to the caller. Change: the memory of a body moves with it, from the response to the answer and the frame, until it is written to the agent or the caller, or dropped. Frames of calls and answers take memory where they are read. One for which there is none is skipped: the call is refused as not run, the answer counts as lost (502, or another target for an idempotent request), which isn't held against the target. The other calls of the connection go on. Frames of news and notices take no part: what agents know must not depend on bodies. Bodies are encoded straight into the buffer of the connection and written to callers without a copy.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -109,10 +109,11 @@
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress()}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.handleNotice,
+		Memory: a.bodies,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
 		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Opened: a.linkOpened,
-		Failed: a.inboundEnded, Clock: o.Clock,
+		Failed: a.inboundEnded, Clock: o.Clock, Memory: a.bodies, NoMemory: a.refuseLongCall,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
@@ -128,7 +129,7 @@
 }
 
 // responseLimits bounds the target's responses, whose long bodies take memory from a
-// budget while they are read.
+// budget until they have been passed on.
 func responseLimits(budget *httpw.Budget) httpw.Limits {
 	return httpw.Limits{HeaderBytes: 64 << 10, BodyBytes: 64 << 20, Budget: budget}
 }
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -49,6 +49,7 @@
 // still in flight.
 func (d *dispatch) do(ctx context.Context) *httpw.Response {
 	ctx, cancel := context.WithCancel(ctx)
+	defer d.discard()
 	defer cancel()
 	hedge := d.hedgeTimer()
 	if !d.startAttempt(ctx) {
@@ -74,6 +75,20 @@
 	}
 }
 
+// discard releases the memory of the answers that are no longer wanted.
+func (d *dispatch) discard() {
+	if d.inFlight == 0 {
+		return
+	}
+	go func() {
+		for range d.inFlight {
+			if res := <-d.results; res.ans != nil {
+				res.ans.Memory.Release()
+			}
+		}
+	}()
+}
+
 func (d *dispatch) takeRetry() bool { return d.entry.balancer.takeRetry(d.request.service) }
 
 // startAttempt sends the request to the next target; false if there is none.
@@ -133,10 +148,13 @@
 		d.tries.Record(tries.Unsent, "agent unreachable", 0)
 	case ans == nil && ctx.Err() != nil:
 		d.tries.Record(tries.Expired, "deadline passed or caller left", 0)
+	case errors.Is(res.err, mesh.ErrNoMemory):
+		d.tries.Record(tries.AnswerLost, res.err.Error(), 0)
 	case ans == nil:
 		d.tries.Record(tries.AnswerLost, "connection to the agent broke", 0)
 	case ans.Result == mesh.Answered:
-		resp := &httpw.Response{Status: ans.Status, Reason: ans.Phrase, Header: ans.Header, Body: ans.Body}
+		resp := &httpw.Response{Status: ans.Status, Reason: ans.Phrase, Header: ans.Header, Body: ans.Body, Memory: ans.Memory}
+		d.dropFailure()
 		if ans.Status < http.StatusInternalServerError {
 			return resp
 		}
@@ -154,6 +172,13 @@
 	return nil
 }
 
+// dropFailure releases the memory of the failure so far, which a later response replaces.
+func (d *dispatch) dropFailure() {
+	if d.failure != nil {
+		d.failure.Memory.Release()
+	}
+}
+
 // finalResponse returns the response to a request that no target has answered
 // successfully.
 func (d *dispatch) finalResponse(reason string) *httpw.Response {
@@ -181,7 +206,8 @@
 		case ctx.Err() != nil:
 			res.Outcome = types.DeadlineExceeded
 		default:
-			res.Outcome, res.Failed = types.Unknown, true
+			// The lack of memory here is no fault of the target.
+			res.Outcome, res.Failed = types.Unknown, !errors.Is(err, mesh.ErrNoMemory)
 		}
 		return res
 	}
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		return false // the target has ended as well, or announces itself later
 	}
+	defer resp.Memory.Release()
 	h := t.wire.ReadHealth(resp)
 	return h.Target == id && !h.Leaving
 }
@@ -84,6 +85,7 @@
 	var h HealthInfo
 	if err == nil {
 		h = t.wire.ReadHealth(resp)
+		resp.Memory.Release()
 	} else {
 		// The target may have closed its idle connections without notice. A request that
 		// may run only once would be lost on the next of them.
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -22,6 +22,16 @@
 	return ans
 }
 
+// refuseLongCall answers a call of n bytes for which there is no memory. It was not read,
+// so its id isn't known here.
+func (a *Agent) refuseLongCall(from mesh.Hello, n int) *mesh.Answer {
+	a.metrics.countEvent("calls_without_memory")
+	a.log.WithField("from", from.Node).WithField("bytes", n).Warn("no memory for a call")
+	ans := a.target.refuseUnread("no memory for a call of " + itoa(int64(n)) + " bytes")
+	ans.Config = a.table.version()
+	return ans
+}
+
 // recordContact records direct contact with an agent, which keeps it in the roster while
 // its record is missing.
 func (a *Agent) recordContact(node string) {
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -46,6 +46,9 @@
 	t.suspects.begin(fp)
 	resp, err := t.client.Do(ctx, req)
 	ans, failed := t.answer(ctx, types.TargetID(head.Target), resp, err)
+	if resp != nil && ans.Result != mesh.Answered {
+		resp.Memory.Release()
+	}
 	t.suspects.end(fp, ans.Result)
 	t.mu.Lock()
 	events := t.gate.Done(t.clock.Now(), ticket, t.clock.Since(start), failed)
@@ -157,6 +160,15 @@
 	return ticket, refused("caller left while the call waited", hint)
 }
 
+// refuseUnread returns the answer to a call that was not read.
+func (t *localTarget) refuseUnread(reason string) *mesh.Answer {
+	ans := refused(reason, memoryRetryDelay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ans.Load = t.load()
+	return ans
+}
+
 // declined returns the answer to a call that the target itself refused after the gate
 // admitted it. The retry hint is that of the gate.
 func (t *localTarget) declined(status int) *mesh.Answer {
@@ -199,7 +211,7 @@
 	}
 	return &mesh.Answer{
 		Result: mesh.Answered, Status: resp.Status, Phrase: resp.Reason,
-		Header: resp.Header.EndToEnd(), Body: resp.Body,
+		Header: resp.Header.EndToEnd(), Body: resp.Body, Memory: resp.Memory,
 	}, v.Failed
 }
 
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -30,7 +30,7 @@
 	// ProbesPerSecond bounds the health checks of the own target.
 	ProbesPerSecond int
 	// BodyMemory bounds the memory in bytes of the long bodies of requests, until they are
-	// answered, and of responses of the own target, while they are read.
+	// answered, and of responses, until they have been passed on.
 	BodyMemory int
 }
 
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -66,7 +66,7 @@
 		}
 		go func() {
 			resp := c.s.opts.Handle(c.ctx, req)
-			req.Release()
+			req.Release() // the response's memory is released once it is written or dropped
 			c.answer(x, resp)
 		}()
 		if req.Close {
@@ -188,7 +188,17 @@
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.drop()
+}
+
+// drop ends the connection for all unanswered exchanges, with the lock held.
+func (c *conn) drop() {
 	c.ended = true
+	for _, x := range c.queue {
+		if x.resp != nil {
+			x.resp.Memory.Release()
+		}
+	}
 	c.queue = nil
 	c.room.Broadcast()
 }
--- a/io/front/memory_test.go
+++ b/io/front/memory_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -60,3 +62,46 @@
 	upload(t, third, "/long", long)
 	is.Equal(read(t, br).Status, 200)
 }
+
+// Guards against memory of responses that is kept after they were written, or after their
+// callers have left.
+func TestResponsesGiveTheirMemoryBack(t *testing.T) {
+	const long = 200 << 10
+	for name, leave := range map[string]func(c net.Conn){
+		"written":                func(c net.Conn) { _, _ = io.CopyN(io.Discard, c, long) },
+		"unread":                 func(net.Conn) {},
+		"left before the answer": func(c net.Conn) { _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budget := httpw.NewBudget(long)
+			handled := make(chan *httpw.Holding)
+			finish := make(chan struct{})
+			_, first := serve(t, func(context.Context, *httpw.Request) *httpw.Response {
+				memory, ok := budget.Hold(long)
+				is.True(ok)
+				handled <- memory
+				<-finish
+				return &httpw.Response{Status: 200, Body: make([]byte, long), Memory: memory}
+			})
+			c := dial(t, first.RemoteAddr().String())
+			defer func() { _ = c.Close() }()
+			upload(t, c, "/", 0)
+			<-handled
+			if name == "left before the answer" {
+				leave(c)
+			}
+			close(finish)
+			leave(c)
+			_ = c.Close()
+			for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+				if _, ok := budget.Hold(long); ok {
+					return
+				}
+				if time.Now().After(end) {
+					t.Fatal("memory is still held")
+				}
+			}
+		})
+	}
+}
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -12,6 +12,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.resp, x.ready = resp, c.s.opts.Clock.Now()
+	if c.ended {
+		resp.Memory.Release()
+		return
+	}
 	if c.writing {
 		return
 	}
@@ -25,7 +29,7 @@
 // writeNext writes the oldest responses that are there in one go. It is called
 // with the lock held and gives it up while it writes.
 func (c *conn) writeNext() {
-	var buf []byte
+	var out message
 	last := false
 	n := 0
 	for ; n < len(c.queue) && c.queue[n].resp != nil && !last; n++ {
@@ -35,19 +39,20 @@
 		resp := *x.resp
 		last = x.last || resp.Close || c.s.draining.Load()
 		resp.Close = last
-		buf = httpw.AppendResponse(buf, &resp, x.req.Method)
+		out.add(&resp, x.req.Method)
 	}
 	due := c.queue[:n]
 	c.queue = c.queue[n:]
 	c.room.Signal()
 	c.mu.Unlock()
-	err := c.write(buf)
+	err := c.write(&out)
+	for _, x := range due {
+		x.resp.Memory.Release()
+	}
 	c.noteHeld(due)
 	c.mu.Lock()
 	if err != nil || last {
-		c.ended = true
-		c.queue = nil
-		c.room.Broadcast()
+		c.drop()
 		c.shut(err)
 	}
 }
@@ -64,12 +69,11 @@
 	}
 }
 
-func (c *conn) write(buf []byte) error {
+func (c *conn) write(out *message) error {
 	if err := c.nc.SetWriteDeadline(c.s.opts.Clock.Now().Add(writeTime)); err != nil {
 		return err
 	}
-	_, err := c.nc.Write(buf)
-	return err
+	return out.writeTo(c.nc)
 }
 
 // shut ends the sending side after the last response and leaves the reader the
--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -23,7 +23,7 @@
 )
 
 // readLength reads a body of n bytes.
-func readLength(br *bufio.Reader, n int64, memory *holding) ([]byte, error) {
+func readLength(br *bufio.Reader, n int64, memory *Holding) ([]byte, error) {
 	if n == 0 {
 		return nil, nil
 	}
@@ -31,7 +31,7 @@
 }
 
 // appendBytes appends n bytes of br to body.
-func appendBytes(br *bufio.Reader, body []byte, n int64, memory *holding) ([]byte, error) {
+func appendBytes(br *bufio.Reader, body []byte, n int64, memory *Holding) ([]byte, error) {
 	for n > 0 {
 		step := int(min(n, readStep))
 		at := len(body)
@@ -49,7 +49,7 @@
 
 // readChunked reads a chunked body of at most limit bytes and drops its
 // trailers.
-func readChunked(br *bufio.Reader, limit int64, memory *holding) ([]byte, error) {
+func readChunked(br *bufio.Reader, limit int64, memory *Holding) ([]byte, error) {
 	var body []byte
 	extensions := 0
 	for {
--- a/io/httpw/budget.go
+++ b/io/httpw/budget.go
@@ -33,15 +33,23 @@
 	b.left += n
 }
 
-// holding is the part of a Budget that the body of one message holds. The zero value has
-// no bound.
-type holding struct {
+// Hold takes the memory of a body of n bytes and reports whether there was enough. A nil
+// Budget has no bound.
+func (b *Budget) Hold(n int64) (*Holding, bool) {
+	h := &Holding{budget: b}
+	return h, h.grow(n) == nil
+}
+
+// Holding is the part of a Budget that the body of one message holds. It belongs to one
+// message at a time, and moves with its body from one to the next. A nil Holding holds
+// nothing.
+type Holding struct {
 	budget *Budget
 	taken  int64
 }
 
 // grow takes what a body of n bytes needs beyond what it holds.
-func (h *holding) grow(n int64) error {
+func (h *Holding) grow(n int64) error {
 	need := n - freeBody - h.taken
 	if h.budget == nil || need <= 0 {
 		return nil
@@ -53,9 +61,10 @@
 	return nil
 }
 
-// release gives back what the body holds.
-func (h *holding) release() {
-	if h.taken > 0 {
+// Release gives back what the body holds. The body must not be used any more. Further calls
+// do nothing.
+func (h *Holding) Release() {
+	if h != nil && h.taken > 0 {
 		h.budget.give(h.taken)
 		h.taken = 0
 	}
--- a/io/httpw/message.go
+++ b/io/httpw/message.go
@@ -17,12 +17,12 @@
 	// Close tells that the sender wants no further exchange on the connection.
 	Close bool
 
-	memory holding
+	memory Holding
 }
 
 // Release gives the memory of the body back to the Budget. The body must not be used any
 // more.
-func (r *Request) Release() { r.memory.release() }
+func (r *Request) Release() { r.memory.Release() }
 
 // Response is a whole response.
 type Response struct {
@@ -34,4 +34,7 @@
 	Close bool
 	// NoLength tells that the body was framed by the end of the connection.
 	NoLength bool
+	// Memory is that of the body, until the response has been passed on. Who drops a
+	// response releases it.
+	Memory *Holding
 }
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -49,22 +49,24 @@
 	if !hasBody(resp.Status, method) {
 		return resp, nil
 	}
-	// The budget holds while the body is read: a target that sends without end
-	// would take all memory. Who has the whole response passes it on at once.
-	memory := holding{budget: lim.Budget}
-	defer memory.release()
+	memory := &Holding{budget: lim.Budget}
 	switch {
 	case frame.chunked:
-		resp.Body, err = readChunked(br, lim.BodyBytes, &memory)
+		resp.Body, err = readChunked(br, lim.BodyBytes, memory)
 	case frame.length > lim.BodyBytes:
 		err = newMessageError(400, "body longer than %d bytes", lim.BodyBytes)
 	case frame.length >= 0:
-		resp.Body, err = readLength(br, frame.length, &memory)
+		resp.Body, err = readLength(br, frame.length, memory)
 	default:
 		resp.Close, resp.NoLength = true, true
-		resp.Body, err = readToEnd(br, lim.BodyBytes, &memory)
+		resp.Body, err = readToEnd(br, lim.BodyBytes, memory)
 	}
-	return resp, err
+	if err != nil {
+		memory.Release()
+		return nil, err
+	}
+	resp.Memory = memory
+	return resp, nil
 }
 
 func parseStatus(line string) (resp *Response, keepAlive bool, err error) {
@@ -85,7 +87,7 @@
 }
 
 // readToEnd reads until the connection is closed in the open.
-func readToEnd(br *bufio.Reader, limit int64, memory *holding) ([]byte, error) {
+func readToEnd(br *bufio.Reader, limit int64, memory *Holding) ([]byte, error) {
 	body := make([]byte, 0, firstStep)
 	for {
 		if len(body) == cap(body) {
@@ -113,6 +115,19 @@
 // AppendResponse appends the bytes of r to buf, always with a length. The
 // header must have no framing lines.
 func AppendResponse(buf []byte, r *Response, method string) []byte {
+	return append(AppendResponseHead(buf, r, method), SentBody(r, method)...)
+}
+
+// SentBody returns the body that follows the head of r, nil for none.
+func SentBody(r *Response, method string) []byte {
+	if !hasBody(r.Status, method) {
+		return nil
+	}
+	return r.Body
+}
+
+// AppendResponseHead appends the bytes of r before its body to buf.
+func AppendResponseHead(buf []byte, r *Response, method string) []byte {
 	buf = append(buf, "HTTP/1.1 "...)
 	buf = strconv.AppendInt(buf, int64(r.Status), 10)
 	buf = append(buf, ' ')
@@ -130,8 +145,7 @@
 		return append(buf, "\r\n"...)
 	}
 	buf = appendLength(buf, len(r.Body))
-	buf = append(buf, "\r\n"...)
-	return append(buf, r.Body...)
+	return append(buf, "\r\n"...)
 }
 
 // IsMessageError reports whether err is about the bytes of a message, not the
--- a/io/local/client.go
+++ b/io/local/client.go
@@ -168,6 +168,7 @@
 			return resp, nil
 		}
 		c.opts.Dropped(req, resp)
+		resp.Memory.Release()
 		if resp.Close {
 			return nil, errors.New("connection ended with a response to another request")
 		}
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/io/httpw"
 )
 
 var (
@@ -17,6 +19,9 @@
 	// ErrUnreachable means that no connection could be made: the call was not
 	// sent.
 	ErrUnreachable = errors.New("mesh: daemon unreachable")
+	// ErrNoMemory means that there was no memory for the answer: the call may have
+	// run.
+	ErrNoMemory = errors.New("mesh: no memory for the answer")
 )
 
 // ClientOptions configure a Client. Clock and Hello are required.
@@ -32,6 +37,9 @@
 	Notice func(n *Notice)
 	// Ended is told of connections that ended with an error.
 	Ended func(addr string, err error)
+	// Memory bounds the long bodies of answers, until they are released; nil for no
+	// bound.
+	Memory *httpw.Budget
 }
 
 const (
@@ -83,7 +91,7 @@
 		return nil, err
 	}
 	ans := new(Answer)
-	if err := l.call(ctx, kindCall, head, ans); err != nil {
+	if ans.Memory, err = l.call(ctx, kindCall, head, ans); err != nil {
 		return nil, err
 	}
 	return ans, nil
@@ -96,7 +104,7 @@
 		return nil, err
 	}
 	news := new(News)
-	if err := l.call(ctx, kindQuery, q, news); err != nil {
+	if _, err := l.call(ctx, kindQuery, q, news); err != nil {
 		return nil, err
 	}
 	return news, nil
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"trefoilthread/io/httpw"
 )
 
 // kind is the type of a frame.
@@ -43,28 +46,62 @@
 	kind    kind
 	call    uint64
 	payload []byte
+	memory  *httpw.Holding // of the payload
+	left    int            // bytes of a payload that was left out for lack of memory
+}
+
+// encoder writes into the buffer of a connection: a second copy of a long body would
+// need as much memory again.
+var encoder = newEncoder()
+
+func newEncoder() cbor.UserBufferEncMode {
+	m, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
 }
 
 // appendFrame appends a frame with the CBOR of msg, which may be nil.
 func appendFrame(buf []byte, k kind, call uint64, msg any) ([]byte, error) {
-	var payload []byte
-	if msg != nil {
-		var err error
-		if payload, err = cbor.Marshal(msg); err != nil {
-			return buf, errors.Wrapf(err, "mesh: encode frame of kind %d", k)
-		}
+	var head [frameHead]byte
+	head[4] = byte(k)
+	binary.BigEndian.PutUint64(head[5:], call)
+	if msg == nil {
+		return append(buf, head[:]...), nil
+	}
+	out := bytes.NewBuffer(buf)
+	if n := bodyLen(msg); n > maxShortBody {
+		out.Grow(n + maxShortBody)
 	}
-	if len(payload) > maxFrame {
-		return buf, errors.Newf("mesh: payload of %d bytes, allowed %d", len(payload), maxFrame)
+	_, _ = out.Write(head[:]) // a Buffer returns no error
+	if err := encoder.MarshalToBuffer(msg, out); err != nil {
+		return buf, errors.Wrapf(err, "mesh: encode frame of kind %d", k)
 	}
-	buf = binary.BigEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = append(buf, byte(k))
-	buf = binary.BigEndian.AppendUint64(buf, call)
-	return append(buf, payload...), nil
+	all := out.Bytes()
+	n := len(all) - len(buf) - frameHead
+	if n > maxFrame {
+		return buf, errors.Newf("mesh: payload of %d bytes, allowed %d", n, maxFrame)
+	}
+	binary.BigEndian.PutUint32(all[len(buf):], uint32(n))
+	return all, nil
 }
 
-// readFrame reads the next frame. It calls progress after each part of a long payload.
-func readFrame(br *bufio.Reader, progress func()) (frame, error) {
+// bodyLen returns the length in bytes of the body of a message.
+func bodyLen(msg any) int {
+	switch m := msg.(type) {
+	case *CallHead:
+		return len(m.Body)
+	case *Answer:
+		return len(m.Body)
+	}
+	return 0
+}
+
+// readFrame reads the next frame. It calls progress after each part of a long payload. The
+// payloads of calls and answers take memory from a budget; those for which there is none are
+// left out.
+func readFrame(br *bufio.Reader, budget *httpw.Budget, progress func()) (frame, error) {
 	var head [frameHead]byte
 	if _, err := io.ReadFull(br, head[:]); err != nil {
 		return frame{}, err
@@ -74,14 +111,43 @@
 		return frame{}, errors.Newf("mesh: frame of %d bytes, allowed %d", n, maxFrame)
 	}
 	f := frame{kind: kind(head[4]), call: binary.BigEndian.Uint64(head[5:])}
+	if f.kind == kindCall || f.kind == kindAnswer {
+		var ok bool
+		if f.memory, ok = budget.Hold(int64(n)); !ok {
+			f.left = n
+			return f, discard(br, n, progress)
+		}
+	}
+	if err := f.read(br, n, progress); err != nil {
+		f.memory.Release()
+		return frame{}, err
+	}
+	return f, nil
+}
+
+// read reads a payload of n bytes.
+func (f *frame) read(br *bufio.Reader, n int, progress func()) error {
 	for len(f.payload) < n {
 		at := len(f.payload)
 		f.payload = append(f.payload, make([]byte, min(n-at, payloadStep))...)
 		if err := readParts(br, f.payload[at:], progress); err != nil {
-			return frame{}, err
+			return err
 		}
 	}
-	return f, nil
+	return nil
+}
+
+// discard skips n bytes. It calls progress after each progressStep bytes.
+func discard(br *bufio.Reader, n int, progress func()) error {
+	for n > 0 {
+		skipped, err := br.Discard(min(n, progressStep))
+		if err != nil {
+			return err
+		}
+		n -= skipped
+		progress()
+	}
+	return nil
 }
 
 // readParts fills p. It calls progress after each progressStep bytes.
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/io/httpw"
 )
 
 // link is one connection to another daemon.
@@ -70,7 +72,7 @@
 
 func (l *link) read(br *bufio.Reader) error {
 	for {
-		f, err := readFrame(br, l.noteHeard)
+		f, err := readFrame(br, l.c.opts.Memory, l.noteHeard)
 		if err != nil {
 			return err
 		}
@@ -110,9 +112,11 @@
 	ch := l.calls[f.call]
 	delete(l.calls, f.call)
 	l.mu.Unlock()
-	if ch != nil {
-		ch <- f
+	if ch == nil {
+		f.memory.Release()
+		return
 	}
+	ch <- f
 }
 
 // fail ends all open calls.
@@ -129,33 +133,45 @@
 	}
 }
 
-// call sends a message that is answered and decodes the answer into out.
-func (l *link) call(ctx context.Context, k kind, msg, out any) error {
+// call sends a message that is answered and decodes the answer into out. It returns the
+// memory of the answer's body.
+func (l *link) call(ctx context.Context, k kind, msg, out any) (*httpw.Holding, error) {
 	id, ch, ok := l.open()
 	if !ok {
-		return ErrUnreachable
+		return nil, ErrUnreachable
 	}
 	if err := l.out.send(k, id, msg); err != nil {
 		l.forget(id)
-		return ErrUnreachable
+		return nil, ErrUnreachable
 	}
 	select {
 	case f, ok := <-ch:
 		if !ok {
-			return ErrBroken
+			return nil, ErrBroken
 		}
-		if err := f.decode(out); err != nil {
-			_ = l.out.nc.Close() // what else comes on it can't be trusted
-			return errors.Wrap(ErrBroken, err.Error())
-		}
-		return nil
+		return f.memory, l.decode(f, out)
 	case <-ctx.Done():
 		if l.forget(id) {
 			// An error means that the connection is gone, and the call with it.
 			_ = l.out.send(kindCancel, id, nil)
+		} else if f, ok := <-ch; ok {
+			f.memory.Release() // the answer came at the same time
 		}
-		return ctx.Err()
+		return nil, ctx.Err()
+	}
+}
+
+// decode decodes the answer in a frame into out.
+func (l *link) decode(f frame, out any) error {
+	if f.left > 0 {
+		return errors.Wrapf(ErrNoMemory, "%d bytes", f.left)
 	}
+	if err := f.decode(out); err != nil {
+		f.memory.Release()
+		_ = l.out.nc.Close() // what else comes on it can't be trusted
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return nil
 }
 
 // open enters a call and starts to watch for silence.
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -24,6 +24,8 @@
 	Worth       float64      `cbor:"14,keyasint,omitempty"` // value of the answer
 	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
 	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
+	// Memory is that of the body at a server, until the call is answered.
+	Memory *httpw.Holding `cbor:"-"`
 }
 
 // Result tells what became of a call at the daemon beside its target.
@@ -67,6 +69,9 @@
 	Config  int64        `cbor:"10,keyasint,omitempty"` // configuration version of the answering daemon
 	// Instead describes the target on the VM when the call named another one.
 	Instead *Presence `cbor:"11,keyasint,omitempty"`
+	// Memory is that of the body, until the answer has been passed on. Who drops an
+	// answer releases it.
+	Memory *httpw.Holding `cbor:"-"`
 }
 
 // Retry returns when a refused call may find room, 0 if unknown.
--- a/io/mesh/sender.go
+++ b/io/mesh/sender.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/io/httpw"
 )
 
 // errBacklog means that the peer accepts bytes too slowly.
@@ -32,6 +34,7 @@
 
 	mu      sync.Mutex
 	pending []byte
+	held    []*httpw.Holding // memory of the bodies in pending
 	spare   []byte
 	writing bool
 	err     error
@@ -40,6 +43,20 @@
 // send queues a frame and, if nobody else is writing, writes. It returns an
 // error only if the frame was not queued.
 func (s *sender) send(k kind, call uint64, msg any) error {
+	return s.sendHolding(k, call, msg, nil)
+}
+
+// sendHolding is send with the memory of the message's body, which is released once the
+// frame is written, or isn't queued.
+func (s *sender) sendHolding(k kind, call uint64, msg any, memory *httpw.Holding) error {
+	err := s.enqueue(k, call, msg, memory)
+	if err != nil {
+		memory.Release()
+	}
+	return err
+}
+
+func (s *sender) enqueue(k kind, call uint64, msg any, memory *httpw.Holding) error {
 	s.mu.Lock()
 	if s.err != nil {
 		defer s.mu.Unlock()
@@ -56,6 +73,9 @@
 		return err
 	}
 	s.pending = buf
+	if memory != nil {
+		s.held = append(s.held, memory)
+	}
 	if s.writing {
 		s.mu.Unlock()
 		return nil
@@ -70,15 +90,19 @@
 func (s *sender) flush() {
 	for {
 		s.mu.Lock()
-		if len(s.pending) == 0 || s.err != nil {
+		buf, held := s.pending, s.held
+		s.held = nil
+		if len(buf) == 0 || s.err != nil {
 			s.writing = false
+			s.pending = buf[:0]
 			s.mu.Unlock()
+			releaseAll(held)
 			return
 		}
-		buf := s.pending
 		s.pending, s.spare = s.spare[:0], nil
 		s.mu.Unlock()
 		err := s.write(buf)
+		releaseAll(held)
 		s.mu.Lock()
 		s.err = err
 		if cap(buf) <= payloadStep {
@@ -91,6 +115,13 @@
 	}
 }
 
+// releaseAll releases the memory of bodies.
+func releaseAll(held []*httpw.Holding) {
+	for _, m := range held {
+		m.Release()
+	}
+}
+
 func (s *sender) write(buf []byte) error {
 	if err := s.nc.SetWriteDeadline(s.clock.Now().Add(writeTime)); err != nil {
 		return err
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -9,9 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+
+	"trefoilthread/io/httpw"
 )
 
-// ServerOptions configure a Server. All fields are required.
+// ServerOptions configure a Server. All fields but Memory and NoMemory are required.
 type ServerOptions struct {
 	// Serve runs a call. Its context ends when the caller cancels it or its
 	// connection breaks.
@@ -25,6 +27,11 @@
 	// Failed is told of connections that ended with an error.
 	Failed func(addr string, err error)
 	Clock  clockwork.Clock
+	// Memory bounds the long bodies of calls, until they are answered; nil for no bound.
+	Memory *httpw.Budget
+	// NoMemory returns the answer to a call of n bytes for which there was no memory. It is
+	// required with Memory.
+	NoMemory func(from Hello, n int) *Answer
 }
 
 const (
@@ -155,7 +162,7 @@
 
 func (p *inbound) read(ctx context.Context, br *bufio.Reader) error {
 	for {
-		f, err := readFrame(br, p.noteProgress)
+		f, err := readFrame(br, p.s.opts.Memory, p.noteProgress)
 		if err != nil {
 			return err
 		}
@@ -185,15 +192,22 @@
 	case kindCancel:
 		p.cancel(f.call)
 	case kindCall:
-		head := new(CallHead)
+		from := p.from
+		if f.left > 0 {
+			return p.out.send(kindAnswer, f.call, p.s.opts.NoMemory(from, f.left))
+		}
+		head := &CallHead{Memory: f.memory}
 		if err := f.decode(head); err != nil {
+			f.memory.Release()
 			return err
 		}
-		from := p.from
 		if !from.Bulk { // notices take the other connection
 			p.noteCall()
 		}
-		p.start(ctx, f.call, kindAnswer, func(ctx context.Context) any { return p.s.opts.Serve(ctx, from, head) })
+		p.start(ctx, f.call, kindAnswer, func(ctx context.Context) any {
+			defer head.Memory.Release()
+			return p.s.opts.Serve(ctx, from, head)
+		})
 	case kindQuery:
 		q := new(Query)
 		if err := f.decode(q); err != nil {
@@ -238,8 +252,12 @@
 			defer p.s.endCall()
 		}
 		msg := serve(ctx)
-		err := p.out.send(k, id, msg)
-		if ans, ok := msg.(*Answer); ok && err != nil {
+		ans, ok := msg.(*Answer)
+		if !ok {
+			_ = p.out.send(k, id, msg) // news that aren't sent are asked for again
+			return
+		}
+		if err := p.out.sendHolding(k, id, ans, ans.Memory); err != nil {
 			// An error means that the connection has ended, which the caller
 			// sees as well.
 			_ = p.out.send(k, id, ans.unsent(err))
--- a/io/prefs/keys.go
+++ b/io/prefs/keys.go
@@ -51,7 +51,7 @@
 
 	{"bounds", "probesPerSecond", "1", false, "0 to 1000", "health checks of the target in a second at most; they tell the pace of its host", integer(0, 1000, func(p *Prefs) *int { return &p.agent.ProbesPerSecond })},
 
-	{"bounds", "bodyMemory", "33554432", false, "1048576 to 68719476736", "memory in bytes for bodies over 64 KB of requests in progress, and of responses that the target is sending; requests beyond it are refused", integer(1<<20, 1<<36, func(p *Prefs) *int { return &p.agent.BodyMemory })},
+	{"bounds", "bodyMemory", "33554432", false, "1048576 to 68719476736", "memory in bytes for bodies over 64 KB of requests in progress, and of responses until they have been passed on; requests beyond it are refused", integer(1<<20, 1<<36, func(p *Prefs) *int { return &p.agent.BodyMemory })},
 
 	{"log", "level", "info", false, "debug, info, warn, error", "lowest level that is logged", oneOf([]string{"debug", "info", "warn", "error"}, func(p *Prefs) *string { return &p.logLevel })},
 	{"log", "format", "logfmt", false, "logfmt, json", "format of log lines", oneOf([]string{"logfmt", "json"}, func(p *Prefs) *string { return &p.logFormat })},
