io/local: close idle connections on which the target sends bytes

A target in trouble may go on after a complete response. The bytes stay in the socket, unread, and unread bytes count as memory of the process. Cause: a kept connection is only checked when a request takes it, and requests take the most recently used one; the others stayed open for as long as the load was low, also beyond the idle time. Test: TestBytesAfterAResponseEndAnIdleConnection failed before in 3 of 3 runs, passes in 3 of 3 and 2 of 2 with the race detector. TestSlowBytesEndWithTheContext shows what held before: a response that comes a byte at a time ends with the deadline, and its connection with it.

--- a/io/local/client.go
+++ b/io/local/client.go
@@ -55,6 +55,8 @@
 	mu   sync.Mutex
 	addr string
 	idle []*conn // the most recently used last
+	// isSweeping means that a sweep of the idle connections is due.
+	isSweeping bool
 }
 
 // conn is a connection that carries one request at a time.
@@ -225,5 +227,9 @@
 		return false
 	}
 	c.idle = append(c.idle, cn)
+	if !c.isSweeping {
+		c.isSweeping = true
+		c.opts.Clock.AfterFunc(sweepInterval, c.sweep)
+	}
 	return true
 }
--- a/io/local/idle.go
+++ b/io/local/idle.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -9,6 +10,34 @@
 	"trefoilthread/io/httpw"
 )
 
+// sweepInterval is how often idle connections are checked. A request checks only the one
+// that it takes, and takes the most recently used one.
+const sweepInterval = time.Second
+
+// sweep closes the idle connections whose time is over, that the target has closed or on
+// which it has sent bytes, which would stay in the socket. It runs again while others are
+// idle.
+func (c *Client) sweep() {
+	c.mu.Lock()
+	now := c.opts.Clock.Now()
+	var old []*conn
+	c.idle = slices.DeleteFunc(c.idle, func(cn *conn) bool {
+		isOld := !now.Before(cn.until) || !isQuiet(cn)
+		if isOld {
+			old = append(old, cn)
+		}
+		return isOld
+	})
+	c.isSweeping = len(c.idle) > 0
+	if c.isSweeping {
+		c.opts.Clock.AfterFunc(sweepInterval, c.sweep)
+	}
+	c.mu.Unlock()
+	for _, cn := range old {
+		_ = cn.nc.Close()
+	}
+}
+
 // idleTime returns how long a connection may stay without a request after
 // resp.
 func idleTime(resp *httpw.Response, usual time.Duration) time.Duration {
