io/agent: end requests at the control address that come too slowly

A target in trouble may send a heartbeat a byte at a time; each such connection stayed open for good and held a descriptor and a goroutine. Cause: the servers of the control, readiness and metrics addresses bounded the time of a header only. Change: a whole request may take 3 s, and its header 16 KB in place of 1 MB.

--- a/io/agent/listen.go
+++ b/io/agent/listen.go
@@ -8,6 +8,14 @@
 	"github.com/cockroachdb/errors"
 )
 
+const (
+	// controlReadTime bounds the time of a whole request of the target or of the platform,
+	// which waits a second for its answer.
+	controlReadTime = 3 * time.Second
+	// maxControlHeader bounds the header of such a request in bytes.
+	maxControlHeader = 16 << 10
+)
+
 // listen opens the addresses of the settings and serves them.
 func (a *Agent) listen() error {
 	set := a.opts.Settings
@@ -47,7 +55,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second}
+	srv := &http.Server{
+		Handler: h, MaxHeaderBytes: maxControlHeader,
+		ReadHeaderTimeout: 2 * time.Second, ReadTimeout: controlReadTime, IdleTimeout: 30 * time.Second,
+	}
 	a.httpServers = append(a.httpServers, srv)
 	go a.runServer(addr, func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
