--- a/io/local/client.go
+++ b/io/local/client.go
@@ -57,6 +57,8 @@
 	idle []*conn // the most recently used last
 	// flushes counts the flushes. Connections from before the last one aren't kept.
 	flushes int
+	// isSweeping means that a sweep of the idle connections is due.
+	isSweeping bool
 }
 
 // conn is a connection that carries one request at a time.
@@ -172,6 +174,7 @@
 			return resp, nil
 		}
 		c.opts.Dropped(req, resp)
+		resp.Memory.Release()
 		if resp.Close {
 			return nil, errors.New("connection ended with a response to another request")
 		}
@@ -230,5 +233,9 @@
 		return false
 	}
 	c.idle = append(c.idle, cn)
+	if !c.isSweeping {
+		c.isSweeping = true
+		c.opts.Clock.AfterFunc(sweepInterval, c.sweep)
+	}
 	return true
 }
