--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -22,6 +22,16 @@
 	return ans
 }
 
+// refuseLongCall answers a call of n bytes for which there is no memory. It was not read,
+// so its id isn't known here.
+func (a *Agent) refuseLongCall(from mesh.Hello, n int) *mesh.Answer {
+	a.metrics.countEvent("calls_without_memory")
+	a.log.WithField("from", from.Node).WithField("bytes", n).Warn("no memory for a call")
+	ans := a.target.refuseUnread("no memory for a call of " + itoa(int64(n)) + " bytes")
+	ans.Config = a.table.version()
+	return ans
+}
+
 // recordContact records direct contact with an agent, which keeps it in the roster while
 // its record is missing.
 func (a *Agent) recordContact(node string) {
@@ -121,7 +131,7 @@
 
 // linkEnded logs lost connections to other agents.
 func (a *Agent) linkEnded(addr string, err error) {
-	if a.isStopping.Load() {
+	if a.isStopping() {
 		return
 	}
 	a.metrics.countEvent("links_lost")
@@ -131,7 +141,7 @@
 // inboundEnded logs lost connections that other agents had opened, except those that
 // they closed.
 func (a *Agent) inboundEnded(addr string, err error) {
-	if a.isStopping.Load() || errors.Is(err, io.EOF) {
+	if a.isStopping() || errors.Is(err, io.EOF) {
 		return
 	}
 	a.log.WithError(err).WithField("address", addr).Info("connection from an agent lost")
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -29,6 +29,9 @@
 func (t *localTarget) admitAndRun(ctx context.Context, head *mesh.CallHead) *mesh.Answer {
 	t.measurePace(ctx)
 	now := t.clock.Now()
+	if s := t.stop(); s != nil {
+		head.RemainingMs = min(head.RemainingMs, s.Left(now).Milliseconds())
+	}
 	call, err := callOf(now, head)
 	if err != nil {
 		return refused("call not understood: "+err.Error(), 0)
@@ -46,6 +49,9 @@
 	t.suspects.begin(fp)
 	resp, err := t.client.Do(ctx, req)
 	ans, failed := t.answer(ctx, types.TargetID(head.Target), resp, err)
+	if resp != nil && ans.Result != mesh.Answered {
+		resp.Memory.Release()
+	}
 	t.suspects.end(fp, ans.Result)
 	t.mu.Lock()
 	events := t.gate.Done(t.clock.Now(), ticket, t.clock.Since(start), failed)
@@ -55,10 +61,11 @@
 }
 
 // runContext returns the context of a run. A call that may run only once continues after
-// its caller has left: if it were canceled, nobody would know whether it ran.
+// its caller has left: if it were canceled, nobody would know whether it ran. Only the end
+// of a planned stop of this agent ends it before its deadline.
 func (t *localTarget) runContext(ctx context.Context, call types.Call) (context.Context, context.CancelFunc) {
 	if call.Class().Runs() == types.AtMostOnce {
-		ctx = context.WithoutCancel(ctx)
+		ctx = t.running
 	}
 	return context.WithDeadline(ctx, call.Deadline())
 }
@@ -157,6 +164,15 @@
 	return ticket, refused("caller left while the call waited", hint)
 }
 
+// refuseUnread returns the answer to a call that was not read.
+func (t *localTarget) refuseUnread(reason string) *mesh.Answer {
+	ans := refused(reason, memoryRetryDelay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ans.Load = t.load()
+	return ans
+}
+
 // declined returns the answer to a call that the target itself refused after the gate
 // admitted it. The retry hint is that of the gate.
 func (t *localTarget) declined(status int) *mesh.Answer {
@@ -180,6 +196,8 @@
 	case errors.Is(err, local.ErrNotSent):
 		t.markDown(false)
 		return refused("no connection to the target", 0), true
+	case err != nil && t.running.Err() != nil:
+		return &mesh.Answer{Result: mesh.Broken, Reason: "agent stopped while the target worked"}, false
 	case err != nil && ctx.Err() != nil:
 		return &mesh.Answer{Result: mesh.Expired, Reason: "deadline passed or caller left while the target worked"}, false
 	case err != nil:
@@ -199,7 +217,7 @@
 	}
 	return &mesh.Answer{
 		Result: mesh.Answered, Status: resp.Status, Phrase: resp.Reason,
-		Header: resp.Header.EndToEnd(), Body: resp.Body,
+		Header: resp.Header.EndToEnd(), Body: resp.Body, Memory: resp.Memory,
 	}, v.Failed
 }
 
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -12,6 +12,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.resp, x.ready = resp, c.s.opts.Clock.Now()
+	if c.ended {
+		resp.Memory.Release()
+		return
+	}
 	if c.writing {
 		return
 	}
@@ -23,31 +27,32 @@
 }
 
 // writeNext writes the oldest responses that are there in one go. It is called
-// with the lock held and gives it up while it writes.
+// with the lock held and gives it up while it writes. Only the response to the last request
+// may close the connection: callers send what lies behind it again.
 func (c *conn) writeNext() {
-	var buf []byte
-	last := false
+	var out message
 	n := 0
-	for ; n < len(c.queue) && c.queue[n].resp != nil && !last; n++ {
+	for ; n < len(c.queue) && c.queue[n].resp != nil; n++ {
 		x := c.queue[n]
 		// The response may be shared; only the copy says how this connection
 		// goes on.
 		resp := *x.resp
-		last = x.last || resp.Close || c.s.draining.Load()
-		resp.Close = last
-		buf = httpw.AppendResponse(buf, &resp, x.req.Method)
+		c.closing = c.closing || resp.Close || c.s.draining.Load()
+		resp.Close = c.closing && n == len(c.queue)-1
+		out.add(&resp, x.req.Method)
 	}
 	due := c.queue[:n]
 	c.queue = c.queue[n:]
 	c.room.Signal()
 	c.mu.Unlock()
-	err := c.write(buf)
+	err := c.write(&out)
+	for _, x := range due {
+		x.resp.Memory.Release()
+	}
 	c.noteHeld(due)
 	c.mu.Lock()
-	if err != nil || last {
-		c.ended = true
-		c.queue = nil
-		c.room.Broadcast()
+	if err != nil || c.closing && len(c.queue) == 0 {
+		c.drop()
 		c.shut(err)
 	}
 }
@@ -64,17 +69,16 @@
 	}
 }
 
-func (c *conn) write(buf []byte) error {
+func (c *conn) write(out *message) error {
 	if err := c.nc.SetWriteDeadline(c.s.opts.Clock.Now().Add(writeTime)); err != nil {
 		return err
 	}
-	_, err := c.nc.Write(buf)
-	return err
+	return out.writeTo(c.nc)
 }
 
 // shut ends the sending side after the last response and leaves the reader the
-// linger time to see the caller's close. Other requests of the connection are
-// canceled: their callers take them as not read.
+// linger time to see the caller's close. After a failed write the requests that are still
+// unanswered are canceled: their caller has gone, or takes no more bytes.
 func (c *conn) shut(err error) {
 	c.cancel()
 	tcp, ok := c.nc.(*net.TCPConn)
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,6 +41,9 @@
 	if resp.Header, err = h.fields(); err != nil {
 		return nil, err
 	}
+	if isJoined(resp) {
+		return nil, newMessageError(400, "response that breaks off before another one")
+	}
 	frame, err := framingOf(resp.Header)
 	if err != nil {
 		return nil, err
@@ -49,22 +53,24 @@
 	if !hasBody(resp.Status, method) {
 		return resp, nil
 	}
-	// The budget holds while the body is read: a target that sends without end
-	// would take all memory. Who has the whole response passes it on at once.
-	memory := holding{budget: lim.Budget}
-	defer memory.release()
+	memory := &Holding{budget: lim.Budget}
 	switch {
 	case frame.chunked:
-		resp.Body, err = readChunked(br, lim.BodyBytes, &memory)
+		resp.Body, err = readChunked(br, lim.BodyBytes, memory)
 	case frame.length > lim.BodyBytes:
 		err = newMessageError(400, "body longer than %d bytes", lim.BodyBytes)
 	case frame.length >= 0:
-		resp.Body, err = readLength(br, frame.length, &memory)
+		resp.Body, err = readLength(br, frame.length, memory)
 	default:
 		resp.Close, resp.NoLength = true, true
-		resp.Body, err = readToEnd(br, lim.BodyBytes, &memory)
+		resp.Body, err = readToEnd(br, lim.BodyBytes, memory)
 	}
-	return resp, err
+	if err != nil {
+		memory.Release()
+		return nil, err
+	}
+	resp.Memory = memory
+	return resp, nil
 }
 
 func parseStatus(line string) (resp *Response, keepAlive bool, err error) {
@@ -80,12 +86,29 @@
 	return &Response{Status: status, Reason: reason}, proto == "HTTP/1.1", nil
 }
 
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+
+// isJoined reports whether a line of the head goes on with a status line: the response broke
+// off there, and the following lines belong to another one.
+func isJoined(resp *Response) bool {
+	if statusLine.MatchString(resp.Reason) {
+		return true
+	}
+	for _, f := range resp.Header {
+		if strings.Contains(f.Value, "HTTP/1.") && statusLine.MatchString(f.Value) {
+			return true
+		}
+	}
+	return false
+}
+
 func hasBody(status int, method string) bool {
 	return method != http.MethodHead && status >= 200 && status != 204 && status != 304
 }
 
 // readToEnd reads until the connection is closed in the open.
-func readToEnd(br *bufio.Reader, limit int64, memory *holding) ([]byte, error) {
+func readToEnd(br *bufio.Reader, limit int64, memory *Holding) ([]byte, error) {
 	body := make([]byte, 0, firstStep)
 	for {
 		if len(body) == cap(body) {
@@ -113,6 +136,19 @@
 // AppendResponse appends the bytes of r to buf, always with a length. The
 // header must have no framing lines.
 func AppendResponse(buf []byte, r *Response, method string) []byte {
+	return append(AppendResponseHead(buf, r, method), SentBody(r, method)...)
+}
+
+// SentBody returns the body that follows the head of r, nil for none.
+func SentBody(r *Response, method string) []byte {
+	if !hasBody(r.Status, method) {
+		return nil
+	}
+	return r.Body
+}
+
+// AppendResponseHead appends the bytes of r before its body to buf.
+func AppendResponseHead(buf []byte, r *Response, method string) []byte {
 	buf = append(buf, "HTTP/1.1 "...)
 	buf = strconv.AppendInt(buf, int64(r.Status), 10)
 	buf = append(buf, ' ')
@@ -130,8 +166,7 @@
 		return append(buf, "\r\n"...)
 	}
 	buf = appendLength(buf, len(r.Body))
-	buf = append(buf, "\r\n"...)
-	return append(buf, r.Body...)
+	return append(buf, "\r\n"...)
 }
 
 // IsMessageError reports whether err is about the bytes of a message, not the
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -24,6 +24,8 @@
 	Worth       float64      `cbor:"14,keyasint,omitempty"` // value of the answer
 	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
 	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
+	// Memory is that of the body at a server, until the call is answered.
+	Memory *httpw.Holding `cbor:"-"`
 }
 
 // Result tells what became of a call at the daemon beside its target.
@@ -67,11 +69,27 @@
 	Config  int64        `cbor:"10,keyasint,omitempty"` // configuration version of the answering daemon
 	// Instead describes the target on the VM when the call named another one.
 	Instead *Presence `cbor:"11,keyasint,omitempty"`
+	// Memory is that of the body, until the answer has been passed on. Who drops an
+	// answer releases it.
+	Memory *httpw.Holding `cbor:"-"`
 }
 
 // Retry returns when a refused call may find room, 0 if unknown.
 func (a *Answer) Retry() time.Duration { return time.Duration(a.RetryMs) * time.Millisecond }
 
+// unsent returns the answer that takes the place of a, which can't be sent because of err:
+// the caller would wait for it until its deadline.
+func (a *Answer) unsent(err error) *Answer {
+	short := &Answer{
+		Result: a.Result, Reason: a.Reason, RetryMs: a.RetryMs, Reached: a.Reached,
+		Load: a.Load, Config: a.Config, Instead: a.Instead,
+	}
+	if a.Result == Answered {
+		short.Result, short.Reason = Broken, "target's response not passed on: "+err.Error()
+	}
+	return short
+}
+
 // Presence is a target with the daemon beside it, as the daemon describes them.
 type Presence struct {
 	Node       string  `cbor:"1,keyasint,omitempty"`
