io/front: take the limits that are in force when a request begins

Cause: class: a decision on a state that was read before a wait. A connection took the bounds for its next request before it waited for it, and applied them seconds later. An idle time that was made longer wasn't applied either: the connection was closed after the one before.

Change: the limits are read when the first byte is there. A connection whose idle time is over waits on if a longer one is in force by then.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -78,14 +78,13 @@
 
 // read reads the next request within the bounds of idle and header time.
 func (c *conn) read() (*httpw.Request, error) {
-	b := c.s.opts.Bounds()
-	c.setReadDeadline(b.Idle)
-	if _, err := c.br.Peek(1); err != nil {
+	if err := c.awaitByte(); err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
 	c.reading = true
 	c.mu.Unlock()
+	b := c.s.opts.Bounds() // the wait may have been long
 	c.setReadDeadline(b.Header)
 	head, err := httpw.ReadRequestHead(c.br, b.Message)
 	if err != nil {
@@ -105,6 +104,25 @@
 	return &head.Request, nil
 }
 
+// awaitByte waits for the first byte of the next request, at most for the idle time that is
+// in force at its end.
+func (c *conn) awaitByte() error {
+	began := c.s.opts.Clock.Now()
+	for {
+		idle := c.s.opts.Bounds().Idle
+		c.setReadDeadline(idle - c.s.opts.Clock.Since(began))
+		_, err := c.br.Peek(1)
+		if !isTimeout(err) || c.s.opts.Bounds().Idle <= idle {
+			return err
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // setReadDeadline bounds the next read, unless the last response has set the
 // linger time.
 func (c *conn) setReadDeadline(d time.Duration) {
@@ -150,8 +168,7 @@
 		c.awaitClose()
 		return
 	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() && c.markLast() {
+	if isTimeout(err) && c.markLast() {
 		c.awaitClose()
 		return
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -47,6 +47,14 @@
 // serveBounded is serveNoting with bounds.
 func serveBounded(
 	t *testing.T, handle func(context.Context, *httpw.Request) *httpw.Response, held func(front.Hold), bounds front.Bounds,
+) (*front.Server, net.Conn) {
+	t.Helper()
+	return serveChanging(t, handle, held, func() front.Bounds { return bounds })
+}
+
+// serveChanging is serveNoting with bounds that change.
+func serveChanging(
+	t *testing.T, handle func(context.Context, *httpw.Request) *httpw.Response, held func(front.Hold), bounds func() front.Bounds,
 ) (*front.Server, net.Conn) {
 	t.Helper()
 	s := front.New(front.Options{
@@ -54,7 +62,7 @@
 		Refuse: func(status int) *httpw.Response { return &httpw.Response{Status: status} },
 		Failed: func(err error) { t.Error(err) },
 		Held:   held,
-		Bounds: func() front.Bounds { return bounds },
+		Bounds: bounds,
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
