io/httpw, io/agent: name the part of a response that exceeds its bound

An engineer on call could not tell which part of a target's response was too long: the lines of a chunk and of a trailer were logged as a header, and a health check that exceeded a bound was only counted with all failed ones. Test: TestEndlessBytesKeepTheDaemons looks for a line with the request, the target and the part for each way to send without end.

--- a/io/agent/logging.go
+++ b/io/agent/logging.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"trefoilthread/core/beat"
 	"trefoilthread/io/front"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
@@ -82,6 +83,16 @@
 	}).Info("call ended")
 }
 
+// logBadHealth logs a health check whose response was no HTTP or exceeded a bound. That a
+// check failed for another reason is only counted.
+func (t *localTarget) logBadHealth(cur beat.Announcement, err error) {
+	if !httpw.IsMessageError(err) {
+		return
+	}
+	t.log.WithField("target", string(cur.ID)).WithField("service", string(cur.Service)).WithError(err).
+		Warn("health check: target's response broke off")
+}
+
 // recordDropped logs and counts a response of the target that is not the one to req, a
 // request for the target with an id.
 func (a *Agent) recordDropped(req *httpw.Request, resp *httpw.Response) {
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -87,6 +87,7 @@
 		h = t.wire.ReadHealth(resp)
 		resp.Memory.Release()
 	} else {
+		t.logBadHealth(cur, err)
 		// The target may have closed its idle connections without notice. A request that
 		// may run only once would be lost on the next of them.
 		t.client.Flush()
--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -53,7 +53,7 @@
 	var body []byte
 	extensions := 0
 	for {
-		h := head{br: br, left: maxChunkLine}
+		h := head{br: br, left: maxChunkLine, part: "chunk line"}
 		line, err := h.line()
 		if err != nil {
 			return nil, noEOF(err)
@@ -66,7 +66,7 @@
 			return nil, newMessageError(400, "malformed chunk size")
 		}
 		if size == 0 {
-			h.left = maxTrailer
+			h.left, h.part = maxTrailer, "trailer"
 			_, err := h.fields()
 			return body, err
 		}
--- a/io/httpw/head.go
+++ b/io/httpw/head.go
@@ -8,10 +8,12 @@
 	"strings"
 )
 
-// head reads the lines of one message head within a limit in bytes.
+// head reads the lines of one message head, or of another part of a message, within a limit
+// in bytes.
 type head struct {
 	br   *bufio.Reader
 	left int
+	part string // for errors
 }
 
 // line reads one line without its end. A bare LF ends a line as well, as
@@ -22,7 +24,7 @@
 		part, err := h.br.ReadSlice('\n')
 		h.left -= len(part)
 		if h.left < 0 {
-			return "", newMessageError(431, "header longer than allowed")
+			return "", newMessageError(431, "%s longer than allowed", h.part)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			long = append(long, part...)
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -18,7 +18,7 @@
 // ReadRequestHead reads up to the empty line. It returns io.EOF if the
 // connection ends before the first byte.
 func ReadRequestHead(br *bufio.Reader, lim Limits) (*RequestHead, error) {
-	h := head{br: br, left: lim.HeaderBytes}
+	h := head{br: br, left: lim.HeaderBytes, part: "header"}
 	line, err := h.line()
 	// A sender may end its previous body with an empty line too many.
 	if err == nil && line == "" {
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -28,7 +28,7 @@
 }
 
 func readResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
-	h := head{br: br, left: lim.HeaderBytes}
+	h := head{br: br, left: lim.HeaderBytes, part: "header"}
 	line, err := h.line()
 	if err != nil {
 		return nil, err
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -21,7 +21,7 @@
 	ErrUnreachable = errors.New("mesh: daemon unreachable")
 	// ErrNoMemory means that there was no memory for the answer: the call may have
 	// run.
-	ErrNoMemory = errors.New("mesh: no memory for the answer")
+	ErrNoMemory = errors.New("mesh: no memory")
 )
 
 // ClientOptions configure a Client. Clock and Hello are required.
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -164,7 +164,7 @@
 // decode decodes the answer in a frame into out.
 func (l *link) decode(f frame, out any) error {
 	if f.left > 0 {
-		return errors.Wrapf(ErrNoMemory, "%d bytes", f.left)
+		return errors.Wrapf(ErrNoMemory, "answer of %d bytes", f.left)
 	}
 	if err := f.decode(out); err != nil {
 		f.memory.Release()
