io/httpw: drop the body of a request that is answered

The body of a pipelined request stayed in memory until all earlier requests of its connection were answered, although its part of bodyMemory was given back: 32 uploads behind a slow request could hold 32 times the budget. Cause: the exchange of a connection keeps the request for its method and its log line, and with it the body. Change: Release drops the body. Attempts that still run have it in their calls.

--- a/io/front/memory_test.go
+++ b/io/front/memory_test.go
@@ -105,3 +105,18 @@
 		})
 	}
 }
+
+// Guards against bodies that stay in memory, though they no longer count, until the earlier
+// requests of their connection are answered: their exchange keeps the request.
+func TestAnsweredRequestsKeepNoBody(t *testing.T) {
+	const long = 200 << 10
+	is := is.New(t)
+	var kept *httpw.Request
+	_, c := serveLimited(t, func(_ context.Context, req *httpw.Request) *httpw.Response {
+		kept = req
+		return &httpw.Response{Status: 200}
+	}, func(front.Hold) {}, httpw.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, Budget: httpw.NewBudget(long)})
+	upload(t, c, "/", long)
+	is.Equal(read(t, bufio.NewReader(c)).Status, 200)
+	is.Equal(len(kept.Body), 0)
+}
--- a/io/httpw/message.go
+++ b/io/httpw/message.go
@@ -20,9 +20,12 @@
 	memory Holding
 }
 
-// Release gives the memory of the body back to the Budget. The body must not be used any
+// Release drops the body and gives its memory back to the Budget. It must not be used any
 // more.
-func (r *Request) Release() { r.memory.Release() }
+func (r *Request) Release() {
+	r.Body = nil // a pipelined request may stay for long after that
+	r.memory.Release()
+}
 
 // Response is a whole response.
 type Response struct {
