io/mesh: take memory for a frame as its bytes come

A peer that stalls within a long frame, for instance by a loss of power, kept its announced length from the budget of bodies until the connection ended, up to 20 s. Change: the memory is taken in the steps in which the frame is read, as that of bodies is. When none is left, what came is dropped and the rest skipped.

--- a/io/httpw/budget.go
+++ b/io/httpw/budget.go
@@ -48,6 +48,10 @@
 	taken  int64
 }
 
+// Grow takes what a body needs that has grown to n bytes, and reports whether there was
+// enough.
+func (h *Holding) Grow(n int64) bool { return h == nil || h.grow(n) == nil }
+
 // grow takes what a body of n bytes needs beyond what it holds.
 func (h *Holding) grow(n int64) error {
 	need := n - freeBody - h.taken
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -112,11 +112,7 @@
 	}
 	f := frame{kind: kind(head[4]), call: binary.BigEndian.Uint64(head[5:])}
 	if f.kind == kindCall || f.kind == kindAnswer {
-		var ok bool
-		if f.memory, ok = budget.Hold(int64(n)); !ok {
-			f.left = n
-			return f, discard(br, n, progress)
-		}
+		f.memory, _ = budget.Hold(0)
 	}
 	if err := f.read(br, n, progress); err != nil {
 		f.memory.Release()
@@ -125,10 +121,15 @@
 	return f, nil
 }
 
-// read reads a payload of n bytes.
+// read reads a payload of n bytes. Memory is taken as they come: a peer may stall.
 func (f *frame) read(br *bufio.Reader, n int, progress func()) error {
 	for len(f.payload) < n {
 		at := len(f.payload)
+		if !f.memory.Grow(int64(min(n, at+payloadStep))) {
+			f.memory.Release()
+			f.payload, f.left = nil, n
+			return discard(br, n-at, progress)
+		}
 		f.payload = append(f.payload, make([]byte, min(n-at, payloadStep))...)
 		if err := readParts(br, f.payload[at:], progress); err != nil {
 			return err
--- a/io/mesh/memory_test.go
+++ b/io/mesh/memory_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -148,3 +151,25 @@
 		}
 	}
 }
+
+// Guards against memory that is kept for bytes that a stalled peer never sends.
+func TestStalledCallsHoldNoMoreThanCame(t *testing.T) {
+	const announced = 2 * oneBody
+	is := is.New(t)
+	_, addr := serveWith(t, mesh.ServerOptions{
+		Memory:   httpw.NewBudget(announced),
+		NoMemory: func(mesh.Hello, int) *mesh.Answer { return &mesh.Answer{Result: mesh.Refused} },
+		Serve:    echo,
+	})
+	stalled, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer func() { _ = stalled.Close() }()
+	const call = 2 // kind of the frame
+	frame := append(binary.BigEndian.AppendUint32(nil, announced), call, 0, 0, 0, 0, 0, 0, 0, 1)
+	_, err = stalled.Write(append(frame, make([]byte, 1000)...))
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond) // the server reads it
+	ans, err := client(t, mesh.ClientOptions{}).Call(bounded(t), addr, &mesh.CallHead{ID: "1", Body: make([]byte, oneBody)})
+	is.NoErr(err)
+	is.Equal(ans.Result, mesh.Answered)
+}
