--- a/cmd/trefoilthread/apply.go
+++ b/cmd/trefoilthread/apply.go
@@ -31,11 +31,7 @@
 // Run sends each service on its own, so that a refused one does not hold up
 // the others.
 func (c *applyCmd) Run() error {
-	services, err := readServices(c.Files)
-	if err != nil {
-		return err
-	}
-	ops, err := c.ops()
+	services, ops, err := c.open(c.Files)
 	if err != nil {
 		return err
 	}
--- a/cmd/trefoilthread/client.go
+++ b/cmd/trefoilthread/client.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"trefoilthread/core/config"
 	"trefoilthread/io/opspb"
 )
 
@@ -34,6 +35,16 @@
 	JSON      bool   `name:"json" help:"Print JSON."`
 }
 
+// open returns the services in files and a client of the operators' calls.
+func (c *client) open(files []string) ([]config.Service, opspb.OpsClient, error) {
+	services, err := readServices(files)
+	if err != nil {
+		return nil, nil, err
+	}
+	ops, err := c.ops()
+	return services, ops, err
+}
+
 // ops returns a client of the operators' calls. The token is in each request's
 // header and nowhere else.
 func (c *client) ops() (opspb.OpsClient, error) {
--- a/cmd/trefoilthread/diff.go
+++ b/cmd/trefoilthread/diff.go
@@ -21,11 +21,7 @@
 
 // Run compares files with the services in the store.
 func (c *diffCmd) Run() error {
-	services, err := readServices(c.Files)
-	if err != nil {
-		return err
-	}
-	ops, err := c.ops()
+	services, ops, err := c.open(c.Files)
 	if err != nil {
 		return err
 	}
