io/agent: report a call that the end of a stop cuts as broken, not as expired

Callers of other agents got 504 for an idempotent request with 25 s left, although another target was free.

Change: at the end of the stop such a call is broken: it may have run, and the agent that made it decides whether it may be sent again.

--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -196,7 +196,7 @@
 	case errors.Is(err, local.ErrNotSent):
 		t.markDown(false)
 		return refused("no connection to the target", 0), true
-	case err != nil && t.running.Err() != nil:
+	case err != nil && t.hasStopped():
 		return &mesh.Answer{Result: mesh.Broken, Reason: "agent stopped while the target worked"}, false
 	case err != nil && ctx.Err() != nil:
 		return &mesh.Answer{Result: mesh.Expired, Reason: "deadline passed or caller left while the target worked"}, false
@@ -221,6 +221,13 @@
 	}, v.Failed
 }
 
+// hasStopped reports whether the time of a planned stop of this agent is over. The deadline of
+// a call that is moved to its end may lie a millisecond before it, as calls carry whole ones.
+func (t *localTarget) hasStopped() bool {
+	s := t.stop()
+	return s != nil && s.Left(t.clock.Now()) <= time.Millisecond
+}
+
 // markDown sends no calls for downPause to a target that accepts no connection. died
 // means that nothing listens at its address any more; its running requests then become
 // suspects.
