io/local, io/agent: keep connections in use when a health check fails

Found by the review: a target whose health checks wait for a slot got a new connection for nearly each request in progress.

Change: a failed check, and a target that accepts no connection, close the idle connections only.

--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -90,7 +90,7 @@
 		t.logBadHealth(cur, err)
 		// The target may have closed its idle connections without notice. A request that
 		// may run only once would be lost on the next of them.
-		t.client.Flush()
+		t.client.CloseIdle()
 	}
 	if err == nil && h.Target == cur.ID {
 		t.setPace(h.Pace)
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -237,7 +237,7 @@
 	isNews := now.After(t.downUntil)
 	t.downUntil = now.Add(downPause)
 	t.mu.Unlock()
-	t.client.Flush()
+	t.client.CloseIdle()
 	if isNews && died {
 		t.suspects.targetDied()
 	}
--- a/io/local/client.go
+++ b/io/local/client.go
@@ -95,10 +95,17 @@
 // Flush closes idle connections, for a target that has been replaced, and those in use after
 // their response. A request that is sent once more gets no copy of its first response.
 func (c *Client) Flush() {
+	c.mu.Lock()
+	c.flushes++
+	c.mu.Unlock()
+	c.CloseIdle()
+}
+
+// CloseIdle closes idle connections, which the target may have closed without notice.
+func (c *Client) CloseIdle() {
 	c.mu.Lock()
 	old := c.idle
 	c.idle = nil
-	c.flushes++
 	c.mu.Unlock()
 	for _, cn := range old {
 		_ = cn.nc.Close()
