io/agent, io/mesh: name the target that got a call

If the one that got the call drained for a moment, it names none, and if it was replaced, its successor, so that the sender takes the one that refused for a target that was not tried. That this leads to a false refusal is only suspected: it needs a target that goes from draining back to ready.

Change: the answer has a field for the target that got the call. Without it, from a daemon of the version before, the target described there counts, as it did.

--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -138,10 +138,10 @@
 // else nil.
 func (d *dispatch) handleResult(ctx context.Context, res result) *httpw.Response {
 	ans := res.ans
-	if ans != nil && ans.Instead != nil {
-		// The attempt was at this target. A second one there could take a copy of its
-		// first response for its own, as both have the same id.
-		d.tried = append(d.tried, types.TargetID(ans.Instead.Target))
+	if ans != nil && ans.OtherTarget() != "" {
+		// A second attempt at this target could take a copy of its first response for its
+		// own, as both have the same id.
+		d.tried = append(d.tried, types.TargetID(ans.OtherTarget()))
 	}
 	switch {
 	case errors.Is(res.err, mesh.ErrUnreachable):
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -22,6 +22,9 @@
 	ans.Load = t.load()
 	ans.Instead = t.replacement(named)
 	t.mu.Unlock()
+	if head.Target != named {
+		ans.Target = head.Target
+	}
 	t.recordCall(head, ans, t.clock.Since(began))
 	return ans
 }
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -69,11 +69,22 @@
 	Config  int64        `cbor:"10,keyasint,omitempty"` // configuration version of the answering daemon
 	// Instead describes the target on the VM when the call named another one.
 	Instead *Presence `cbor:"11,keyasint,omitempty"`
+	// Target got the call, "" if it is the one that the call named. Instead may be a later one.
+	Target string `cbor:"12,keyasint,omitempty"`
 	// Memory is that of the body, until the answer has been passed on. Who drops an
 	// answer releases it.
 	Memory *httpw.Holding `cbor:"-"`
 }
 
+// OtherTarget returns the target that got the call in place of the one that it named, "" if
+// there is none. Daemons before the field Target tell only which target came after it.
+func (a *Answer) OtherTarget() string {
+	if a.Target == "" && a.Instead != nil {
+		return a.Instead.Target
+	}
+	return a.Target
+}
+
 // Retry returns when a refused call may find room, 0 if unknown.
 func (a *Answer) Retry() time.Duration { return time.Duration(a.RetryMs) * time.Millisecond }
 
