io/front: count the idle time of a connection from its latest response

Found by the review: a connection that was idle for half of the time allowed was closed if its last request had taken long, as the time counted from the arrival of that request. Callers reuse connections within four fifths of it.

Change: when the idle time is over, the connection waits on for what is left since its latest response.

--- a/io/front/bounds_test.go
+++ b/io/front/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -57,3 +58,23 @@
 	upload(t, c, "/b", 1)
 	is.Equal(string(read(t, br).Body), "/B")
 }
+
+// Guards against an idle connection that is closed sooner than the idle time after its last
+// response.
+func TestIdleTimeCountsFromTheLastResponse(t *testing.T) {
+	is := is.New(t)
+	const idle = time.Second
+	_, c := serveBounded(t, func(context.Context, *httpw.Request) *httpw.Response {
+		time.Sleep(idle * 8 / 10)
+		return &httpw.Response{Status: 200}
+	}, func(front.Hold) {}, front.Bounds{Message: httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024}, Header: patience, Idle: idle})
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	br := bufio.NewReader(c)
+	is.True(!read(t, br).Close)
+	time.Sleep(idle / 2) // callers reuse connections idle for up to four fifths of the limit
+	_, err = io.WriteString(c, "GET /2 HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	_, err = httpw.ReadResponse(br, "GET", httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024})
+	is.NoErr(err)
+}
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -37,8 +37,10 @@
 	queue   []*exchange // unanswered, oldest first
 	writing bool
 	reading bool // a request has begun to arrive
-	closing bool // the latest request in the queue is the last one of the connection
-	ended   bool // nothing is written any more
+	// answered is when the latest response was written.
+	answered time.Time
+	closing  bool // the latest request in the queue is the last one of the connection
+	ended    bool // nothing is written any more
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -105,19 +107,32 @@
 }
 
 // awaitByte waits for the first byte of the next request, at most for the idle time that is
-// in force at its end.
+// in force at its end. The time counts from the latest response.
 func (c *conn) awaitByte() error {
 	began := c.s.opts.Clock.Now()
 	for {
-		idle := c.s.opts.Bounds().Idle
-		c.setReadDeadline(idle - c.s.opts.Clock.Since(began))
+		c.setReadDeadline(c.idleLeft(began))
 		_, err := c.br.Peek(1)
-		if !isTimeout(err) || c.s.opts.Bounds().Idle <= idle {
+		if !isTimeout(err) || c.idleLeft(began) <= 0 {
 			return err
 		}
 	}
 }
 
+// idleLeft returns how much longer the connection may be idle that has waited since began, 0
+// if it has ended.
+func (c *conn) idleLeft(began time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return 0
+	}
+	if c.answered.After(began) {
+		began = c.answered
+	}
+	return c.s.opts.Bounds().Idle - c.s.opts.Clock.Since(began)
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -51,6 +51,7 @@
 	}
 	c.noteHeld(due)
 	c.mu.Lock()
+	c.answered = c.s.opts.Clock.Now()
 	if err != nil || c.closing && len(c.queue) == 0 {
 		c.drop()
 		c.shut(err)
