core/poison: release a quarantined request on trial only

Cause: a quarantine ended 30 s after the latest death and the record was forgotten with it, so that the next runs began with full trust.

Now a request is a suspect after its quarantine (Released): it runs only as a trial, and the daemon at which it came in doesn't send it again after one that broke off. A broken trial counts as a death at once, since a target's death is noticed up to a second later, and other targets would get the request until then. Each death on trial doubles the next quarantine, up to 32 times the expiry, and the record is kept as long again. Refusals don't lengthen a quarantine: a harmless request that is sent all the time must get its trial too, and nothing more has to be told between daemons. The messages are unchanged.

A full table orders records by their present status, so released requests make room for new suspects. Entry.Status counted deaths and can't tell a released request from a quarantined one; Table.Check takes its place.

TestBoundsAndLift demanded that a quarantined request is Clear after the expiry, which was the fault. It now demands Suspect and Released there, and Clear at the end of the longer memory.

--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -13,6 +13,15 @@
 // the first death cannot be in flight with it at the second unless it was
 // cleared before, and then it has only one death.
 //
+// A quarantine lasts Expiry from the latest death. After it the request is
+// released (Released): a suspect again, which runs as a trial and is not sent
+// again if that breaks off. Its caller may still be sending it, so the end of the
+// quarantine is no proof. A trial of a released request that breaks off counts as
+// a death at once. Each death on trial doubles the length of the next
+// quarantine, up to 32 times Expiry. Refused requests do not lengthen it: a
+// harmless request that is sent all the time must get a trial too, and daemons
+// that see the request at different rates need not tell each other.
+//
 // A connection to a dying target often breaks before the daemon notices the
 // death. A run that broke off therefore counts as in flight for Grace, and no
 // trial is admitted in that time: the target may be dead already, and the
@@ -32,8 +41,10 @@
 //
 // # Bounds
 //
-// An entry expires Expiry after its latest death. A record keeps its 16 latest
-// deaths. The table holds at most Capacity entries; a full one keeps
+// An entry with one death expires Expiry after it, another one 32 times Expiry
+// after the end of its quarantine. A cleared entry is kept as long, or a late
+// report would bring the suspicion back. A record keeps its 16 latest deaths. The
+// table holds at most Capacity entries; a full one keeps
 // quarantined entries before suspects and those before cleared ones, and among
 // equals the ones with the latest death. The merge is independent of the order
 // as long as none of these bounds is reached.
@@ -53,7 +64,7 @@
 //	case poison.Clear:
 //		t.Begin(now, fp)
 //	}
-//	// After the run, ok meaning a complete response:
+//	// After the run, ok meaning a complete response (true: there is news to tell):
 //	if t.End(now, fp, ok) {
 //		send(t.Entries(now, []types.Fingerprint{fp}))
 //	}
--- a/core/poison/entry.go
+++ b/core/poison/entry.go
@@ -30,18 +30,3 @@
 	Fingerprint types.Fingerprint
 	Deaths      []Death
 }
-
-// Status returns how the request may run according to this entry.
-func (e Entry) Status() Status {
-	n := 0
-	for _, d := range e.Deaths {
-		if !d.Cleared {
-			n++
-		}
-	}
-	return statusOf(n)
-}
-
-func statusOf(deaths int) Status {
-	return Status(min(deaths, int(Quarantined)))
-}
--- a/core/poison/flight.go
+++ b/core/poison/flight.go
@@ -56,6 +56,9 @@
 	return trial
 }
 
+// forget removes an ended run whose break was counted as a death.
+func (f *flight) forget(fp types.Fingerprint) { delete(f.ended, fp) }
+
 func (f *flight) recent(now, at time.Time) bool { return now.Sub(at) <= f.grace }
 
 // broken reports whether a run has just broken off.
--- a/core/poison/learn.go
+++ b/core/poison/learn.go
@@ -12,16 +12,20 @@
 // one again and again is faster than sorting a full table.
 const maxScans = 8
 
-// Learn merges entries of another daemon. Entries that are older than the
-// expiry change nothing.
+// Learn merges entries of another daemon. Entries that have expired change
+// nothing.
 func (t *Table) Learn(now time.Time, entries []Entry) {
 	for _, e := range entries {
-		if !t.isCurrent(e) {
+		told := &record{expiry: t.opts.Expiry}
+		for _, d := range e.Deaths {
+			told.add(death{id: d.ID, at: now.Add(-max(0, d.Age)), cleared: d.Cleared})
+		}
+		if told.isExpired(now) {
 			continue
 		}
 		r := t.record(now, e.Fingerprint)
-		for _, d := range e.Deaths {
-			r.add(death{id: d.ID, at: now.Add(-max(0, d.Age)), cleared: d.Cleared})
+		for _, d := range told.deaths {
+			r.add(d)
 		}
 		// A message may hold any number of entries.
 		if len(t.records) >= 2*t.opts.Capacity {
@@ -31,21 +35,12 @@
 	t.trim(now)
 }
 
-func (t *Table) isCurrent(e Entry) bool {
-	for _, d := range e.Deaths {
-		if d.Age < t.opts.Expiry {
-			return true
-		}
-	}
-	return false
-}
-
 // record returns the record to which a death is added; an expired one starts
 // anew.
 func (t *Table) record(now time.Time, fp types.Fingerprint) *record {
 	r := t.find(now, fp)
 	if r == nil {
-		r = &record{fingerprint: fp}
+		r = &record{fingerprint: fp, expiry: t.opts.Expiry}
 		t.records[fp] = r
 	}
 	return r
@@ -66,21 +61,22 @@
 	}
 	if len(t.records) <= n+maxScans {
 		for len(t.records) > n {
-			t.dropLast()
+			t.dropLast(now)
 		}
 		return
 	}
-	list := slices.SortedFunc(maps.Values(t.records), compareWorth)
+	list := slices.SortedFunc(maps.Values(t.records), compareWorth(now))
 	for _, r := range list[n:] {
 		delete(t.records, r.fingerprint)
 	}
 }
 
 // dropLast removes the least important record.
-func (t *Table) dropLast() {
+func (t *Table) dropLast(now time.Time) {
 	var last *record
+	compare := compareWorth(now)
 	for _, r := range t.records {
-		if last == nil || compareWorth(r, last) > 0 {
+		if last == nil || compare(r, last) > 0 {
 			last = r
 		}
 	}
--- a/core/poison/options.go
+++ b/core/poison/options.go
@@ -24,8 +24,8 @@
 	Incarnation uint64
 	// Capacity is the number of entries kept; default 4,096.
 	Capacity int
-	// Expiry is the time from the latest death to the end of an entry; default
-	// 10 min.
+	// Expiry is the time from the only death of a suspect to the end of its
+	// entry, and the length of a first quarantine; default 10 min.
 	Expiry time.Duration
 	// Grace is how long a run that broke off or was canceled counts as in flight;
 	// default 1 s.
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -22,7 +22,11 @@
 type record struct {
 	fingerprint types.Fingerprint
 	deaths      []death
-	status      Status
+	expiry      time.Duration
+	// charged is the suspicion by the deaths that are not cleared, known the one by all.
+	// The record is kept as long as all count, so that a late report does not bring a
+	// cleared death back.
+	charged, known suspicion
 }
 
 // add merges one death.
@@ -56,13 +60,20 @@
 }
 
 func (r *record) update() {
-	n := 0
-	for _, d := range r.deaths {
-		if !d.cleared {
-			n++
-		}
-	}
-	r.status = statusOf(n)
+	all := slices.Clone(r.deaths)
+	slices.Reverse(all)
+	r.known = suspicionBy(all, r.expiry)
+	r.charged = suspicionBy(slices.DeleteFunc(all, func(d death) bool { return d.cleared }), r.expiry)
+}
+
+func (r *record) status(now time.Time) Status { return r.charged.status(now, r.expiry) }
+
+// isExpired reports whether the record says nothing more.
+func (r *record) isExpired(now time.Time) bool { return !now.Before(r.known.end(r.expiry)) }
+
+// isReleased reports whether the request has been quarantined and is a suspect since.
+func (r *record) isReleased(now time.Time) bool {
+	return r.charged.deaths >= int(Quarantined) && r.status(now) == Suspect
 }
 
 // latest returns the time of the latest death.
@@ -76,11 +87,13 @@
 	return e
 }
 
-// compareWorth orders records by how long a full table keeps them, the most
-// important first.
-func compareWorth(a, b *record) int {
-	return cmp.Or(
-		cmp.Compare(b.status, a.status), b.latest().Compare(a.latest()),
-		cmp.Compare(a.fingerprint, b.fingerprint),
-	)
+// compareWorth returns the order of records by how long a full table keeps
+// them, the most important first.
+func compareWorth(now time.Time) func(a, b *record) int {
+	return func(a, b *record) int {
+		return cmp.Or(
+			cmp.Compare(b.status(now), a.status(now)), b.latest().Compare(a.latest()),
+			cmp.Compare(a.fingerprint, b.fingerprint),
+		)
+	}
 }
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -27,11 +27,19 @@
 // Check returns how a request may run.
 func (t *Table) Check(now time.Time, fp types.Fingerprint) Status {
 	if r := t.find(now, fp); r != nil {
-		return r.status
+		return r.status(now)
 	}
 	return Clear
 }
 
+// Released reports whether a request is Suspect because its quarantine has
+// ended. It has crashed two targets, so it is not sent again after a trial
+// that broke off.
+func (t *Table) Released(now time.Time, fp types.Fingerprint) bool {
+	r := t.find(now, fp)
+	return r != nil && r.isReleased(now)
+}
+
 // Begin records that a request that is Clear starts at the local target.
 func (t *Table) Begin(_ time.Time, fp types.Fingerprint) { t.flight.begin(fp) }
 
@@ -53,15 +61,36 @@
 }
 
 // End records that a run ended: ok if its response was complete, not ok if it
-// broke off. It reports whether a successful trial has cleared the request,
-// which is then to be sent to the other daemons. The daemon ends all runs of a
-// target that died before the target takes new ones.
+// broke off. It reports whether a trial has cleared the request or ended its
+// release, which is then to be sent to the other daemons. The daemon ends all
+// runs of a target that died before the target takes new ones.
 func (t *Table) End(now time.Time, fp types.Fingerprint, ok bool) bool {
 	trial := t.flight.end(now, fp, !ok)
 	if !ok {
 		t.flight.lastBreak = now
+		return trial && t.endRelease(now, fp)
+	}
+	return trial && t.Clear(now, fp)
+}
+
+// endRelease quarantines a released request whose trial broke off, without
+// waiting for the daemon to notice a death: meanwhile the request would be on
+// trial at other targets.
+func (t *Table) endRelease(now time.Time, fp types.Fingerprint) bool {
+	if !t.Released(now, fp) {
+		return false
+	}
+	t.flight.forget(fp)
+	t.record(now, fp).add(t.newDeath(now))
+	return true
+}
+
+func (t *Table) newDeath(now time.Time) death {
+	t.deaths++
+	return death{
+		id: DeathID{Target: t.opts.Target, Incarnation: t.opts.Incarnation, Number: t.deaths},
+		at: now,
 	}
-	return trial && ok && t.Clear(fp)
 }
 
 // Cancel records that the daemon itself gave up a run. The target may still be
@@ -72,11 +101,7 @@
 // that were in flight, in ascending order, which are to be sent to the other
 // daemons (Entries).
 func (t *Table) TargetDied(now time.Time) []types.Fingerprint {
-	t.deaths++
-	d := death{
-		id: DeathID{Target: t.opts.Target, Incarnation: t.opts.Incarnation, Number: t.deaths},
-		at: now,
-	}
+	d := t.newDeath(now)
 	suspects := t.flight.takeAll(now)
 	for _, fp := range suspects {
 		t.record(now, fp).add(d)
@@ -87,9 +112,9 @@
 
 // Clear removes the suspicion from a request after a successful trial. A
 // quarantined request stays so: its second death came after the trial began.
-func (t *Table) Clear(fp types.Fingerprint) bool {
+func (t *Table) Clear(now time.Time, fp types.Fingerprint) bool {
 	r := t.records[fp]
-	if r == nil || r.status != Suspect {
+	if r == nil || r.status(now) != Suspect {
 		return false
 	}
 	r.clear()
@@ -100,7 +125,7 @@
 // whether there was any. The entry is then to be sent to the other daemons.
 func (t *Table) Lift(fp types.Fingerprint) bool {
 	r := t.records[fp]
-	if r == nil || r.status == Clear {
+	if r == nil || r.charged.deaths == 0 {
 		return false
 	}
 	r.clear()
@@ -112,11 +137,11 @@
 func (t *Table) List(now time.Time) []Entry {
 	var list []*record
 	for fp := range t.records {
-		if r := t.find(now, fp); r != nil && r.status != Clear {
+		if r := t.find(now, fp); r != nil && r.status(now) != Clear {
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, compareWorth)
+	slices.SortFunc(list, compareWorth(now))
 	var entries []Entry
 	for _, r := range list {
 		entries = append(entries, r.entry(now))
@@ -142,7 +167,7 @@
 // find returns the record of a request unless it has expired.
 func (t *Table) find(now time.Time, fp types.Fingerprint) *record {
 	r := t.records[fp]
-	if r == nil || now.Sub(r.latest()) >= t.opts.Expiry {
+	if r == nil || r.isExpired(now) {
 		return nil
 	}
 	return r
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -185,7 +185,7 @@
 			at := start.Add(time.Duration(rapid.SampledFrom([]int{100, 500, 600, 880}).Draw(t, "at")) * time.Second)
 			reports = append(reports, aged(kill(source, at, fp, 9), now.Sub(at)))
 			if rapid.Bool().Draw(t, "cleared") {
-				source.Clear(fp)
+				source.Clear(at, fp)
 				reports = append(reports, aged(source.Entries(at, nil), now.Sub(at)))
 			}
 		}
@@ -218,16 +218,19 @@
 	list := table.List(now)
 	is.Equal(len(list), 4)
 	is.Equal(list[0].Fingerprint, types.Fingerprint(1))
-	is.Equal(list[1].Status(), poison.Quarantined)
+	is.Equal(table.Check(now, list[1].Fingerprint), poison.Quarantined)
 	is.True(!table.AdmitTrial(now, 2))
-	is.Equal(list[2].Status(), poison.Suspect)
+	is.Equal(table.Check(now, list[2].Fingerprint), poison.Suspect)
 	old := table.Entries(now, nil)
-	is.True(!table.Clear(1)) // a trial that began before the second death
+	is.True(!table.Clear(now, 1)) // a trial that began before the second death
 	is.True(table.Lift(1))
 	table.Learn(now, old)
 	is.Equal(table.Check(now, 1), poison.Clear)
 	is.Equal(table.Check(now, 2), poison.Quarantined)
-	is.Equal(table.Check(start.Add(10*time.Minute), 2), poison.Clear)
+	is.Equal(table.Check(start.Add(10*time.Minute), 2), poison.Suspect)
+	is.True(table.Released(start.Add(10*time.Minute), 2))
+	is.Equal(table.Check(start.Add(330*time.Minute-1), 2), poison.Suspect)
+	is.Equal(table.Check(start.Add(330*time.Minute), 2), poison.Clear)
 	for range 20 {
 		now = now.Add(time.Second)
 		kill(table, now, 8)
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -38,10 +38,15 @@
 // attempts that are canceled because another one was answered.
 const maxPendingResults = 4
 
-func newDispatch(e *entry, q *request) *dispatch {
+// newDispatch returns the dispatch of a request. One on trial reaches one target at most.
+func newDispatch(e *entry, q *request, onTrial bool) *dispatch {
+	attempts := q.route.Attempts()
+	if onTrial {
+		attempts = 1
+	}
 	return &dispatch{
 		entry: e, request: q, results: make(chan result, maxPendingResults),
-		tries: tries.New(tries.Options{Runs: q.route.Runs(), Attempts: q.route.Attempts()}),
+		tries: tries.New(tries.Options{Runs: q.route.Runs(), Attempts: attempts}),
 	}
 }
 
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -60,7 +60,8 @@
 		return plain(http.StatusNotFound, "no such route")
 	}
 	q := newRequest(now, info, req, t, r, xxhash.Sum64String(info.ID))
-	if e.suspects.isQuarantined(fingerprint(string(q.service), req.Method, req.Target, req.Body)) {
+	fp := fingerprint(string(q.service), req.Method, req.Target, req.Body)
+	if e.suspects.isQuarantined(fp) {
 		e.logRejected(info, string(q.service), http.StatusServiceUnavailable, "request has crashed targets")
 		return e.wire.Refusal("request has crashed targets", suspectExpiry)
 	}
@@ -71,7 +72,7 @@
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	e.balancer.countRequest(q.service, r.Name())
-	d := newDispatch(e, q)
+	d := newDispatch(e, q, e.suspects.isOnTrial(fp))
 	resp := d.do(ctx)
 	if resp.Status < http.StatusInternalServerError {
 		e.balancer.recordLatency(q.service, r.Name(), e.clock.Since(now))
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -28,7 +28,10 @@
 const SuspectExpiry = suspectExpiry
 
 // Begin exposes begin.
-func (s *suspects) Begin(fp types.Fingerprint) { s.begin(fp) }
+func (s *suspects) Begin(fp types.Fingerprint) bool { return s.begin(fp) }
+
+// IsOnTrial exposes isOnTrial.
+func (s *suspects) IsOnTrial(fp types.Fingerprint) bool { return s.isOnTrial(fp) }
 
 // Merge exposes merge.
 var Merge = (*suspects).merge
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -41,12 +41,15 @@
 	if refusal != nil {
 		return refusal
 	}
+	if !t.suspects.begin(fp) {
+		t.release(ticket)
+		return refused("request has crashed targets and others are suspects here", 0)
+	}
 	ctx, cancel := t.runContext(ctx, call)
 	defer cancel()
 	start := t.clock.Now()
 	left := call.Remaining(start)
 	req := t.wire.TargetRequest(head, left)
-	t.suspects.begin(fp)
 	resp, err := t.client.Do(ctx, req)
 	ans, failed := t.answer(ctx, types.TargetID(head.Target), resp, err)
 	if resp != nil && ans.Result != mesh.Answered {
@@ -60,6 +63,14 @@
 	return ans
 }
 
+// release returns the slot of a call that does not run.
+func (t *localTarget) release(ticket admit.Ticket) {
+	t.mu.Lock()
+	events := t.gate.Done(t.clock.Now(), ticket, 0, true)
+	t.mu.Unlock()
+	t.deliver(events)
+}
+
 // runContext returns the context of a run. A call that may run only once continues after
 // its caller has left: if it were canceled, nobody would know whether it ran. Only the end
 // of a planned stop of this agent ends it before its deadline.
--- a/io/agent/suspects.go
+++ b/io/agent/suspects.go
@@ -13,12 +13,14 @@
 	"trefoilthread/io/mesh"
 )
 
-// suspectExpiry is how long a death counts against a request. Callers repeat a request
-// within seconds, and different requests may have the same fingerprint.
+// suspectExpiry is how long one death counts against a request, and the length of its first
+// quarantine. Callers repeat a request within seconds, and different requests may have the
+// same fingerprint.
 const suspectExpiry = 30 * time.Second
 
 // suspects tracks the requests that may crash targets. A request that was running at two
-// deaths of targets, without a good answer since, is refused.
+// deaths of targets, without a good answer since, is refused. After that it runs only as a
+// trial, without a retry, until it has got a good answer.
 type suspects struct {
 	clock clockwork.Clock
 	log   log.Interface
@@ -59,11 +61,24 @@
 	return s.table.Check(s.clock.Now(), fp) == poison.Quarantined
 }
 
-// begin records that a request starts at the target on this VM.
-func (s *suspects) begin(fp types.Fingerprint) {
+// isOnTrial reports whether a request was quarantined and has got no good answer since.
+func (s *suspects) isOnTrial(fp types.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Begin(s.clock.Now(), fp)
+	return s.table.Released(s.clock.Now(), fp)
+}
+
+// begin records that a request starts at the target on this VM. It returns false if the
+// request is on trial and may not start now.
+func (s *suspects) begin(fp types.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if s.table.Released(now, fp) {
+		return s.table.AdmitTrial(now, fp)
+	}
+	s.table.Begin(now, fp)
+	return true
 }
 
 // end records the result of a request. A good answer clears a suspect at all agents,
@@ -72,15 +87,17 @@
 func (s *suspects) end(fp types.Fingerprint, r mesh.Result) {
 	s.mu.Lock()
 	now := s.clock.Now()
-	wasSuspect := false
+	changed := false
 	if r == mesh.Expired {
 		s.table.Cancel(now, fp)
 	} else {
-		s.table.End(now, fp, r == mesh.Answered)
-		wasSuspect = r == mesh.Answered && s.table.Check(now, fp) != poison.Clear && s.table.Lift(fp)
+		changed = s.table.End(now, fp, r == mesh.Answered)
+		if r == mesh.Answered && s.table.Check(now, fp) != poison.Clear && s.table.Lift(fp) {
+			changed = true
+		}
 	}
 	var entries []poison.Entry
-	if wasSuspect {
+	if changed {
 		entries = s.table.Entries(now, []types.Fingerprint{fp})
 	}
 	s.mu.Unlock()
--- a/io/agent/suspects_test.go
+++ b/io/agent/suspects_test.go
@@ -38,4 +38,31 @@
 	}
 	clock.Advance(2 * agent.SuspectExpiry)
 	is.True(!a.IsQuarantined(crash))
+	is.True(a.IsOnTrial(crash))
+}
+
+// Guards against a released request that is sent again after a trial that broke off, and
+// against one that stays on trial after a good answer.
+func TestRequestOnTrial(t *testing.T) {
+	for _, result := range []mesh.Result{mesh.Broken, mesh.Answered} {
+		is := is.New(t)
+		clock := clockwork.NewFakeClock()
+		var a, b *agent.Suspects
+		a = agent.NewSuspects("a", 1, clock, logs.Discard(), func(n *mesh.Notice) { agent.Merge(b, n.Suspects) })
+		b = agent.NewSuspects("b", 1, clock, logs.Discard(), func(n *mesh.Notice) { agent.Merge(a, n.Suspects) })
+		fp := agent.Fingerprint("bookings", "GET", "/x", nil)
+		for range 2 {
+			is.True(a.Begin(fp))
+			a.TargetDied()
+		}
+		is.True(b.IsQuarantined(fp))
+		clock.Advance(agent.SuspectExpiry)
+		is.True(a.IsOnTrial(fp) && b.IsOnTrial(fp))
+		is.True(b.Begin(fp))
+		is.True(!b.Begin(fp)) // one trial at a time
+		agent.End(b, fp, result)
+		is.True(!a.IsOnTrial(fp) && !b.IsOnTrial(fp))
+		is.Equal(a.IsQuarantined(fp), result == mesh.Broken)
+		is.Equal(b.IsQuarantined(fp), result == mesh.Broken)
+	}
 }
--- a/io/daemon/suspects.go
+++ b/io/daemon/suspects.go
@@ -58,7 +58,7 @@
 			// A request that crashes each target that runs it never gets a whole
 			// answer. One that was running elsewhere when it became a suspect and
 			// has ended well needs no trial.
-			cleared = d.poison.Clear(fp)
+			cleared = d.poison.Clear(now, fp)
 		}
 	}
 	var entries []poison.Entry
@@ -155,9 +155,10 @@
 	d.poisonMu.Lock()
 	defer d.poisonMu.Unlock()
 	var out []*opspb.QuarantineEntry
-	for _, e := range d.poison.List(d.now()) {
+	now := d.now()
+	for _, e := range d.poison.List(now) {
 		out = append(out, &opspb.QuarantineEntry{
-			Fingerprint: hexPrint(e.Fingerprint), Deaths: int32(len(e.Deaths)), State: e.Status().String(),
+			Fingerprint: hexPrint(e.Fingerprint), Deaths: int32(len(e.Deaths)), State: d.poison.Check(now, e.Fingerprint).String(),
 		})
 	}
 	return out
