--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -10,7 +10,9 @@
 	"trefoilthread/core/beat"
 	"trefoilthread/core/relay"
 	"trefoilthread/core/roster"
+	"trefoilthread/core/tries"
 	"trefoilthread/core/types"
+	"trefoilthread/core/vhost"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
@@ -141,3 +143,11 @@
 
 // IsTargetIdle reports whether no call runs or waits at the target of a.
 func IsTargetIdle(a *Agent) bool { return a.target.isIdle() }
+
+// RetriesLostAnswer reports whether a request of a route is sent again after a run whose
+// answer was lost.
+func RetriesLostAnswer(r *vhost.Route, onTrial bool) bool {
+	d := newDispatch(nil, &request{route: r}, onTrial)
+	d.tries.Record(tries.AnswerLost, "", 0)
+	return d.tries.ShouldRetry(func() bool { return true })
+}
