io/mesh: end only the call whose message can't be decoded

Callers at one daemon got a 502 for calls at work when another caller sent a header value in ISO 8859-1: texts travel as CBOR text, the decoder refused text that isn't UTF-8, and both ends took that for the end of the connection with all its calls.

The decoder accepts such text now, so the bytes on the wire stay as they were and field values, paths and phrases arrive unchanged. What still can't be decoded ends its own call: at the server the call is refused as not run, at the client the call ends with ErrUndecoded (it may have run). Hello, notices, queries and news are dropped. Each is logged and counted (messages_undecoded). Only a frame over the limit or a failed read or write ends a connection.

A daemon of the version before still closes a connection that brings such text. The hello carries the version of the caller. The called daemon answers a hello of version 1 or later with a welcome, the first frame in its direction; any other first frame tells of version 0. A call with such text waits for it, with a ping so that there is a frame. It isn't sent to version 0 (ErrOldPeer, no fault of the target), and an answer with such text ends as broken there. Messages are checked only while the peer's version is 0 or unknown.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -112,11 +112,12 @@
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress()}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.handleNotice,
-		Memory: a.bodies,
+		Memory: a.bodies, Undecoded: a.recordUndecoded,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
 		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Opened: a.linkOpened,
 		Failed: a.inboundEnded, Clock: o.Clock, Memory: a.bodies, NoMemory: a.refuseLongCall,
+		Undecoded: a.refuseUndecoded,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -146,9 +146,11 @@
 	switch {
 	case errors.Is(res.err, mesh.ErrUnreachable):
 		d.tries.Record(tries.Unsent, "agent unreachable", 0)
+	case errors.Is(res.err, mesh.ErrOldPeer):
+		d.tries.Record(tries.Unsent, res.err.Error(), 0)
 	case ans == nil && ctx.Err() != nil:
 		d.tries.Record(tries.Expired, "deadline passed or caller left", 0)
-	case errors.Is(res.err, mesh.ErrNoMemory):
+	case errors.Is(res.err, mesh.ErrNoMemory), errors.Is(res.err, mesh.ErrUndecoded):
 		d.tries.Record(tries.AnswerLost, res.err.Error(), 0)
 	case ans == nil:
 		d.tries.Record(tries.AnswerLost, "connection to the agent broke", 0)
@@ -205,6 +207,8 @@
 			res.Outcome = types.Canceled
 		case ctx.Err() != nil:
 			res.Outcome = types.DeadlineExceeded
+		case errors.Is(err, mesh.ErrOldPeer):
+			res.Outcome = types.BadRequest // says nothing about the target
 		default:
 			// The lack of memory here is no fault of the target.
 			res.Outcome, res.Failed = types.Unknown, !errors.Is(err, mesh.ErrNoMemory)
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -21,6 +21,7 @@
 	NewSuspects = newSuspects
 	Fingerprint = fingerprint
 	Compress    = compress
+	RouteResult = routeResult
 	Decompress  = decompress
 )
 
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -32,6 +32,21 @@
 	return ans
 }
 
+// refuseUndecoded records a message of another agent that can't be decoded, and returns the
+// answer if it is a call: it has not run.
+func (a *Agent) refuseUndecoded(from mesh.Hello, err error) *mesh.Answer {
+	a.recordUndecoded(from.Node, err)
+	ans := a.target.refuseUnread("call can't be decoded")
+	ans.Config = a.table.version()
+	return ans
+}
+
+// recordUndecoded counts and logs a message of another agent that can't be decoded.
+func (a *Agent) recordUndecoded(from string, err error) {
+	a.metrics.countEvent("messages_undecoded")
+	a.log.WithError(err).WithField("from", from).Warn("message of an agent can't be decoded")
+}
+
 // recordContact records direct contact with an agent, which keeps it in the roster while
 // its record is missing.
 func (a *Agent) recordContact(node string) {
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -22,6 +22,11 @@
 	// ErrNoMemory means that there was no memory for the answer: the call may have
 	// run.
 	ErrNoMemory = errors.New("mesh: no memory for the answer")
+	// ErrUndecoded means that the answer can't be decoded: the call may have run.
+	ErrUndecoded = errors.New("mesh: answer can't be decoded")
+	// ErrOldPeer means that the message has text that isn't UTF-8 and that the peer's
+	// version can't decode it: it was not sent.
+	ErrOldPeer = errors.New("mesh: the other daemon's version can't decode text that isn't UTF-8")
 )
 
 // ClientOptions configure a Client. Clock and Hello are required.
@@ -37,6 +42,8 @@
 	Notice func(n *Notice)
 	// Ended is told of connections that ended with an error.
 	Ended func(addr string, err error)
+	// Undecoded is told of messages that can't be decoded. It must not block.
+	Undecoded func(addr string, err error)
 	// Memory bounds the long bodies of answers, until they are released; nil for no
 	// bound.
 	Memory *httpw.Budget
@@ -77,6 +84,9 @@
 	if o.Ended == nil {
 		o.Ended = func(string, error) {}
 	}
+	if o.Undecoded == nil {
+		o.Undecoded = func(string, error) {}
+	}
 	if o.Notice == nil {
 		o.Notice = func(*Notice) {}
 	}
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -14,6 +14,20 @@
 // number is never used for another field, and the zero of a new field means what
 // was meant before there was one.
 //
+// Text needn't be UTF-8: header values, paths and reason phrases travel as the bytes that
+// they are. A daemon of version 0 can't decode such text and closes its connection, so it is
+// sent only to a peer whose version is known to be 1 or later: from the Hello of a caller,
+// from the Welcome that answers the Hello of a caller whose version isn't 0. The Welcome is
+// the first frame of its connection; any other first frame tells of version 0. Until then
+// a call with such text waits; to a daemon of version 0 it ends with ErrOldPeer, and an
+// answer with such text as Broken.
+//
+// # Messages that can't be decoded
+//
+// A message that can't be decoded ends its own call only: a call is answered as Refused,
+// an answer ends its call with ErrUndecoded. Others are dropped. Options.Undecoded is told
+// of each. Only a frame over the limit and a failed read or write end the connection.
+//
 // # Silence
 //
 // A connection that has gone silent is told by a ping: when calls are open and
@@ -24,8 +38,9 @@
 //
 // # Proof that nothing ran
 //
-// A call that ends with an error other than ErrBroken has not left this
-// daemon. Anything else is for the peer to say in its answer.
+// A call that ends with ErrUnreachable or ErrOldPeer has not run. One that ends with
+// ErrBroken, ErrNoMemory or ErrUndecoded, or was canceled, may have run. Anything else is
+// for the peer to say in its answer.
 //
 // # Usage
 //
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -25,6 +25,7 @@
 	kindPong
 	kindQuery
 	kindNews
+	kindWelcome
 )
 
 const (
@@ -62,6 +63,17 @@
 	return m
 }
 
+// decoder accepts text that isn't UTF-8: header values needn't be.
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
+}
+
 // appendFrame appends a frame with the CBOR of msg, which may be nil.
 func appendFrame(buf []byte, k kind, call uint64, msg any) ([]byte, error) {
 	var head [frameHead]byte
@@ -165,7 +177,7 @@
 
 // decode reads the payload of a frame into msg.
 func (f frame) decode(msg any) error {
-	if err := cbor.Unmarshal(f.payload, msg); err != nil {
+	if err := decoder.Unmarshal(f.payload, msg); err != nil {
 		return errors.Wrapf(err, "mesh: decode frame of kind %d", f.kind)
 	}
 	return nil
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -19,6 +19,7 @@
 	ready   chan struct{} // closed when the connection is made or failed
 	dialErr error         // set before ready is closed
 	out     *sender
+	greeted chan struct{} // closed when the peer's version is known
 
 	mu     sync.Mutex
 	calls  map[uint64]chan frame // open calls
@@ -30,7 +31,7 @@
 }
 
 func newLink(c *Client, key linkKey) *link {
-	return &link{c: c, key: key, ready: make(chan struct{}), calls: make(map[uint64]chan frame)}
+	return &link{c: c, key: key, ready: make(chan struct{}), greeted: make(chan struct{}), calls: make(map[uint64]chan frame)}
 }
 
 // run makes the connection and reads it until it ends.
@@ -39,7 +40,7 @@
 	if err == nil {
 		l.out = &sender{nc: nc, clock: l.c.opts.Clock}
 		hello := l.c.opts.Hello
-		hello.Bulk = l.key.bulk
+		hello.Bulk, hello.Version = l.key.bulk, rawTextVersion
 		if err = l.out.send(kindHello, 0, &hello); err != nil {
 			_ = nc.Close() // the error of the send is reported
 		}
@@ -71,15 +72,16 @@
 }
 
 func (l *link) read(br *bufio.Reader) error {
-	for {
+	for isFirst := true; ; isFirst = false {
 		f, err := readFrame(br, l.c.opts.Memory, l.noteHeard)
 		if err != nil {
 			return err
 		}
 		l.noteHeard()
-		if err := l.handle(f); err != nil {
-			return err
+		if isFirst {
+			l.learnVersion(f)
 		}
+		l.handle(f)
 	}
 }
 
@@ -90,20 +92,35 @@
 	l.heard, l.pinged = l.c.opts.Clock.Now(), false
 }
 
-// handle acts on one frame. Frames of other kinds are pongs, or from later
+// learnVersion takes the peer's version from its first frame. A peer of version 0 has read
+// the hello by then as well, and sends no welcome.
+func (l *link) learnVersion(f frame) {
+	defer close(l.greeted)
+	if f.kind != kindWelcome {
+		return
+	}
+	var w Welcome
+	if err := f.decode(&w); err != nil {
+		l.c.opts.Undecoded(l.key.addr, err)
+		return
+	}
+	l.out.version.Store(int32(w.Version))
+}
+
+// handle acts on one frame. Frames of other kinds are pongs, welcomes, or from later
 // versions.
-func (l *link) handle(f frame) error {
+func (l *link) handle(f frame) {
 	switch f.kind {
 	case kindAnswer, kindNews:
 		l.deliver(f)
 	case kindNotice:
 		n := new(Notice)
 		if err := f.decode(n); err != nil {
-			return err
+			l.c.opts.Undecoded(l.key.addr, err)
+			return
 		}
 		l.c.opts.Notice(n)
 	}
-	return nil
 }
 
 // deliver hands an answer to its call, which may have been canceled.
@@ -140,8 +157,15 @@
 	if !ok {
 		return nil, ErrUnreachable
 	}
-	if err := l.out.send(k, id, msg); err != nil {
+	err := l.out.send(k, id, msg)
+	if errors.Is(err, ErrOldPeer) && l.awaitVersion(ctx, ch) {
+		err = l.out.send(k, id, msg)
+	}
+	if err != nil {
 		l.forget(id)
+		if errors.Is(err, ErrOldPeer) {
+			return nil, err
+		}
 		return nil, ErrUnreachable
 	}
 	select {
@@ -161,6 +185,21 @@
 	}
 }
 
+// awaitVersion waits until the peer's version is known; false if the connection or ctx
+// ends before. A peer without other frames to send answers the ping, after its welcome.
+func (l *link) awaitVersion(ctx context.Context, ended <-chan frame) bool {
+	if err := l.out.send(kindPing, 0, nil); err != nil {
+		return false
+	}
+	select {
+	case <-l.greeted:
+		return true
+	case <-ended:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // decode decodes the answer in a frame into out.
 func (l *link) decode(f frame, out any) error {
 	if f.left > 0 {
@@ -168,8 +207,8 @@
 	}
 	if err := f.decode(out); err != nil {
 		f.memory.Release()
-		_ = l.out.nc.Close() // what else comes on it can't be trusted
-		return errors.Wrap(ErrBroken, err.Error())
+		l.c.opts.Undecoded(l.key.addr, err)
+		return errors.Wrap(ErrUndecoded, err.Error())
 	}
 	return nil
 }
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoilthread/io/httpw"
 )
 
@@ -87,6 +90,12 @@
 	if a.Result == Answered {
 		short.Result, short.Reason = Broken, "target's response not passed on: "+err.Error()
 	}
+	if errors.Is(err, ErrOldPeer) {
+		short.Reason = strings.ToValidUTF8(short.Reason, "?")
+		if hasRawText(short.Instead) {
+			short.Instead = nil
+		}
+	}
 	return short
 }
 
@@ -109,6 +118,7 @@
 	Boot    uint64 `cbor:"2,keyasint,omitempty"`
 	Address string `cbor:"3,keyasint,omitempty"` // where the sender takes connections
 	Bulk    bool   `cbor:"4,keyasint,omitempty"` // the connection carries calls with long bodies only
+	Version int    `cbor:"5,keyasint,omitempty"` // of the sender
 }
 
 // Query asks for what is in the store: for all changes, or for one key.
--- a/io/mesh/sender.go
+++ b/io/mesh/sender.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,9 @@
 	nc    net.Conn
 	clock clockwork.Clock
 
+	// version is that of the peer, 0 until it is known.
+	version atomic.Int32
+
 	mu      sync.Mutex
 	pending []byte
 	held    []*httpw.Holding // memory of the bodies in pending
@@ -57,6 +61,9 @@
 }
 
 func (s *sender) enqueue(k kind, call uint64, msg any, memory *httpw.Holding) error {
+	if s.version.Load() < rawTextVersion && hasRawText(msg) {
+		return ErrOldPeer
+	}
 	s.mu.Lock()
 	if s.err != nil {
 		defer s.mu.Unlock()
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -13,7 +13,8 @@
 	"trefoilthread/io/httpw"
 )
 
-// ServerOptions configure a Server. All fields but Memory and NoMemory are required.
+// ServerOptions configure a Server. All fields but Memory, NoMemory and
+// Undecoded are required.
 type ServerOptions struct {
 	// Serve runs a call. Its context ends when the caller cancels it or its
 	// connection breaks.
@@ -32,6 +33,9 @@
 	// NoMemory returns the answer to a call of n bytes for which there was no memory. It is
 	// required with Memory.
 	NoMemory func(from Hello, n int) *Answer
+	// Undecoded is told of messages that can't be decoded and returns the answer to such a
+	// message if it is a call. It must not block.
+	Undecoded func(from Hello, err error) *Answer
 }
 
 const (
@@ -60,6 +64,9 @@
 
 // NewServer returns a server that isn't listening yet.
 func NewServer(o ServerOptions) *Server {
+	if o.Undecoded == nil {
+		o.Undecoded = func(_ Hello, err error) *Answer { return &Answer{Result: Refused, Reason: err.Error()} }
+	}
 	return &Server{opts: o, conns: make(map[net.Conn]*inbound)}
 }
 
@@ -177,16 +184,14 @@
 func (p *inbound) handle(ctx context.Context, f frame) error {
 	switch f.kind {
 	case kindHello:
-		if err := f.decode(&p.from); err != nil {
-			return err
-		}
-		p.s.opts.Opened(p.from)
+		return p.open(f)
 	case kindPing:
 		return p.out.send(kindPong, f.call, nil)
 	case kindNotice:
 		var n Notice
 		if err := f.decode(&n); err != nil {
-			return err
+			p.s.opts.Undecoded(p.from, err)
+			return nil
 		}
 		p.s.opts.Notice(&n)
 	case kindCancel:
@@ -194,12 +199,12 @@
 	case kindCall:
 		from := p.from
 		if f.left > 0 {
-			return p.out.send(kindAnswer, f.call, p.s.opts.NoMemory(from, f.left))
+			return p.answer(f.call, p.s.opts.NoMemory(from, f.left))
 		}
 		head := &CallHead{Memory: f.memory}
 		if err := f.decode(head); err != nil {
 			f.memory.Release()
-			return err
+			return p.answer(f.call, p.s.opts.Undecoded(from, err))
 		}
 		if !from.Bulk { // notices take the other connection
 			p.noteCall()
@@ -211,7 +216,8 @@
 	case kindQuery:
 		q := new(Query)
 		if err := f.decode(q); err != nil {
-			return err
+			p.s.opts.Undecoded(p.from, err) // its sender gives it up, and asks again
+			return nil
 		}
 		from := p.from
 		p.start(ctx, f.call, kindNews, func(ctx context.Context) any { return p.s.opts.Query(ctx, from, q) })
@@ -219,6 +225,24 @@
 	return nil
 }
 
+// open takes a hello. A daemon of version 0 knows no welcome.
+func (p *inbound) open(f frame) error {
+	var from Hello
+	if err := f.decode(&from); err != nil {
+		p.s.opts.Undecoded(from, err)
+		return nil
+	}
+	p.from = from
+	p.out.version.Store(int32(from.Version))
+	if from.Version > 0 {
+		if err := p.out.send(kindWelcome, 0, &Welcome{Version: rawTextVersion}); err != nil {
+			return err
+		}
+	}
+	p.s.opts.Opened(from)
+	return nil
+}
+
 // noteProgress sends a pong while a long frame arrives: its sender has open calls and
 // would take the connection for a silent one. An error means that the connection has
 // ended.
@@ -257,14 +281,20 @@
 			_ = p.out.send(k, id, msg) // news that aren't sent are asked for again
 			return
 		}
-		if err := p.out.sendHolding(k, id, ans, ans.Memory); err != nil {
-			// An error means that the connection has ended, which the caller
-			// sees as well.
-			_ = p.out.send(k, id, ans.unsent(err))
-		}
+		// An error means that the connection has ended, which the caller sees as well.
+		_ = p.answer(id, ans)
 	}()
 }
 
+// answer sends the answer to a call, or a short one in its place if it can't be sent.
+func (p *inbound) answer(id uint64, ans *Answer) error {
+	err := p.out.sendHolding(kindAnswer, id, ans, ans.Memory)
+	if err != nil {
+		err = p.out.send(kindAnswer, id, ans.unsent(err))
+	}
+	return err
+}
+
 func (p *inbound) cancel(id uint64) {
 	p.mu.Lock()
 	cancel := p.calls[id]
