--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -23,6 +23,7 @@
 	NewSuspects = newSuspects
 	Fingerprint = fingerprint
 	Compress    = compress
+	RouteResult = routeResult
 	Decompress  = decompress
 )
 
