--- a/io/agent/reached_test.go
+++ b/io/agent/reached_test.go
@@ -30,7 +30,7 @@
 			is.NoErr(err)
 			defer func() { _ = ln.Close() }()
 			a := agent.New(agent.Options{
-				Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000"}, Wire: moodyWire(),
+				Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000"}, Wire: flakyWire(),
 				Log: logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
 			})
 			now := beat.Announcement{ID: "t1", Born: 2, Sequence: 1, Service: "bookings", Slots: 4, Address: ln.Addr().String()}
--- a/io/agent/refused_test.go
+++ b/io/agent/refused_test.go
@@ -37,8 +37,8 @@
 	enoughOfEach = 25
 )
 
-// moodyTarget runs requests, refuses them or breaks their connections, at random.
-type moodyTarget struct {
+// flakyTarget runs requests, refuses them or breaks their connections, at random.
+type flakyTarget struct {
 	ln net.Listener
 
 	mu   sync.Mutex
@@ -47,13 +47,13 @@
 	ran  map[string]int
 }
 
-func newMoodyTarget(t *testing.T, seed uint64) *moodyTarget {
+func newFlakyTarget(t *testing.T, seed uint64) *flakyTarget {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &moodyTarget{ln: ln, rng: rand.New(rand.NewPCG(seed, 0)), came: make(map[string]bool), ran: make(map[string]int)}
+	m := &flakyTarget{ln: ln, rng: rand.New(rand.NewPCG(seed, 0)), came: make(map[string]bool), ran: make(map[string]int)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -67,13 +67,13 @@
 	return m
 }
 
-func (m *moodyTarget) draw(n int) int {
+func (m *flakyTarget) draw(n int) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.rng.IntN(n)
 }
 
-func (m *moodyTarget) serve(c net.Conn) {
+func (m *flakyTarget) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	var late *httpw.Response // copy of an earlier response
@@ -110,8 +110,8 @@
 	}
 }
 
-// moodyWire converts the messages of a moodyTarget.
-func moodyWire() agent.Wire {
+// flakyWire converts the messages of a flakyTarget.
+func flakyWire() agent.Wire {
 	return agent.Wire{
 		TargetRequest: func(call *mesh.CallHead, _ time.Duration) *httpw.Request {
 			return &httpw.Request{Method: call.Method, Target: call.Path, Header: httpw.Header{{Name: "Id", Value: call.ID}}}
@@ -130,7 +130,7 @@
 }
 
 // change changes the state, the slots and the start of the target until done is closed.
-func (m *moodyTarget) change(a *agent.Agent, rng *rand.Rand, done <-chan struct{}) {
+func (m *flakyTarget) change(a *agent.Agent, rng *rand.Rand, done <-chan struct{}) {
 	x := beat.Announcement{ID: "t1", Born: 1, Service: "bookings", Address: m.ln.Addr().String(), Slots: refusedSlots}
 	for {
 		x.Sequence++
@@ -152,9 +152,9 @@
 // Guards against a call that an agent refuses and that runs all the same, also later, and
 // against a slot that is never free again.
 func TestRefusedCallsNeverRun(t *testing.T) {
-	m := newMoodyTarget(t, *refusedSeed)
+	m := newFlakyTarget(t, *refusedSeed)
 	a := agent.New(agent.Options{
-		Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000"}, Wire: moodyWire(),
+		Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000"}, Wire: flakyWire(),
 		Log: logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
 	})
 	done := make(chan struct{})
