io/httpw: look for the version before the expression of a status line

The reason phrase of each response went through the regular expression, as fields do only if they contain the version. Both go the same way now.

--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -92,15 +92,13 @@
 // isJoined reports whether a line of the head goes on with a status line: the response broke
 // off there, and the following lines belong to another one.
 func isJoined(resp *Response) bool {
-	if statusLine.MatchString(resp.Reason) {
-		return true
-	}
-	for _, f := range resp.Header {
-		if strings.Contains(f.Value, "HTTP/1.") && statusLine.MatchString(f.Value) {
-			return true
-		}
-	}
-	return false
+	return hasStatusLine(resp.Reason) ||
+		slices.ContainsFunc(resp.Header, func(f Field) bool { return hasStatusLine(f.Value) })
+}
+
+// hasStatusLine looks for the version first, which most texts lack, as that costs less.
+func hasStatusLine(s string) bool {
+	return strings.Contains(s, "HTTP/1.") && statusLine.MatchString(s)
 }
 
 func hasBody(status int, method string) bool {
