io/agent: return slots of calls in one place

The end of a run, a call that does not run and a canceled wait each locked the gate, returned the slot and delivered the events on their own.

--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -59,21 +59,21 @@
 		resp.Memory.Release()
 	}
 	t.suspects.end(fp, ans.Result)
-	t.mu.Lock()
-	events := t.gate.Done(t.clock.Now(), ticket, t.clock.Since(start), failed)
-	t.mu.Unlock()
-	t.deliver(events)
+	t.finish(ticket, t.clock.Since(start), failed)
 	return ans
 }
 
-// release returns the slot of a call that does not run.
-func (t *localTarget) release(ticket admit.Ticket) {
+// finish returns the slot of a call that has run for took.
+func (t *localTarget) finish(ticket admit.Ticket, took time.Duration, failed bool) {
 	t.mu.Lock()
-	events := t.gate.Done(t.clock.Now(), ticket, 0, true)
+	events := t.gate.Done(t.clock.Now(), ticket, took, failed)
 	t.mu.Unlock()
 	t.deliver(events)
 }
 
+// release returns the slot of a call that does not run.
+func (t *localTarget) release(ticket admit.Ticket) { t.finish(ticket, 0, true) }
+
 // runContext returns the context of a run. A call that may run only once continues after
 // its caller has left: if it were canceled, nobody would know whether it ran. Only the end
 // of a planned stop of this agent ends it before its deadline.
@@ -171,10 +171,9 @@
 	t.mu.Lock()
 	delete(t.waiters, ticket)
 	events := t.gate.Cancel(t.clock.Now(), ticket)
-	// Releases the slot if the gate granted it meanwhile.
-	events = append(events, t.gate.Done(t.clock.Now(), ticket, 0, true)...)
 	t.mu.Unlock()
 	t.deliver(events)
+	t.release(ticket) // the gate may have granted it meanwhile
 	return ticket, refused("caller left while the call waited", hint)
 }
 
