io/httpw: read long bodies in blocks that are used again

A long body was read into one slice that grew by a quarter at a time. That left up to five times its length as garbage, and the live copy and its successor together were more than twice what the budget counted.

Bodies longer than a block of 64 KB are held in blocks of a pool and joined when they are whole.

--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -27,22 +27,20 @@
 	if n == 0 {
 		return nil, nil
 	}
-	return appendBytes(br, make([]byte, 0, min(n, readStep)), n, memory)
-}
-
-// appendBytes appends n bytes of br to body.
-func appendBytes(br *bufio.Reader, body []byte, n int64, memory *Holding) ([]byte, error) {
-	for n > 0 {
-		step := int(min(n, readStep))
-		at := len(body)
-		if err := memory.grow(int64(at + step)); err != nil {
+	if n > readStep {
+		c := &collector{memory: memory}
+		defer c.drop()
+		if err := c.readN(br, n); err != nil {
 			return nil, err
 		}
-		body = append(body, make([]byte, step)...)
-		if _, err := io.ReadFull(br, body[at:]); err != nil {
-			return nil, noEOF(err)
-		}
-		n -= int64(step)
+		return c.bytes(), nil
+	}
+	if err := memory.grow(n); err != nil {
+		return nil, err
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(br, body); err != nil {
+		return nil, noEOF(err)
 	}
 	return body, nil
 }
@@ -50,7 +48,8 @@
 // readChunked reads a chunked body of at most limit bytes and drops its
 // trailers.
 func readChunked(br *bufio.Reader, limit int64, memory *Holding) ([]byte, error) {
-	var body []byte
+	c := &collector{memory: memory}
+	defer c.drop()
 	extensions := 0
 	for {
 		h := head{br: br, left: maxChunkLine, part: "chunk line"}
@@ -67,13 +66,15 @@
 		}
 		if size == 0 {
 			h.left, h.part = maxTrailer, "trailer"
-			_, err := h.fields()
-			return body, err
+			if _, err := h.fields(); err != nil {
+				return nil, err
+			}
+			return c.bytes(), nil
 		}
-		if int64(len(body))+size > limit {
+		if c.n+size > limit {
 			return nil, newMessageError(413, "body longer than %d bytes", limit)
 		}
-		if body, err = appendBytes(br, body, size, memory); err != nil {
+		if err := c.readN(br, size); err != nil {
 			return nil, err
 		}
 		end, err := h.line()
--- /dev/null
+++ b/io/httpw/collect.go
@@ -0,0 +1,114 @@
+package httpw
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+)
+
+const (
+	// firstStep is the memory in bytes that is taken for a body of unknown length.
+	firstStep = 4 << 10
+	// blockSize is the length in bytes of the blocks of a long body.
+	blockSize = freeBody
+)
+
+// blocks keeps blocks of long bodies that have been joined or dropped.
+var blocks = sync.Pool{New: func() any { return new([blockSize]byte) }}
+
+// collector reads a body whose length is unknown or may be false. What is longer than a
+// block is held in blocks that are used again: one slice that grows leaves several times
+// its length as garbage, which comes faster than a busy collector of the runtime frees it.
+type collector struct {
+	memory *Holding
+	first  []byte             // up to blockSize
+	rest   []*[blockSize]byte // all but the last are full
+	n      int64              // length in bytes of all
+}
+
+// room returns memory for the next bytes, at least one.
+func (c *collector) room() ([]byte, error) {
+	if c.n < blockSize {
+		if len(c.first) == cap(c.first) {
+			c.first = slices.Grow(c.first, min(max(cap(c.first), firstStep), blockSize-len(c.first)))
+		}
+		return c.first[len(c.first):min(cap(c.first), blockSize)], nil
+	}
+	used := int(c.n % blockSize)
+	if used == 0 {
+		if err := c.memory.grow(c.n + blockSize); err != nil {
+			return nil, err
+		}
+		c.rest = append(c.rest, blocks.Get().(*[blockSize]byte))
+	}
+	return c.rest[len(c.rest)-1][used:], nil
+}
+
+// added notes that n bytes have been read into the memory that room returned.
+func (c *collector) added(n int) {
+	if c.n < blockSize {
+		c.first = c.first[:len(c.first)+n]
+	}
+	c.n += int64(n)
+}
+
+// readN reads n bytes.
+func (c *collector) readN(br *bufio.Reader, n int64) error {
+	for n > 0 {
+		p, err := c.room()
+		if err != nil {
+			return err
+		}
+		p = p[:min(n, int64(len(p)))]
+		if _, err := io.ReadFull(br, p); err != nil {
+			return noEOF(err)
+		}
+		c.added(len(p))
+		n -= int64(len(p))
+	}
+	return nil
+}
+
+// readAll reads to the end of br, limit bytes at most.
+func (c *collector) readAll(br *bufio.Reader, limit int64) error {
+	for {
+		p, err := c.room()
+		if err != nil {
+			return err
+		}
+		n, err := br.Read(p)
+		c.added(n)
+		switch {
+		case c.n > limit:
+			return newMessageError(400, "body longer than %d bytes", limit)
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// bytes returns the body, nil if it is empty. The collector must not be used after it.
+func (c *collector) bytes() []byte {
+	if len(c.rest) == 0 {
+		return c.first
+	}
+	body := make([]byte, 0, c.n)
+	body = append(body, c.first...)
+	for _, b := range c.rest {
+		body = append(body, b[:min(c.n-int64(len(body)), blockSize)]...)
+	}
+	c.drop()
+	return body
+}
+
+// drop leaves the blocks to other bodies.
+func (c *collector) drop() {
+	for _, b := range c.rest {
+		blocks.Put(b)
+	}
+	c.rest = nil
+}
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net/http"
 	"regexp"
 	"slices"
@@ -107,30 +106,14 @@
 
 // readToEnd reads until the connection is closed in the open.
 func readToEnd(br *bufio.Reader, limit int64, memory *Holding) ([]byte, error) {
-	body := make([]byte, 0, firstStep)
-	for {
-		if len(body) == cap(body) {
-			if err := memory.grow(int64(2 * cap(body))); err != nil {
-				return nil, err
-			}
-			body = slices.Grow(body, cap(body))
-		}
-		n, err := br.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > limit:
-			return nil, newMessageError(400, "body longer than %d bytes", limit)
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
+	c := &collector{memory: memory}
+	defer c.drop()
+	if err := c.readAll(br, limit); err != nil {
+		return nil, err
 	}
+	return c.bytes(), nil
 }
 
-// firstStep is the memory in bytes that is taken for a body of unknown length.
-const firstStep = 4 << 10
-
 // AppendResponse appends the bytes of r to buf, always with a length. The
 // header must have no framing lines.
 func AppendResponse(buf []byte, r *Response, method string) []byte {
