io/front: report only requests without a response as cut off by a stop

Wait ended with the error of its context also when the connections left only waited for their callers to close them, which may take the linger time of 500 ms and so longer than the margin at the end of a stop. The agent then logged "requests were cut off" though all were answered. The error now counts the connections with an unanswered request.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -237,11 +237,21 @@
 	c.room.Broadcast()
 }
 
+// isBusy reports whether a request has begun that has no response yet.
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasRequest()
+}
+
+// hasRequest is isBusy with the lock held.
+func (c *conn) hasRequest() bool { return !c.ended && (len(c.queue) > 0 || c.writing || c.reading) }
+
 // closeIfIdle closes the connection if no request has begun.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) == 0 && !c.writing && !c.reading && !c.ended {
+	if !c.ended && !c.hasRequest() {
 		c.ended = true
 		_ = c.nc.Close()
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -251,3 +251,22 @@
 		})
 	}
 }
+
+// Guards against a stop that reports requests as cut off though all were answered, since a
+// caller keeps its side of the closed connection open, and against one that is silent about
+// a request without its response.
+func TestWaitTellsUnansweredRequests(t *testing.T) {
+	is := is.New(t)
+	h := newScript(t)
+	s, c := serve(t, h.handle)
+	send(t, c, "/a")
+	h.await(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.Close()
+	is.Equal(s.Wait(ctx), front.UnansweredError{Conns: 1})
+	h.release("/a")
+	_, err := io.ReadAll(c) // the response, and the end of the server's side
+	is.NoErr(err)
+	is.NoErr(s.Wait(ctx))
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -152,7 +153,19 @@
 	}
 }
 
-// Wait returns when all connections have ended, or with the error of ctx.
+// UnansweredError tells that connections ended before all their requests were answered.
+type UnansweredError struct {
+	// Conns is the number of these connections.
+	Conns int
+}
+
+func (e UnansweredError) Error() string {
+	return fmt.Sprintf("%d connections with unanswered requests", e.Conns)
+}
+
+// Wait returns when all connections have ended, or when ctx has: then with an
+// UnansweredError if any has an unanswered request. Others only wait for their callers to
+// close them.
 func (s *Server) Wait(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
@@ -163,6 +176,22 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	if n := s.unanswered(); n > 0 {
+		return UnansweredError{Conns: n}
+	}
+	return nil
+}
+
+// unanswered returns the number of connections with a request that has no response yet.
+func (s *Server) unanswered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if c.isBusy() {
+			n++
+		}
+	}
+	return n
 }
