core/route: try targets without recent calls as if they were fast

Cause: a target without recent calls of its daemon has the service's average as its expected latency. The own average of the only target in use follows its calls faster than the service's, so one first call that is faster than the next ones, or one slow call of the other target before, leaves the target in use below the service's average for dozens of calls, and the other one gets none of them.

Change: once in 15 s of a Picker, a target without a call for 5 s is compared with the latency of the fastest candidate that has recent calls.

--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -35,6 +35,11 @@
 // excess over the service's average and the share of failures halve each
 // second, so that old results don't determine the choice for ever.
 //
+// A target without a call for 5 s has only the service's average, which may stay above the
+// own average of the targets in use. Once in 15 s, the candidates of a decision are
+// therefore also compared as if those without recent calls were as fast as the fastest
+// other one, and the result counts if it differs. Targets in use need no such comparison.
+//
 // # Host slowdown
 //
 // A report may carry the present slowdown factor of the target's host: 1 is the
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -22,6 +22,14 @@
 
 	// idleHalfLife is the half-life of old results while no new ones come in.
 	idleHalfLife = time.Second
+	// maxRecentAge is the age from which on a call no longer tells how fast its target is: a
+	// thirtieth of an excess over the service's average is left.
+	maxRecentAge = 5 * idleHalfLife
+	// exploreInterval is the least time between two calls of a Picker that go to targets
+	// because these have no recent calls. Without such a limit a target three times as slow as
+	// 19 others got 2.8 % instead of 1.6 % of the calls in a queueing loop of 200 daemons
+	// with 2.4 calls/s each, and p99 rose from 1.5 to 10 s.
+	exploreInterval = 15 * time.Second
 
 	// slowdownHalfLife is the half-life of a reported slowdown. Changes are
 	// reported at once, but a target notices them only while it runs calls.
@@ -86,6 +94,11 @@
 	return min(1, max(minSlowStartWeight, float64(now-m.startedAt)/float64(slowStart)))
 }
 
+// hasRecentCalls reports whether a call is in flight or was a short time ago.
+func (m *member) hasRecentCalls(now time.Duration) bool {
+	return m.inFlight > 0 || now-m.observedAt < maxRecentAge
+}
+
 // idleWeight returns the weight of past results, which decays while no call is in
 // flight.
 func (m *member) idleWeight(now time.Duration) float64 {
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -31,6 +31,7 @@
 	picks          uint64        // decisions so far
 	lastTrialAt    time.Duration // last trial call, or the first suspension of any target
 	lastTrialPick  uint64        // value of picks at lastTrialAt
+	exploredAt     time.Duration // last call that only the comparison with a bound gave to its target
 
 	meanLatency    average
 	meanOtherCalls average // reported calls from other daemons, over all targets
@@ -46,6 +47,8 @@
 		selfHash: self,
 		random:   rand.New(rand.NewPCG(o.Seed, self)),
 		byID:     make(map[types.TargetID]*member),
+
+		exploredAt: longAgo,
 	}
 }
 
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -20,10 +20,11 @@
 	defaultLatency = float64(5 * time.Millisecond)
 )
 
-// score returns the estimated wait at m in nanoseconds, with penalties.
-func (p *Picker) score(now time.Duration, m *member) float64 {
+// score returns the estimated wait at m in nanoseconds, with penalties. The expected
+// latency of a call, in nanoseconds as well, counts up to the given bound.
+func (p *Picker) score(now time.Duration, m *member, bound float64) float64 {
 	weight := m.idleWeight(now)
-	latency := m.expectedLatency(now, weight, p.serviceLatency())
+	latency := min(bound, m.expectedLatency(now, weight, p.serviceLatency()))
 	if age := float64(p.calls.oldestAge(now, m) - 2*m.distance); age > 2*latency {
 		latency = age / 2
 	}
--- a/core/route/status.go
+++ b/core/route/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"trefoilthread/core/types"
@@ -37,7 +38,7 @@
 		failureShare:    m.failureShare * w,
 		otherCalls:      p.otherCallsAt(now, m),
 		slowStartWeight: m.slowStartWeight(now),
-		score:           time.Duration(p.score(now, m)),
+		score:           time.Duration(p.score(now, m, math.Inf(1))),
 		reportAge:       -1,
 	}
 	if m.reportedAt != longAgo {
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -44,7 +45,7 @@
 func (v View) Outstanding(i int) int { return v.p.subset[i].inFlight }
 
 // Score returns the estimated wait at target i in nanoseconds, with penalties.
-func (v View) Score(i int) float64 { return v.p.score(v.now, v.p.subset[i]) }
+func (v View) Score(i int) float64 { return v.p.score(v.now, v.p.subset[i], math.Inf(1)) }
 
 // Choices returns the number of targets to compare.
 func (v View) Choices() int { return v.p.opts.Choices }
@@ -58,5 +59,27 @@
 	return v.p.cursor
 }
 
+// scoreWithin is Score with an expected latency of at most bound if the target has no
+// recent calls.
+func (v View) scoreWithin(i int, bound float64) float64 {
+	if v.hasRecentCalls(i) {
+		bound = math.Inf(1)
+	}
+	return v.p.score(v.now, v.p.subset[i], bound)
+}
+
+func (v View) expectedLatency(i int) float64 {
+	m := v.p.subset[i]
+	return m.expectedLatency(v.now, m.idleWeight(v.now), v.p.serviceLatency())
+}
+
+func (v View) hasRecentCalls(i int) bool { return v.p.subset[i].hasRecentCalls(v.now) }
+
+// mayExplore reports whether targets without recent calls are to be compared as if they
+// were as fast as those with recent calls.
+func (v View) mayExplore() bool { return v.now-v.p.exploredAt >= exploreInterval }
+
+func (v View) explored() { v.p.exploredAt = v.now }
+
 func (v View) isSuspended(i int) bool { return v.p.isSuspended(v.now, v.p.subset[i]) }
 func (v View) takeTrial(i int) bool   { return v.p.takeTrial(v.now, v.p.subset[i]) }
