io/agent: test the log line and the counter of messages that can't be decoded

Nothing tested that a call or an answer that can't be decoded shows in the log and in messages_undecoded.

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -152,3 +153,12 @@
 	d.tries.Record(tries.AnswerLost, "", 0)
 	return d.tries.ShouldRetry(func() bool { return true })
 }
+
+// ServeMesh takes connections of other agents on ln until it is closed.
+func ServeMesh(a *Agent, ln net.Listener) error { return a.server.Serve(ln) }
+
+// CallPeer sends a call to the agent at an address.
+func CallPeer(ctx context.Context, a *Agent, addr string) error {
+	_, err := a.client.Call(ctx, addr, new(mesh.CallHead))
+	return err
+}
