io/mesh, io/agent: refuse a query that can't be decoded

Such a query was dropped: its sender waited for its own time limit, 0.45 to 1 s, before it turned to another agent or to the store. It is answered with News that have the new field Refused; the sender's query ends with ErrRefused, and a question for one key isn't repeated until its limit.

Agents before this one still drop the query, and its sender waits as before.

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -130,6 +130,15 @@
 	m.queryAgent(ctx, relay.Source{Node: node}, m.copy.Revision())
 }
 
+// Ask exposes ask, at an agent that is to ask another one, with the answer of that.
+func Ask(ctx context.Context, clock clockwork.Clock, answer func() (*mesh.News, error)) error {
+	m := NewMirror(store.Store{}, clock)
+	m.setNodes([]relay.Peer{{Name: "a", Link: 1}, {Name: "b", Link: 1}})
+	m.sendQuery = func(context.Context, string, *mesh.Query) (*mesh.News, error) { return answer() }
+	_, err := m.ask(ctx, "key", 0, time.Second)
+	return err
+}
+
 // ServeQuery exposes serveQuery.
 func (m *mirror) ServeQuery(ctx context.Context, q *mesh.Query) *mesh.News {
 	return m.serveQuery(ctx, q)
--- a/io/agent/mirror_test.go
+++ b/io/agent/mirror_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
@@ -125,3 +126,16 @@
 	m.ReadStore(t.Context())
 	is.Equal(waited, time.Duration(0))
 }
+
+// Guards against an agent that sends a query again and again, until its time limit, to one
+// that won't answer it, and only then reads the store.
+func TestRefusedQueryIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	asked := 0
+	err := agent.Ask(t.Context(), clockwork.NewFakeClock(), func() (*mesh.News, error) {
+		asked++
+		return nil, errors.Wrap(mesh.ErrRefused, "peer")
+	})
+	is.True(errors.Is(err, mesh.ErrRefused))
+	is.Equal(asked, 1)
+}
--- a/io/agent/tell.go
+++ b/io/agent/tell.go
@@ -42,8 +42,8 @@
 }
 
 // ask asks another agent for the state of a key later than a revision. It fails if this
-// agent is to read the store itself, or if the other one does not have the value within
-// the timeout.
+// agent is to read the store itself, or if the other one refuses the query or does not have
+// the value within the timeout.
 func (m *mirror) ask(ctx context.Context, key string, after int64, timeout time.Duration) (store.Item, error) {
 	m.mu.Lock()
 	node := m.sources.Teller(m.clock.Now())
@@ -55,7 +55,7 @@
 	defer cancel()
 	for {
 		it, err := m.askOnce(ctx, node, key, after)
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || errors.Is(err, mesh.ErrRefused) {
 			return it, err
 		}
 		sleep(ctx, m.clock, tellRetryDelay)
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -24,6 +24,8 @@
 	ErrNoMemory = errors.New("mesh: no memory")
 	// ErrUndecoded means that the answer can't be decoded: the call may have run.
 	ErrUndecoded = errors.New("mesh: answer can't be decoded")
+	// ErrRefused means that the peer doesn't answer the query, and won't if it is sent again.
+	ErrRefused = errors.New("mesh: query refused")
 	// ErrOldPeer means that the message has text that isn't UTF-8 and that the peer's
 	// version can't decode it: it was not sent.
 	ErrOldPeer = errors.New("mesh: the other daemon's version can't decode text that isn't UTF-8")
@@ -117,6 +119,9 @@
 	if _, err := l.call(ctx, kindQuery, q, news); err != nil {
 		return nil, err
 	}
+	if news.Refused != "" {
+		return nil, errors.Wrapf(ErrRefused, "%s: %s", addr, news.Refused)
+	}
 	return news, nil
 }
 
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -25,8 +25,9 @@
 // # Messages that can't be decoded
 //
 // A message that can't be decoded ends its own call only: a call is answered as Refused,
-// an answer ends its call with ErrUndecoded. Others are dropped. Options.Undecoded is told
-// of each. Only a frame over the limit and a failed read or write end the connection.
+// a query ends with ErrRefused at its sender, and an answer ends its call with ErrUndecoded.
+// Others are dropped. Options.Undecoded is told of each. A sender that doesn't know refused
+// queries takes the refusal for news of an old copy without items. Only a frame over the limit and a failed read or write end the connection.
 //
 // # Silence
 //
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -146,6 +146,16 @@
 	Revision int64  `cbor:"3,keyasint,omitempty"` // all changes up to this one are known now
 	AgeMs    int64  `cbor:"4,keyasint,omitempty"` // later changes may be missing if they are not older than this
 	Lost     bool   `cbor:"5,keyasint,omitempty"` // the sender has lost the store
+	Refused  string `cbor:"6,keyasint,omitempty"` // why the query isn't answered, "" if it is
+}
+
+// refusedAge is the age of refused news. Daemons that don't know the field Refused take them
+// for those of a copy that is too old, and turn to another daemon.
+const refusedAge = time.Hour
+
+// refusedNews returns the answer to a query that isn't answered, for a reason.
+func refusedNews(reason string) *News {
+	return &News{Refused: reason, AgeMs: refusedAge.Milliseconds()}
 }
 
 // Item is one key of the store.
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -216,8 +216,8 @@
 	case kindQuery:
 		q := new(Query)
 		if err := f.decode(q); err != nil {
-			p.s.opts.Undecoded(p.from, err) // its sender gives it up, and asks again
-			return nil
+			p.s.opts.Undecoded(p.from, err)
+			return p.out.send(kindNews, f.call, refusedNews("query can't be decoded"))
 		}
 		from := p.from
 		p.start(ctx, f.call, kindNews, func(ctx context.Context) any { return p.s.opts.Query(ctx, from, q) })
