io/httpw: refuse a transfer encoding in HTTP/1.0

A message of HTTP/1.0 with Transfer-Encoding: chunked was read as chunked. Others ignore the field there and take the body for one without a length, so the bytes behind it were another message for them than here: seen by comparing with net/http. RFC 9112, section 6.1: such framing is faulty. The rows of both table tests failed before.

--- a/io/httpw/head.go
+++ b/io/httpw/head.go
@@ -91,14 +91,21 @@
 	return true
 }
 
+// Versions that are understood.
+const (
+	proto10 = "HTTP/1.0"
+	proto11 = "HTTP/1.1"
+)
+
 // framing is how the end of a body is found.
 type framing struct {
 	chunked bool
 	length  int64 // -1: none given
 }
 
-// framingOf reads the framing headers and refuses contradictory ones.
-func framingOf(hdr Header) (framing, error) {
+// framingOf reads the framing headers and refuses contradictory ones. HTTP/1.0 has no transfer
+// encoding: others would take such a body for one without a length (RFC 9112, section 6.1).
+func framingOf(proto string, hdr Header) (framing, error) {
 	f := framing{length: -1}
 	for _, l := range hdr {
 		switch {
@@ -115,6 +122,9 @@
 			f.length = n
 		}
 	}
+	if f.chunked && proto == proto10 {
+		return f, newMessageError(400, "transfer encoding in HTTP/1.0")
+	}
 	if f.chunked && f.length >= 0 {
 		return f, newMessageError(400, "both content length and transfer encoding")
 	}
--- a/io/httpw/httpw_test.go
+++ b/io/httpw/httpw_test.go
@@ -28,6 +28,7 @@
 		"two lengths":         {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
 		"signed length":       {"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", 400},
 		"unknown coding":      {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501},
+		"chunked in HTTP/1.0": {"POST / HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
 		"space before colon":  {"GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", 400},
 		"folded line":         {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400},
 		"bare CR":             {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", 400},
@@ -50,6 +51,19 @@
 	}
 }
 
+// Guards against responses that end elsewhere for this client than for others, which would
+// take the rest for the next response, or as part of the body.
+func TestAmbiguousResponsesAreRefused(t *testing.T) {
+	for name, in := range map[string]string{
+		"chunked in HTTP/1.0": "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := httpw.ReadResponse(reader(in), "GET", limits)
+			is.New(t).True(httpw.IsMessageError(err))
+		})
+	}
+}
+
 // Guards against a pipelined request that begins at the wrong byte.
 func TestPipelinedRequests(t *testing.T) {
 	is := is.New(t)
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -32,21 +32,21 @@
 	if !ok || !isToken(method) || !isTarget(target) {
 		return nil, newMessageError(400, "malformed request line")
 	}
-	if proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+	if proto != proto11 && proto != proto10 {
 		return nil, newMessageError(400, "protocol %q", proto)
 	}
 	r := &RequestHead{Request: Request{Method: method, Target: target}}
 	if r.Header, err = h.fields(); err != nil {
 		return nil, err
 	}
-	if r.frame, err = framingOf(r.Header); err != nil {
+	if r.frame, err = framingOf(proto, r.Header); err != nil {
 		return nil, err
 	}
 	if r.frame.length > lim.BodyBytes {
 		return nil, newMessageError(413, "body longer than %d bytes", lim.BodyBytes)
 	}
 	r.Close = r.Header.hasToken("Connection", "close") ||
-		proto == "HTTP/1.0" && !r.Header.hasToken("Connection", "keep-alive")
+		proto == proto10 && !r.Header.hasToken("Connection", "keep-alive")
 	return r, nil
 }
 
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, keepAlive, err := parseStatus(line)
+	resp, proto, err := parseStatus(line)
 	if err != nil {
 		return nil, err
 	}
@@ -44,12 +44,12 @@
 	if isJoined(resp) {
 		return nil, newMessageError(400, "response that breaks off before another one")
 	}
-	frame, err := framingOf(resp.Header)
+	frame, err := framingOf(proto, resp.Header)
 	if err != nil {
 		return nil, err
 	}
 	resp.Close = resp.Header.hasToken("Connection", "close") ||
-		!keepAlive && !resp.Header.hasToken("Connection", "keep-alive")
+		proto == proto10 && !resp.Header.hasToken("Connection", "keep-alive")
 	if !hasBody(resp.Status, method) {
 		return resp, nil
 	}
@@ -73,17 +73,17 @@
 	return resp, nil
 }
 
-func parseStatus(line string) (resp *Response, keepAlive bool, err error) {
+func parseStatus(line string) (resp *Response, proto string, err error) {
 	proto, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
-	if proto != "HTTP/1.1" && proto != "HTTP/1.0" || len(code) != 3 {
-		return nil, false, newMessageError(400, "malformed status line")
+	if proto != proto11 && proto != proto10 || len(code) != 3 {
+		return nil, "", newMessageError(400, "malformed status line")
 	}
 	status, err := strconv.Atoi(code)
 	if err != nil || status < 100 {
-		return nil, false, newMessageError(400, "status %q", code)
+		return nil, "", newMessageError(400, "status %q", code)
 	}
-	return &Response{Status: status, Reason: reason}, proto == "HTTP/1.1", nil
+	return &Response{Status: status, Reason: reason}, proto, nil
 }
 
 // statusLine matches the beginning of a status line.
