io/httpw: refuse chunked bodies whose lines end with a bare LF

The line with the size of a chunk, the one behind its bytes and those of the trailer could end with a bare LF. RFC 9112 allows that for the start line and fields: who reads on to CRLF takes the next line for a part of the extension, and finds another body or another end. Seen by comparing with net/http, which refuses it. Trailer fields would be allowed, but their end is that of the message. All five rows of the table tests failed before.

--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -53,7 +53,7 @@
 	var body []byte
 	extensions := 0
 	for {
-		h := head{br: br, left: maxChunkLine, part: "chunk line"}
+		h := head{br: br, left: maxChunkLine, part: "chunk line", strict: true}
 		line, err := h.line()
 		if err != nil {
 			return nil, noEOF(err)
--- a/io/httpw/head.go
+++ b/io/httpw/head.go
@@ -14,10 +14,13 @@
 	br   *bufio.Reader
 	left int
 	part string // for errors
+	// strict means that lines end with CRLF. With a bare LF at the end of a chunk size, others
+	// take the next line for a part of the extension (RFC 9112, section 7.1).
+	strict bool
 }
 
-// line reads one line without its end. A bare LF ends a line as well, as
-// RFC 9112 allows; a bare CR does not.
+// line reads one line without its end. A bare LF ends a line as well unless strict is set,
+// as RFC 9112 allows for the start line and fields; a bare CR does not.
 func (h *head) line() (string, error) {
 	var long []byte
 	for {
@@ -39,7 +42,10 @@
 		if long != nil {
 			part = append(long, part...)
 		}
-		s := strings.TrimSuffix(string(part[:len(part)-1]), "\r")
+		s, crlf := strings.CutSuffix(string(part[:len(part)-1]), "\r")
+		if h.strict && !crlf {
+			return "", newMessageError(400, "%s without CR", h.part)
+		}
 		if strings.ContainsAny(s, "\r\x00") {
 			return "", newMessageError(400, "control character in header")
 		}
--- a/io/httpw/httpw_test.go
+++ b/io/httpw/httpw_test.go
@@ -24,22 +24,26 @@
 		in     string
 		status int
 	}{
-		"both framings":       {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
-		"two lengths":         {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
-		"signed length":       {"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", 400},
-		"unknown coding":      {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501},
-		"chunked in HTTP/1.0": {"POST / HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
-		"space before colon":  {"GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", 400},
-		"folded line":         {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400},
-		"bare CR":             {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", 400},
-		"no target":           {"GET HTTP/1.1\r\n\r\n", 400},
-		"absolute target":     {"GET http://a/ HTTP/1.1\r\n\r\n", 400},
-		"other protocol":      {"GET / HTTP/2.0\r\n\r\n", 400},
-		"hexadecimal prefix":  {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n", 400},
-		"chunk over its size": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", 400},
-		"long header":         {"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 2000) + "\r\n\r\n", 431},
-		"long body":           {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413},
-		"long chunked body":   {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1fff\r\n", 413},
+		"both framings":          {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"two lengths":            {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+		"signed length":          {"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", 400},
+		"unknown coding":         {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501},
+		"chunked in HTTP/1.0":    {"POST / HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"space before colon":     {"GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", 400},
+		"folded line":            {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400},
+		"bare CR":                {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", 400},
+		"no target":              {"GET HTTP/1.1\r\n\r\n", 400},
+		"absolute target":        {"GET http://a/ HTTP/1.1\r\n\r\n", 400},
+		"other protocol":         {"GET / HTTP/2.0\r\n\r\n", 400},
+		"hexadecimal prefix":     {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n", 400},
+		"size line ends with LF": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;a\na\r\n0\r\n\r\n", 400},
+		"chunk ends with LF":     {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\n0\r\n\r\n", 400},
+		"trailer ends with LF":   {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\n", 400},
+		"last size ends with LF": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\n\r\n", 400},
+		"chunk over its size":    {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", 400},
+		"long header":            {"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 2000) + "\r\n\r\n", 431},
+		"long body":              {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413},
+		"long chunked body":      {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1fff\r\n", 413},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -55,7 +59,8 @@
 // take the rest for the next response, or as part of the body.
 func TestAmbiguousResponsesAreRefused(t *testing.T) {
 	for name, in := range map[string]string{
-		"chunked in HTTP/1.0": "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"chunked in HTTP/1.0":    "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"size line ends with LF": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0;a\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := httpw.ReadResponse(reader(in), "GET", limits)
