io/httpw: refuse a request with two Host lines

The first of them chose the route, and both were passed on: another server may take the last one, so that a request passes under one host and runs under another. RFC 9112, section 3.2: answer it with 400. Found by FuzzRequest's comparison with net/http. The row of the table test failed before.

--- a/io/httpw/doc.go
+++ b/io/httpw/doc.go
@@ -12,9 +12,10 @@
 // Messages whose framing could be understood in two ways are refused: both
 // Content-Length and Transfer-Encoding, Transfer-Encoding in HTTP/1.0, different lengths,
 // line folding, white space before a colon, CR and NUL within a line, chunk sizes that
-// are no plain hexadecimal number, and lines of a chunked body that end with a bare LF. So is
-// a response whose status line or a header value goes on with a status line: it broke off
-// there, and another one follows. What is written has exactly one framing.
+// are no plain hexadecimal number, and lines of a chunked body that end with a bare LF. So are
+// requests with two Host lines, and a response whose status line or a header value goes on
+// with a status line: it broke off there, and another one follows. What is written has
+// exactly one framing.
 //
 // # Bounds
 //
--- a/io/httpw/header.go
+++ b/io/httpw/header.go
@@ -30,6 +30,16 @@
 	return "", false
 }
 
+// count returns the number of lines with the name.
+func (h Header) count(name string) (n int) {
+	for i := range h {
+		if strings.EqualFold(h[i].Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // Add appends a line.
 func (h *Header) Add(name, value string) {
 	*h = append(*h, Field{Name: name, Value: value})
--- a/io/httpw/httpw_test.go
+++ b/io/httpw/httpw_test.go
@@ -32,6 +32,7 @@
 		"space before colon":     {"GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", 400},
 		"folded line":            {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400},
 		"bare CR":                {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", 400},
+		"two hosts":              {"GET / HTTP/1.1\r\nHost: a\r\nhost: b\r\n\r\n", 400},
 		"no target":              {"GET HTTP/1.1\r\n\r\n", 400},
 		"absolute target":        {"GET http://a/ HTTP/1.1\r\n\r\n", 400},
 		"other protocol":         {"GET / HTTP/2.0\r\n\r\n", 400},
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -39,6 +39,9 @@
 	if r.Header, err = h.fields(); err != nil {
 		return nil, err
 	}
+	if r.Header.count("Host") > 1 { // another server may take the last one
+		return nil, newMessageError(400, "more than one host")
+	}
 	if r.frame, err = framingOf(proto, r.Header); err != nil {
 		return nil, err
 	}
