io/httpw: tell the part of a message that broke off

Errors named what was wrong in their text only, and none told how many bytes had come. Progress returns the part and its bytes, for messages beyond the bounds and for connections that end within one. A connection that ends behind an interim response is an unexpected end now, as it is within a head.

--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -22,6 +22,9 @@
 	readStep = 256 << 10
 )
 
+// bodyAt is the position behind n bytes of a body.
+func bodyAt(n int) position { return position{part: PartBody, read: int64(n)} }
+
 // readLength reads a body of n bytes.
 func readLength(br *bufio.Reader, n int64, memory *Holding) ([]byte, error) {
 	if n == 0 {
@@ -35,12 +38,12 @@
 	for n > 0 {
 		step := int(min(n, readStep))
 		at := len(body)
-		if err := memory.grow(int64(at + step)); err != nil {
+		if err := memory.grow(int64(at+step), at); err != nil {
 			return nil, err
 		}
 		body = append(body, make([]byte, step)...)
-		if _, err := io.ReadFull(br, body[at:]); err != nil {
-			return nil, noEOF(err)
+		if got, err := io.ReadFull(br, body[at:]); err != nil {
+			return nil, cutAt(bodyAt(at+got), err)
 		}
 		n -= int64(step)
 	}
@@ -52,36 +55,37 @@
 func readChunked(br *bufio.Reader, limit int64, memory *Holding) ([]byte, error) {
 	var body []byte
 	extensions := 0
+	h := head{position: position{part: PartChunk}, br: br, name: "chunk line", strict: true}
 	for {
-		h := head{br: br, left: maxChunkLine, part: "chunk line", strict: true}
+		h.left = maxChunkLine
 		line, err := h.line()
 		if err != nil {
-			return nil, noEOF(err)
+			return nil, err
 		}
 		if extensions += max(len(line)-maxChunkDigits, 0); extensions > maxExtensions {
-			return nil, newMessageError(400, "chunk extensions longer than %d bytes", maxExtensions)
+			return nil, h.refuse(400, "chunk extensions longer than %d bytes", maxExtensions)
 		}
 		size, ok := parseChunkSize(line)
 		if !ok {
-			return nil, newMessageError(400, "malformed chunk size")
+			return nil, h.refuse(400, "malformed chunk size")
 		}
 		if size == 0 {
-			h.left, h.part = maxTrailer, "trailer"
+			h.left, h.name, h.position = maxTrailer, "trailer", position{part: PartTrailer}
 			_, err := h.fields()
 			return body, err
 		}
 		if int64(len(body))+size > limit {
-			return nil, newMessageError(413, "body longer than %d bytes", limit)
+			return nil, newMessageError(413, bodyAt(len(body)), "body longer than %d bytes", limit)
 		}
 		if body, err = appendBytes(br, body, size, memory); err != nil {
 			return nil, err
 		}
 		end, err := h.line()
 		if err != nil {
-			return nil, noEOF(err)
+			return nil, err
 		}
 		if end != "" {
-			return nil, newMessageError(400, "chunk longer than its size")
+			return nil, h.refuse(400, "chunk longer than its size")
 		}
 	}
 }
--- a/io/httpw/budget.go
+++ b/io/httpw/budget.go
@@ -37,7 +37,7 @@
 // Budget has no bound.
 func (b *Budget) Hold(n int64) (*Holding, bool) {
 	h := &Holding{budget: b}
-	return h, h.grow(n) == nil
+	return h, h.grow(n, 0) == nil
 }
 
 // Holding is the part of a Budget that the body of one message holds. It belongs to one
@@ -50,16 +50,16 @@
 
 // Grow takes what a body needs that has grown to n bytes, and reports whether there was
 // enough.
-func (h *Holding) Grow(n int64) bool { return h == nil || h.grow(n) == nil }
+func (h *Holding) Grow(n int64) bool { return h == nil || h.grow(n, 0) == nil }
 
-// grow takes what a body of n bytes needs beyond what it holds.
-func (h *Holding) grow(n int64) error {
+// grow takes what a body of n bytes, of which some were read, needs beyond what it holds.
+func (h *Holding) grow(n int64, read int) error {
 	need := n - freeBody - h.taken
 	if h.budget == nil || need <= 0 {
 		return nil
 	}
 	if !h.budget.take(need) {
-		return newMessageError(503, "no memory for a body of %d bytes", n)
+		return newMessageError(503, position{PartMemory, int64(read)}, "no memory for a body of %d bytes", n)
 	}
 	h.taken += need
 	return nil
--- a/io/httpw/head.go
+++ b/io/httpw/head.go
@@ -11,14 +11,20 @@
 // head reads the lines of one message head, or of another part of a message, within a limit
 // in bytes.
 type head struct {
+	position
 	br   *bufio.Reader
 	left int
-	part string // for errors
+	name string // of the part, for errors
 	// strict means that lines end with CRLF. With a bare LF at the end of a chunk size, others
 	// take the next line for a part of the extension (RFC 9112, section 7.1).
 	strict bool
 }
 
+// newHead returns the reader of the start line and header lines of a message.
+func newHead(br *bufio.Reader, lim Limits) *head {
+	return &head{position: position{part: PartHead}, br: br, left: lim.HeaderBytes, name: "header"}
+}
+
 // line reads one line without its end. A bare LF ends a line as well unless strict is set,
 // as RFC 9112 allows for the start line and fields; a bare CR does not.
 func (h *head) line() (string, error) {
@@ -26,28 +32,29 @@
 	for {
 		part, err := h.br.ReadSlice('\n')
 		h.left -= len(part)
+		h.read += int64(len(part))
 		if h.left < 0 {
-			return "", newMessageError(431, "%s longer than allowed", h.part)
+			return "", h.refuse(431, "%s longer than allowed", h.name)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			long = append(long, part...)
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(part)+len(long) > 0 {
-				err = io.ErrUnexpectedEOF
+			if errors.Is(err, io.EOF) && h.part == PartHead && h.read == 0 {
+				return "", io.EOF
 			}
-			return "", err
+			return "", cutAt(h.position, err)
 		}
 		if long != nil {
 			part = append(long, part...)
 		}
 		s, crlf := strings.CutSuffix(string(part[:len(part)-1]), "\r")
 		if h.strict && !crlf {
-			return "", newMessageError(400, "%s without CR", h.part)
+			return "", h.refuse(400, "%s without CR", h.name)
 		}
 		if strings.ContainsAny(s, "\r\x00") {
-			return "", newMessageError(400, "control character in header")
+			return "", h.refuse(400, "control character in header")
 		}
 		return s, nil
 	}
@@ -59,25 +66,22 @@
 	for {
 		s, err := h.line()
 		if err != nil {
-			return nil, noEOF(err)
+			return nil, err
 		}
 		if s == "" {
 			return hdr, nil
 		}
 		name, value, ok := strings.Cut(s, ":")
 		if !ok || !isToken(name) {
-			return nil, newMessageError(400, "malformed header line")
+			return nil, h.refuse(400, "malformed header line")
 		}
 		hdr = append(hdr, Field{Name: name, Value: strings.Trim(value, " \t")})
 	}
 }
 
-// noEOF turns an end between two bytes of a message into an unexpected one.
-func noEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
+// refuse returns the error for bytes that are no valid message, or beyond a limit.
+func (h *head) refuse(status int, format string, args ...any) *MessageError {
+	return newMessageError(status, h.position, format, args...)
 }
 
 // isToken reports whether s is a token of RFC 9110.
@@ -109,30 +113,30 @@
 	length  int64 // -1: none given
 }
 
-// framingOf reads the framing headers and refuses contradictory ones. HTTP/1.0 has no transfer
+// framing reads the framing headers and refuses contradictory ones. HTTP/1.0 has no transfer
 // encoding: others would take such a body for one without a length (RFC 9112, section 6.1).
-func framingOf(proto string, hdr Header) (framing, error) {
+func (h *head) framing(proto string, hdr Header) (framing, error) {
 	f := framing{length: -1}
 	for _, l := range hdr {
 		switch {
 		case strings.EqualFold(l.Name, "Transfer-Encoding"):
 			if f.chunked || !strings.EqualFold(l.Value, "chunked") {
-				return f, newMessageError(501, "transfer encoding %q", l.Value)
+				return f, h.refuse(501, "transfer encoding %q", l.Value)
 			}
 			f.chunked = true
 		case strings.EqualFold(l.Name, "Content-Length"):
 			n, ok := parseLength(l.Value)
 			if !ok || f.length >= 0 && f.length != n {
-				return f, newMessageError(400, "content length %q", l.Value)
+				return f, h.refuse(400, "content length %q", l.Value)
 			}
 			f.length = n
 		}
 	}
 	if f.chunked && proto == proto10 {
-		return f, newMessageError(400, "transfer encoding in HTTP/1.0")
+		return f, h.refuse(400, "transfer encoding in HTTP/1.0")
 	}
 	if f.chunked && f.length >= 0 {
-		return f, newMessageError(400, "both content length and transfer encoding")
+		return f, h.refuse(400, "both content length and transfer encoding")
 	}
 	return f, nil
 }
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -18,10 +18,11 @@
 // ReadRequestHead reads up to the empty line. It returns io.EOF if the
 // connection ends before the first byte.
 func ReadRequestHead(br *bufio.Reader, lim Limits) (*RequestHead, error) {
-	h := head{br: br, left: lim.HeaderBytes, part: "header"}
+	h := newHead(br, lim)
 	line, err := h.line()
 	// A sender may end its previous body with an empty line too many.
 	if err == nil && line == "" {
+		h.read = 0
 		line, err = h.line()
 	}
 	if err != nil {
@@ -30,23 +31,23 @@
 	method, rest, _ := strings.Cut(line, " ")
 	target, proto, ok := strings.Cut(rest, " ")
 	if !ok || !isToken(method) || !isTarget(target) {
-		return nil, newMessageError(400, "malformed request line")
+		return nil, h.refuse(400, "malformed request line")
 	}
 	if proto != proto11 && proto != proto10 {
-		return nil, newMessageError(400, "protocol %q", proto)
+		return nil, h.refuse(400, "protocol %q", proto)
 	}
 	r := &RequestHead{Request: Request{Method: method, Target: target}}
 	if r.Header, err = h.fields(); err != nil {
 		return nil, err
 	}
 	if r.Header.count("Host") > 1 { // another server may take the last one
-		return nil, newMessageError(400, "more than one host")
+		return nil, h.refuse(400, "more than one host")
 	}
-	if r.frame, err = framingOf(proto, r.Header); err != nil {
+	if r.frame, err = h.framing(proto, r.Header); err != nil {
 		return nil, err
 	}
 	if r.frame.length > lim.BodyBytes {
-		return nil, newMessageError(413, "body longer than %d bytes", lim.BodyBytes)
+		return nil, newMessageError(413, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
 	}
 	r.Close = r.Header.hasToken("Connection", "close") ||
 		proto == proto10 && !r.Header.hasToken("Connection", "keep-alive")
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -19,22 +19,24 @@
 // before the first byte. A response that is cut is an error: also one without
 // a length whose connection is reset instead of closed.
 func ReadResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
+	h := newHead(br, lim)
 	for range maxInterim + 1 {
-		resp, err := readResponse(br, method, lim)
+		h.left = lim.HeaderBytes
+		resp, err := readResponse(h, method, lim)
 		if err != nil || resp.Status >= 200 {
 			return resp, err
 		}
 	}
-	return nil, newMessageError(400, "more than %d interim responses", maxInterim)
+	return nil, newMessageError(400, position{PartInterim, h.read}, "more than %d interim responses", maxInterim)
 }
 
-func readResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
-	h := head{br: br, left: lim.HeaderBytes, part: "header"}
+// readResponse reads a response whose head begins at h.
+func readResponse(h *head, method string, lim Limits) (*Response, error) {
 	line, err := h.line()
 	if err != nil {
 		return nil, err
 	}
-	resp, proto, err := parseStatus(line)
+	resp, proto, err := h.parseStatus(line)
 	if err != nil {
 		return nil, err
 	}
@@ -42,9 +44,9 @@
 		return nil, err
 	}
 	if isJoined(resp) {
-		return nil, newMessageError(400, "response that breaks off before another one")
+		return nil, h.refuse(400, "response that breaks off before another one")
 	}
-	frame, err := framingOf(proto, resp.Header)
+	frame, err := h.framing(proto, resp.Header)
 	if err != nil {
 		return nil, err
 	}
@@ -56,14 +58,14 @@
 	memory := &Holding{budget: lim.Budget}
 	switch {
 	case frame.chunked:
-		resp.Body, err = readChunked(br, lim.BodyBytes, memory)
+		resp.Body, err = readChunked(h.br, lim.BodyBytes, memory)
 	case frame.length > lim.BodyBytes:
-		err = newMessageError(400, "body longer than %d bytes", lim.BodyBytes)
+		err = newMessageError(400, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
 	case frame.length >= 0:
-		resp.Body, err = readLength(br, frame.length, memory)
+		resp.Body, err = readLength(h.br, frame.length, memory)
 	default:
 		resp.Close, resp.NoLength = true, true
-		resp.Body, err = readToEnd(br, lim.BodyBytes, memory)
+		resp.Body, err = readToEnd(h.br, lim.BodyBytes, memory)
 	}
 	if err != nil {
 		memory.Release()
@@ -73,15 +75,15 @@
 	return resp, nil
 }
 
-func parseStatus(line string) (resp *Response, proto string, err error) {
+func (h *head) parseStatus(line string) (resp *Response, proto string, err error) {
 	proto, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
 	if proto != proto11 && proto != proto10 || len(code) != 3 {
-		return nil, "", newMessageError(400, "malformed status line")
+		return nil, "", h.refuse(400, "malformed status line")
 	}
 	status, err := strconv.Atoi(code)
 	if err != nil || status < 100 {
-		return nil, "", newMessageError(400, "status %q", code)
+		return nil, "", h.refuse(400, "status %q", code)
 	}
 	return &Response{Status: status, Reason: reason}, proto, nil
 }
@@ -112,7 +114,7 @@
 	body := make([]byte, 0, firstStep)
 	for {
 		if len(body) == cap(body) {
-			if err := memory.grow(int64(2 * cap(body))); err != nil {
+			if err := memory.grow(int64(2*cap(body)), len(body)); err != nil {
 				return nil, err
 			}
 			body = slices.Grow(body, cap(body))
@@ -121,11 +123,11 @@
 		body = body[:len(body)+n]
 		switch {
 		case int64(len(body)) > limit:
-			return nil, newMessageError(400, "body longer than %d bytes", limit)
+			return nil, newMessageError(400, bodyAt(len(body)), "body longer than %d bytes", limit)
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
-			return nil, err
+			return nil, cutAt(bodyAt(len(body)), err)
 		}
 	}
 }
@@ -168,10 +170,3 @@
 	buf = appendLength(buf, len(r.Body))
 	return append(buf, "\r\n"...)
 }
-
-// IsMessageError reports whether err is about the bytes of a message, not the
-// connection.
-func IsMessageError(err error) bool {
-	var bad *MessageError
-	return errors.As(err, &bad)
-}
