io/agent, io/front, io/local: log and count the part that broke off

The lines call ended, request ended and health check named the cause of a broken message in their text only, not how much had come, and no counter told the causes apart. They have part and readBytes now, also when the deadline ended a response, and responses_broken and requests_unread count by part.

Callers' requests that aren't read still have no id, as before.

--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -83,15 +83,15 @@
 
 // refuse returns the response to bytes that are not a valid request, or to a request for
 // whose body there is no memory.
-func (e *entry) refuse(status int) *httpw.Response {
-	if status == http.StatusServiceUnavailable {
+func (e *entry) refuse(err *httpw.MessageError) *httpw.Response {
+	if part, _ := httpw.Progress(err); part == httpw.PartMemory {
 		const reason = "no memory for the body"
-		e.logRejected(RequestInfo{}, "", status, reason)
+		e.logUnread(err, reason)
 		return e.wire.Refusal(reason, memoryRetryDelay)
 	}
 	const reason = "request not understood, or longer than allowed"
-	e.logRejected(RequestInfo{}, "", status, reason)
-	return plain(status, reason)
+	e.logUnread(err, reason)
+	return plain(err.Status(), reason)
 }
 
 // plain returns a response of the agent itself, with reason as text.
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -166,6 +166,9 @@
 // ServeMesh takes connections of other agents on ln until it is closed.
 func ServeMesh(a *Agent, ln net.Listener) error { return a.server.Serve(ln) }
 
+// ServeCallers takes connections of callers on ln until it is closed.
+func ServeCallers(a *Agent, ln net.Listener) error { return a.front.Serve(ln) }
+
 // CallPeer sends a call to the agent at an address.
 func CallPeer(ctx context.Context, a *Agent, addr string) error {
 	_, err := a.client.Call(ctx, addr, new(mesh.CallHead))
--- a/io/agent/logging.go
+++ b/io/agent/logging.go
@@ -1,10 +1,12 @@
 package agent
 
 import (
+	"context"
 	"strings"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"trefoilthread/core/beat"
 	"trefoilthread/io/front"
@@ -27,6 +29,17 @@
 	}).Warn("request ended")
 }
 
+// logUnread logs and counts a request that was refused before it was read: its id isn't known.
+func (e *entry) logUnread(err *httpw.MessageError, reason string) {
+	e.metrics.recordResponse(err.Status(), 0)
+	e.metrics.countBroken("requests_unread", err)
+	fields := log.Fields{
+		"request": "", "host": "", "service": "", "status": err.Status(), "reason": reason, "config": e.table.version(),
+	}
+	addProgress(fields, err)
+	e.log.WithFields(fields).WithError(err).Warn("request ended")
+}
+
 // recordEnd logs and counts the end of a request, with the attempts that led to the
 // response.
 func (e *entry) recordEnd(q *request, d *dispatch, resp *httpw.Response) {
@@ -70,17 +83,31 @@
 }
 
 // recordCall logs and counts a call at the target on this VM, with the load of its gate.
-func (t *localTarget) recordCall(head *mesh.CallHead, ans *mesh.Answer, took time.Duration) {
+// broken is the error of the target's response, nil if there is none.
+func (t *localTarget) recordCall(head *mesh.CallHead, ans *mesh.Answer, broken error, took time.Duration) {
 	t.metrics.recordCall(resultNames[ans.Result], took)
 	if ans.Result == mesh.Answered && !t.metrics.mayLogRoutine(t.clock.Now()) {
 		return
 	}
-	t.log.WithFields(log.Fields{
+	fields := log.Fields{
 		"request": head.ID, "service": head.Service, "route": head.Route, "target": head.Target, "result": resultNames[ans.Result],
 		"reason": ans.Reason, "tookMs": took.Milliseconds(), "leftMs": head.RemainingMs - took.Milliseconds(),
 		"running": ans.Load.InFlight, "waiting": ans.Load.Queued, "limit": ans.Load.Limit, "pace": ans.Load.Pace,
 		"latencyMs": ans.Load.LatencyUs / 1000, "config": head.Config,
-	}).Info("call ended")
+	}
+	if broken != nil && (ans.Result == mesh.Broken || ans.Result == mesh.Expired) {
+		addProgress(fields, broken)
+	}
+	if broken != nil && ans.Result == mesh.Broken && !errors.IsAny(broken, context.Canceled, context.DeadlineExceeded) {
+		t.metrics.countBroken("responses_broken", broken) // not cut by the end of a planned stop
+	}
+	t.log.WithFields(fields).Info("call ended")
+}
+
+// addProgress adds the part of a message that err broke off, and how many bytes of it had come.
+func addProgress(fields log.Fields, err error) {
+	part, read := httpw.Progress(err)
+	fields["part"], fields["readBytes"] = part.String(), read
 }
 
 // logBadHealth logs a health check whose response was no HTTP or exceeded a bound. That a
@@ -89,8 +116,10 @@
 	if !httpw.IsMessageError(err) {
 		return
 	}
-	t.log.WithField("target", string(cur.ID)).WithField("service", string(cur.Service)).WithError(err).
-		Warn("health check: target's response broke off")
+	t.metrics.countBroken("responses_broken", err)
+	fields := log.Fields{"target": string(cur.ID), "service": string(cur.Service)}
+	addProgress(fields, err)
+	t.log.WithFields(fields).WithError(err).Warn("health check: target's response broke off")
 }
 
 // recordDropped logs and counts a response of the target that is not the one to req, a
--- a/io/agent/metrics.go
+++ b/io/agent/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
+
+	"trefoilthread/io/httpw"
 )
 
 // metrics holds the metrics of an agent and the rate limit of its routine log lines.
@@ -60,6 +62,13 @@
 	m.targetLatency.RecordDuration(took)
 }
 
+// countBroken adds one to the counter with a name of messages that broke off, by the part in
+// which err did it.
+func (m *metrics) countBroken(name string, err error) {
+	part, _ := httpw.Progress(err)
+	m.scope.Tagged(map[string]string{"part": part.String()}).Counter(name).Inc(1)
+}
+
 // countEvent adds one to the counter with a name.
 func (m *metrics) countEvent(name string) { m.scope.Counter(name).Inc(1) }
 
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -17,7 +17,7 @@
 func (t *localTarget) serve(ctx context.Context, head *mesh.CallHead) *mesh.Answer {
 	began := t.clock.Now()
 	named := head.Target
-	ans := t.admitAndRun(ctx, head)
+	ans, broken := t.admitAndRun(ctx, head)
 	t.mu.Lock()
 	ans.Load = t.load()
 	ans.Instead = t.replacement(named)
@@ -25,11 +25,13 @@
 	if head.Target != named {
 		ans.Target = head.Target
 	}
-	t.recordCall(head, ans, t.clock.Since(began))
+	t.recordCall(head, ans, broken, t.clock.Since(began))
 	return ans
 }
 
-func (t *localTarget) admitAndRun(ctx context.Context, head *mesh.CallHead) *mesh.Answer {
+// admitAndRun runs a call at the target, or refuses it. It returns the error of the target's
+// response as well, nil if there is none.
+func (t *localTarget) admitAndRun(ctx context.Context, head *mesh.CallHead) (ans *mesh.Answer, broken error) {
 	t.measurePace(ctx)
 	now := t.clock.Now()
 	if s := t.stop(); s != nil {
@@ -37,16 +39,16 @@
 	}
 	call, err := callOf(now, head)
 	if err != nil {
-		return refused("call not understood: "+err.Error(), 0)
+		return refused("call not understood: "+err.Error(), 0), nil
 	}
 	fp := fingerprintOf(head)
 	ticket, refusal := t.admit(ctx, now, call, head, fp)
 	if refusal != nil {
-		return refusal
+		return refusal, nil
 	}
 	if !t.suspects.begin(fp) {
 		t.release(ticket)
-		return refused("request has crashed targets and others are suspects here", 0)
+		return refused("request has crashed targets and others are suspects here", 0), nil
 	}
 	ctx, cancel := t.runContext(ctx, call)
 	defer cancel()
@@ -63,7 +65,7 @@
 	events := t.gate.Done(t.clock.Now(), ticket, t.clock.Since(start), failed)
 	t.mu.Unlock()
 	t.deliver(events)
-	return ans
+	return ans, err
 }
 
 // release returns the slot of a call that does not run.
--- a/io/front/bench_test.go
+++ b/io/front/bench_test.go
@@ -40,7 +40,7 @@
 		Handle: func(context.Context, *httpw.Request) *httpw.Response {
 			return &httpw.Response{Status: 200, Body: []byte("ok")}
 		},
-		Refuse: func(status int) *httpw.Response { return &httpw.Response{Status: status} },
+		Refuse: func(err *httpw.MessageError) *httpw.Response { return &httpw.Response{Status: err.Status()} },
 		Failed: func(err error) { b.Error(err) }, Held: func(front.Hold) {}, Clock: clockwork.NewRealClock(),
 		Bounds: func() front.Bounds { return front.Bounds{Message: limits, Header: patience, Idle: patience} },
 	})
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -178,7 +178,7 @@
 	if errors.As(err, &bad) {
 		x := &exchange{req: new(httpw.Request), came: c.s.opts.Clock.Now()}
 		if c.enqueue(x, true) {
-			c.answer(x, c.s.opts.Refuse(bad.Status()))
+			c.answer(x, c.s.opts.Refuse(bad))
 		}
 		c.awaitClose()
 		return
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -59,7 +59,7 @@
 	t.Helper()
 	s := front.New(front.Options{
 		Handle: handle, Clock: clockwork.NewRealClock(),
-		Refuse: func(status int) *httpw.Response { return &httpw.Response{Status: status} },
+		Refuse: func(err *httpw.MessageError) *httpw.Response { return &httpw.Response{Status: err.Status()} },
 		Failed: func(err error) { t.Error(err) },
 		Held:   held,
 		Bounds: bounds,
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -35,8 +35,8 @@
 	// Handle returns the response to a request. Its context ends when the
 	// caller has closed the connection, or by Cancel.
 	Handle func(ctx context.Context, req *httpw.Request) *httpw.Response
-	// Refuse returns the response to bytes that are no valid request.
-	Refuse func(status int) *httpw.Response
+	// Refuse returns the response to bytes that are no valid request, with the status of err.
+	Refuse func(err *httpw.MessageError) *httpw.Response
 	// Bounds returns the bounds in force.
 	Bounds func() Bounds
 	// Held is told of a response that waited for an earlier one of its
--- a/io/local/client.go
+++ b/io/local/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -126,7 +127,7 @@
 	resp, err := c.exchange(cn, req)
 	isOpen := stop()
 	if !isOpen && err != nil {
-		err = errors.Wrapf(ctx.Err(), "%v", err)
+		err = fmt.Errorf("%w: %w", err, ctx.Err())
 	}
 	if err != nil || !isOpen || !c.keep(cn, resp) {
 		_ = cn.nc.Close()
