io/agent: bound the age that agents tell of their copies

An agent whose copy was never current told the longest time there is as its age. The agent that asked added by how much the answer was late: from 0.8 ms on the sum overflowed to a negative age, and its own copy counted as current until the year 2318, so it no longer read the store by itself when the agents that it asks fell behind. It happens when agents start while the store is down. The test failed before.

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -126,7 +126,12 @@
 
 // QueryAgent exposes queryAgent, with the answer of the other agent.
 func (m *mirror) QueryAgent(ctx context.Context, node string, news *mesh.News) {
-	m.sendQuery = func(context.Context, string, *mesh.Query) (*mesh.News, error) { return news, nil }
+	m.QueryAgentWith(ctx, node, func() *mesh.News { return news })
+}
+
+// QueryAgentWith exposes queryAgent, with what the other agent does to answer.
+func (m *mirror) QueryAgentWith(ctx context.Context, node string, answer func() *mesh.News) {
+	m.sendQuery = func(context.Context, string, *mesh.Query) (*mesh.News, error) { return answer(), nil }
 	m.queryAgent(ctx, relay.Source{Node: node}, m.copy.Revision())
 }
 
--- a/io/agent/mirror_test.go
+++ b/io/agent/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"sync"
 	"testing"
@@ -139,3 +140,23 @@
 	is.True(errors.Is(err, mesh.ErrRefused))
 	is.Equal(asked, 1)
 }
+
+// Guards against an agent that takes its copy for current for ever, as it has asked one that
+// has learned nothing yet either: the age of that copy is the longest time that there is,
+// and the answer was late.
+func TestCopyOfUnknownAgeIsOld(t *testing.T) {
+	const late = time.Second
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m, other := agent.NewMirror(store.Store{}, clock), agent.NewMirror(store.Store{}, clock)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	m.QueryAgentWith(t.Context(), "other", func() *mesh.News {
+		clock.Advance(late)
+		news := other.ServeQuery(ended, new(mesh.Query))
+		is.True(news.AgeMs <= time.Hour.Milliseconds())
+		news.AgeMs = math.MaxInt64 / int64(time.Millisecond) // as agents without the bound tell it
+		return news
+	})
+	is.True(m.Age() >= time.Hour)
+}
--- a/io/agent/query.go
+++ b/io/agent/query.go
@@ -54,7 +54,7 @@
 func (m *mirror) newsSince(after int64) *mesh.News {
 	now := m.clock.Now()
 	news := &mesh.News{
-		Revision: m.copy.Revision(), AgeMs: m.sources.Age(now).Milliseconds(), Lost: m.sources.IsStoreLost(now),
+		Revision: m.copy.Revision(), AgeMs: min(m.sources.Age(now), unknownAge).Milliseconds(), Lost: m.sources.IsStoreLost(now),
 	}
 	if news.Revision == 0 {
 		return news // the copy is empty
