io/mesh: refuse a query whose news can't be sent

News that can't be sent, as they are too long, have text that the asking daemon's version can't decode, or meet too many bytes that wait, were dropped: the sender of the query waited for its own time limit. It gets the refusal in their place. The test failed before, by its time limit.

--- a/io/mesh/refused_test.go
+++ b/io/mesh/refused_test.go
@@ -1,6 +1,7 @@
 package mesh_test
 
 import (
+	"context"
 	"errors"
 	"net"
 	"testing"
@@ -71,3 +72,22 @@
 	is.True(errors.Is(err, mesh.ErrRefused))
 	is.Equal(err.Error(), addr+": not understood: "+mesh.ErrRefused.Error())
 }
+
+// Guards against news that can't be sent, such as text that the asking daemon's version can't
+// decode: it waited for them until its own time limit.
+func TestUnsendableNewsAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, addr := serveWith(t, mesh.ServerOptions{Query: func(context.Context, mesh.Hello, *mesh.Query) *mesh.News {
+		return &mesh.News{Items: []mesh.Item{{Key: rawText}}}
+	}})
+	nc := open(t, addr, wireOf(t, wireHello, 0, map[int]any{1: "old"}))
+	write(t, nc, wireOf(t, wireQuery, 8, new(mesh.Query)))
+	kind, call, payload, err := receiveNumbered(nc)
+	is.NoErr(err)
+	is.Equal(kind, byte(wireNews))
+	is.Equal(call, uint64(8))
+	var news mesh.News
+	is.NoErr(cbor.Unmarshal(payload, &news)) // strict, as the old decoder was
+	is.True(news.Refused != "")
+	is.Equal(len(news.Items), 0)
+}
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -278,7 +278,10 @@
 		msg := serve(ctx)
 		ans, ok := msg.(*Answer)
 		if !ok {
-			_ = p.out.send(k, id, msg) // news that aren't sent are asked for again
+			if err := p.out.send(k, id, msg); err != nil {
+				// An error means that the connection has ended.
+				_ = p.out.send(k, id, refusedNews("news can't be sent: "+err.Error()))
+			}
 			return
 		}
 		// An error means that the connection has ended, which the caller sees as well.
