--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -41,10 +41,6 @@
 const (
 	readBuffer  = 8 << 10
 	acceptPause = 20 * time.Millisecond
-	// keepAliveIdle and keepAliveCount end a connection whose peer lost power
-	// while no call is open.
-	keepAliveIdle  = 5 * time.Second
-	keepAliveCount = 3
 	// progressInterval is the shortest time between two pongs of a long frame.
 	progressInterval = 50 * time.Millisecond
 )
@@ -307,15 +303,3 @@
 		cancel()
 	}
 }
-
-// setKeepAlive lets the kernel end a connection whose peer has vanished.
-func setKeepAlive(nc net.Conn) {
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	// An error leaves the system's defaults, which only find it later.
-	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
-	})
-}
