--- a/io/httpw/doc.go
+++ b/io/httpw/doc.go
@@ -17,6 +17,18 @@
 // with a status line: it broke off there, and another one follows. What is written has
 // exactly one framing.
 //
+// # Differences from net/http
+//
+// The fuzz tests compare both parsers with net/http. Refused here only, beside what is beyond
+// the bounds: the messages above (net/http also refuses NUL and CR, two Host lines, different
+// lengths, bad chunk sizes and bare LFs in chunked bodies), targets that neither begin with a
+// slash nor are "*", versions other than HTTP/1.0 and HTTP/1.1, and a second space before a
+// status. RFC 9112 has a server accept absolute targets (section 3.2.2), but only proxies get
+// them, and no route is found by them. Accepted here only, as RFC 9110 and 9112 allow:
+// other control characters in field values, white space before a chunk extension, the same
+// length written in two ways, escapes in a target that can't be decoded, which are passed on as
+// they are, and an empty line before a request.
+//
 // # Bounds
 //
 // Each part of a message has a bound, so bytes that come without end are an error soon:
