--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -22,6 +22,9 @@
 	readStep = 256 << 10
 )
 
+// bodyAt is the position behind n bytes of a body.
+func bodyAt(n int64) position { return position{part: PartBody, read: n} }
+
 // readLength reads a body of n bytes.
 func readLength(br *bufio.Reader, n int64, memory *Holding) ([]byte, error) {
 	if n == 0 {
@@ -35,12 +38,12 @@
 		}
 		return c.bytes(), nil
 	}
-	if err := memory.grow(n); err != nil {
+	if err := memory.grow(n, 0); err != nil {
 		return nil, err
 	}
 	body := make([]byte, n)
-	if _, err := io.ReadFull(br, body); err != nil {
-		return nil, noEOF(err)
+	if got, err := io.ReadFull(br, body); err != nil {
+		return nil, cutAt(bodyAt(int64(got)), err)
 	}
 	return body, nil
 }
@@ -51,38 +54,39 @@
 	c := &collector{memory: memory}
 	defer c.drop()
 	extensions := 0
+	h := head{position: position{part: PartChunk}, br: br, name: "chunk line", strict: true}
 	for {
-		h := head{br: br, left: maxChunkLine, part: "chunk line"}
+		h.left = maxChunkLine
 		line, err := h.line()
 		if err != nil {
-			return nil, noEOF(err)
+			return nil, err
 		}
 		if extensions += max(len(line)-maxChunkDigits, 0); extensions > maxExtensions {
-			return nil, newMessageError(400, "chunk extensions longer than %d bytes", maxExtensions)
+			return nil, h.refuse(400, "chunk extensions longer than %d bytes", maxExtensions)
 		}
 		size, ok := parseChunkSize(line)
 		if !ok {
-			return nil, newMessageError(400, "malformed chunk size")
+			return nil, h.refuse(400, "malformed chunk size")
 		}
 		if size == 0 {
-			h.left, h.part = maxTrailer, "trailer"
+			h.left, h.name, h.position = maxTrailer, "trailer", position{part: PartTrailer}
 			if _, err := h.fields(); err != nil {
 				return nil, err
 			}
 			return c.bytes(), nil
 		}
 		if c.n+size > limit {
-			return nil, newMessageError(413, "body longer than %d bytes", limit)
+			return nil, newMessageError(413, bodyAt(c.n), "body longer than %d bytes", limit)
 		}
 		if err := c.readN(br, size); err != nil {
 			return nil, err
 		}
 		end, err := h.line()
 		if err != nil {
-			return nil, noEOF(err)
+			return nil, err
 		}
 		if end != "" {
-			return nil, newMessageError(400, "chunk longer than its size")
+			return nil, h.refuse(400, "chunk longer than its size")
 		}
 	}
 }
--- a/io/httpw/collect.go
+++ b/io/httpw/collect.go
@@ -38,7 +38,7 @@
 	}
 	used := int(c.n % blockSize)
 	if used == 0 {
-		if err := c.memory.grow(c.n + blockSize); err != nil {
+		if err := c.memory.grow(c.n+blockSize, c.n); err != nil {
 			return nil, err
 		}
 		c.rest = append(c.rest, blocks.Get().(*[blockSize]byte))
@@ -62,10 +62,11 @@
 			return err
 		}
 		p = p[:min(n, int64(len(p)))]
-		if _, err := io.ReadFull(br, p); err != nil {
-			return noEOF(err)
+		got, err := io.ReadFull(br, p)
+		c.added(got)
+		if err != nil {
+			return cutAt(bodyAt(c.n), err)
 		}
-		c.added(len(p))
 		n -= int64(len(p))
 	}
 	return nil
@@ -82,11 +83,11 @@
 		c.added(n)
 		switch {
 		case c.n > limit:
-			return newMessageError(400, "body longer than %d bytes", limit)
+			return newMessageError(400, bodyAt(c.n), "body longer than %d bytes", limit)
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
-			return err
+			return cutAt(bodyAt(c.n), err)
 		}
 	}
 }
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"net/http"
 	"regexp"
 	"slices"
@@ -18,22 +17,24 @@
 // before the first byte. A response that is cut is an error: also one without
 // a length whose connection is reset instead of closed.
 func ReadResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
+	h := newHead(br, lim)
 	for range maxInterim + 1 {
-		resp, err := readResponse(br, method, lim)
+		h.left = lim.HeaderBytes
+		resp, err := readResponse(h, method, lim)
 		if err != nil || resp.Status >= 200 {
 			return resp, err
 		}
 	}
-	return nil, newMessageError(400, "more than %d interim responses", maxInterim)
+	return nil, newMessageError(400, position{PartInterim, h.read}, "more than %d interim responses", maxInterim)
 }
 
-func readResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
-	h := head{br: br, left: lim.HeaderBytes, part: "header"}
+// readResponse reads a response whose head begins at h.
+func readResponse(h *head, method string, lim Limits) (*Response, error) {
 	line, err := h.line()
 	if err != nil {
 		return nil, err
 	}
-	resp, keepAlive, err := parseStatus(line)
+	resp, proto, err := h.parseStatus(line)
 	if err != nil {
 		return nil, err
 	}
@@ -41,28 +42,28 @@
 		return nil, err
 	}
 	if isJoined(resp) {
-		return nil, newMessageError(400, "response that breaks off before another one")
+		return nil, h.refuse(400, "response that breaks off before another one")
 	}
-	frame, err := framingOf(resp.Header)
+	frame, err := h.framing(proto, resp.Header)
 	if err != nil {
 		return nil, err
 	}
 	resp.Close = resp.Header.hasToken("Connection", "close") ||
-		!keepAlive && !resp.Header.hasToken("Connection", "keep-alive")
+		proto == proto10 && !resp.Header.hasToken("Connection", "keep-alive")
 	if !hasBody(resp.Status, method) {
 		return resp, nil
 	}
 	memory := &Holding{budget: lim.Budget}
 	switch {
 	case frame.chunked:
-		resp.Body, err = readChunked(br, lim.BodyBytes, memory)
+		resp.Body, err = readChunked(h.br, lim.BodyBytes, memory)
 	case frame.length > lim.BodyBytes:
-		err = newMessageError(400, "body longer than %d bytes", lim.BodyBytes)
+		err = newMessageError(400, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
 	case frame.length >= 0:
-		resp.Body, err = readLength(br, frame.length, memory)
+		resp.Body, err = readLength(h.br, frame.length, memory)
 	default:
 		resp.Close, resp.NoLength = true, true
-		resp.Body, err = readToEnd(br, lim.BodyBytes, memory)
+		resp.Body, err = readToEnd(h.br, lim.BodyBytes, memory)
 	}
 	if err != nil {
 		memory.Release()
@@ -72,17 +73,17 @@
 	return resp, nil
 }
 
-func parseStatus(line string) (resp *Response, keepAlive bool, err error) {
+func (h *head) parseStatus(line string) (resp *Response, proto string, err error) {
 	proto, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
-	if proto != "HTTP/1.1" && proto != "HTTP/1.0" || len(code) != 3 {
-		return nil, false, newMessageError(400, "malformed status line")
+	if proto != proto11 && proto != proto10 || len(code) != 3 {
+		return nil, "", h.refuse(400, "malformed status line")
 	}
 	status, err := strconv.Atoi(code)
 	if err != nil || status < 100 {
-		return nil, false, newMessageError(400, "status %q", code)
+		return nil, "", h.refuse(400, "status %q", code)
 	}
-	return &Response{Status: status, Reason: reason}, proto == "HTTP/1.1", nil
+	return &Response{Status: status, Reason: reason}, proto, nil
 }
 
 // statusLine matches the beginning of a status line.
@@ -149,10 +150,3 @@
 	buf = appendLength(buf, len(r.Body))
 	return append(buf, "\r\n"...)
 }
-
-// IsMessageError reports whether err is about the bytes of a message, not the
-// connection.
-func IsMessageError(err error) bool {
-	var bad *MessageError
-	return errors.As(err, &bad)
-}
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -41,10 +41,6 @@
 const (
 	readBuffer  = 8 << 10
 	acceptPause = 20 * time.Millisecond
-	// keepAliveIdle and keepAliveCount end a connection whose peer lost power
-	// while no call is open.
-	keepAliveIdle  = 5 * time.Second
-	keepAliveCount = 3
 	// progressInterval is the shortest time between two pongs of a long frame.
 	progressInterval = 50 * time.Millisecond
 )
@@ -216,8 +212,8 @@
 	case kindQuery:
 		q := new(Query)
 		if err := f.decode(q); err != nil {
-			p.s.opts.Undecoded(p.from, err) // its sender gives it up, and asks again
-			return nil
+			p.s.opts.Undecoded(p.from, err)
+			return p.out.send(kindNews, f.call, refusedNews("query can't be decoded"))
 		}
 		from := p.from
 		p.start(ctx, f.call, kindNews, func(ctx context.Context) any { return p.s.opts.Query(ctx, from, q) })
@@ -278,7 +274,10 @@
 		msg := serve(ctx)
 		ans, ok := msg.(*Answer)
 		if !ok {
-			_ = p.out.send(k, id, msg) // news that aren't sent are asked for again
+			if err := p.out.send(k, id, msg); err != nil {
+				// An error means that the connection has ended.
+				_ = p.out.send(k, id, refusedNews("news can't be sent: "+err.Error()))
+			}
 			return
 		}
 		// An error means that the connection has ended, which the caller sees as well.
@@ -304,15 +303,3 @@
 		cancel()
 	}
 }
-
-// setKeepAlive lets the kernel end a connection whose peer has vanished.
-func setKeepAlive(nc net.Conn) {
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	// An error leaves the system's defaults, which only find it later.
-	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
-	})
-}
