core/poison, io/agent: tell callers of a quarantined request when it may run

A refusal named the length of the first quarantine, 30 s. Now that refusals lengthen a quarantine, a caller that keeps to 30 s would lengthen one of a minute or more each time. Refuse returns the time until a trial is possible if the request doesn't come before, which is the Retry-After. It takes the place of Check and Refuse one after the other. The tests of both packages check the time.

--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -58,10 +58,10 @@
 // # Usage
 //
 //	t := poison.New(poison.Options{Target: "bookings-3", Incarnation: 7})
+//	if wait, ok := t.Refuse(now, fp); ok {
+//		// Refuse as quarantined; the caller may come again after wait.
+//	}
 //	switch t.Check(now, fp) {
-//	case poison.Quarantined:
-//		t.Refuse(now, fp)
-//		// Refuse as quarantined.
 //	case poison.Suspect:
 //		if !t.AdmitTrial(now, fp) {
 //			// Refuse as not run; the call may come again.
--- a/core/poison/hour_test.go
+++ b/core/poison/hour_test.go
@@ -53,11 +53,8 @@
 
 // refuses reports whether a daemon refuses a request.
 func refuses(t *poison.Table, now time.Time, fp types.Fingerprint) bool {
-	if t.Check(now, fp) != poison.Quarantined {
-		return false
-	}
-	t.Refuse(now, fp)
-	return true
+	_, ok := t.Refuse(now, fp)
+	return ok
 }
 
 // run is one attempt at a target; the connection breaks at once, the daemon there notices
@@ -201,7 +198,8 @@
 
 // Guards against a quarantine that ends while its request comes, against a harmless request
 // that gets no trial because it is sent all the time, and against refusals that count at
-// daemons where the request doesn't come, or after a new crash.
+// daemons where the request doesn't come, or after a new crash. Callers are told the time at
+// which a trial is possible: an earlier one would lengthen the quarantine of those who keep to it.
 func TestRefusalsLengthenQuarantine(t *testing.T) {
 	const length = 10 * time.Minute
 	for _, c := range []struct {
@@ -229,9 +227,13 @@
 			a.End(now, 1, false)
 		}
 		b.Learn(now, a.Entries(now, nil))
+		var release time.Time // as told at the latest refusal
 		for at := time.Duration(0); at <= c.refused; at += time.Second {
-			refuses(a, now.Add(at), 1)
+			if wait, ok := a.Refuse(now.Add(at), 1); ok {
+				release = now.Add(at + wait)
+			}
 		}
+		is.Equal(release, now.Add(c.want))
 		is.Equal(a.Check(now.Add(c.want-1), 1), poison.Quarantined)
 		is.True(a.Released(now.Add(c.want), 1))
 		is.Equal(b.Check(now.Add(length<<c.crashes-1), 1), poison.Quarantined)
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -69,6 +69,9 @@
 
 func (r *record) status(now time.Time) Status { return r.charged.status(now, r.refused, r.expiry) }
 
+// release returns when the quarantine ends if the request doesn't come again before.
+func (r *record) release() time.Time { return r.charged.release(r.refused, r.expiry) }
+
 // isExpired reports whether the record says nothing more.
 func (r *record) isExpired(now time.Time) bool { return !now.Before(r.known.end(r.expiry)) }
 
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -32,11 +32,15 @@
 	return Clear
 }
 
-// Refuse records that a request that is Quarantined was refused.
-func (t *Table) Refuse(now time.Time, fp types.Fingerprint) {
-	if r := t.find(now, fp); r != nil && r.status(now) == Quarantined {
-		r.refused = now
+// Refuse records that a request that is Quarantined is refused, and returns after what time
+// it may run again if it doesn't come before. It returns false for any other request.
+func (t *Table) Refuse(now time.Time, fp types.Fingerprint) (time.Duration, bool) {
+	r := t.find(now, fp)
+	if r == nil || r.status(now) != Quarantined {
+		return 0, false
 	}
+	r.refused = now
+	return r.release().Sub(now), true
 }
 
 // Released reports whether a request is Suspect because its quarantine has
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -61,9 +61,9 @@
 	}
 	q := newRequest(now, info, req, t, r, xxhash.Sum64String(info.ID))
 	fp := fingerprint(string(q.service), req.Method, req.Target, req.Body)
-	if e.suspects.refuses(fp) {
+	if wait, ok := e.suspects.refuse(fp); ok {
 		e.logRejected(info, string(q.service), http.StatusServiceUnavailable, "request has crashed targets")
-		return e.wire.Refusal("request has crashed targets", suspectExpiry)
+		return e.wire.Refusal("request has crashed targets", wait)
 	}
 	if s := e.stop(); s != nil && !q.applyStop(now, s) {
 		e.logRejected(info, string(q.service), http.StatusServiceUnavailable, "agent is stopping")
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -46,8 +46,14 @@
 // TargetDied exposes targetDied.
 func (s *suspects) TargetDied() { s.targetDied() }
 
-// Refuses exposes refuses.
-func (s *suspects) Refuses(fp types.Fingerprint) bool { return s.refuses(fp) }
+// Refuse exposes refuse.
+func (s *suspects) Refuse(fp types.Fingerprint) (time.Duration, bool) { return s.refuse(fp) }
+
+// Refuses is refuse without the time.
+func (s *suspects) Refuses(fp types.Fingerprint) bool {
+	_, ok := s.refuse(fp)
+	return ok
+}
 
 // Suspects exposes suspects.
 type Suspects = suspects
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -93,8 +93,10 @@
 ) (admit.Ticket, *mesh.Answer) {
 	t.mu.Lock()
 	reason := t.refusalReason(now, head)
-	if reason == "" && t.suspects.refuses(fp) {
-		reason = "request has crashed targets"
+	if reason == "" {
+		if _, ok := t.suspects.refuse(fp); ok {
+			reason = "request has crashed targets"
+		}
 	}
 	if reason != "" {
 		t.mu.Unlock()
--- a/io/agent/suspects.go
+++ b/io/agent/suspects.go
@@ -53,17 +53,12 @@
 	return fingerprint(head.Service, head.Method, head.Path, head.Body)
 }
 
-// refuses reports whether a request is refused because it has crashed targets, which
-// lengthens its quarantine.
-func (s *suspects) refuses(fp types.Fingerprint) bool {
+// refuse reports whether a request is refused because it has crashed targets, which
+// lengthens its quarantine, and after what time its caller may send it again.
+func (s *suspects) refuse(fp types.Fingerprint) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if s.table.Check(now, fp) != poison.Quarantined {
-		return false
-	}
-	s.table.Refuse(now, fp)
-	return true
+	return s.table.Refuse(s.clock.Now(), fp)
 }
 
 // isOnTrial reports whether a request was quarantined and has got no good answer since.
--- a/io/agent/suspects_test.go
+++ b/io/agent/suspects_test.go
@@ -53,8 +53,10 @@
 		s.TargetDied()
 	}
 	clock.Advance(agent.SuspectExpiry - 1)
-	is.True(s.Refuses(fp))
-	clock.Advance(agent.SuspectExpiry - 1)
+	wait, ok := s.Refuse(fp)
+	is.True(ok)
+	is.Equal(wait, agent.SuspectExpiry)
+	clock.Advance(wait - 1)
 	is.True(!s.IsOnTrial(fp))
 	clock.Advance(1)
 	is.True(s.IsOnTrial(fp))
