io/write: bound each step of a write, not the whole

A response had 10 s until its caller had accepted all of it, and all that waited for a connection between agents 5 s: long answers were cut off on slow links although the other side read all the time. 24 MB over 2 MB/s broke the connection between two agents.

--- a/io/front/message.go
+++ b/io/front/message.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 
+	"github.com/jonboulle/clockwork"
+
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/write"
 )
 
 // maxCopied is the length in bytes up to which a body is copied behind its head, so that
@@ -13,7 +16,7 @@
 
 // message holds the bytes of responses that are written in one go.
 type message struct {
-	parts net.Buffers
+	parts [][]byte
 	last  []byte // the part that still grows
 }
 
@@ -31,14 +34,9 @@
 }
 
 // writeTo writes the responses.
-func (m *message) writeTo(nc net.Conn) error {
+func (m *message) writeTo(nc net.Conn, clock clockwork.Clock) error {
 	if len(m.parts) == 0 {
-		_, err := nc.Write(m.last)
-		return err
-	}
-	if len(m.last) > 0 {
-		m.parts = append(m.parts, m.last)
+		return write.Within(nc, clock, writeTime, m.last)
 	}
-	_, err := m.parts.WriteTo(nc)
-	return err
+	return write.Within(nc, clock, writeTime, append(m.parts, m.last)...)
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -55,7 +55,7 @@
 	// lingerTime is how long a connection is read after its last response, so
 	// that unread bytes don't reset it before the caller has the response.
 	lingerTime = 500 * time.Millisecond
-	// writeTime bounds the time a caller may take to accept response bytes.
+	// writeTime bounds the time a caller may take to accept a step of response bytes.
 	writeTime = 10 * time.Second
 	// acceptPause follows a failed accept, which is most often a lack of file
 	// descriptors.
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -45,7 +45,7 @@
 	c.queue = c.queue[n:]
 	c.room.Signal()
 	c.mu.Unlock()
-	err := c.write(&out)
+	err := out.writeTo(c.nc, c.s.opts.Clock)
 	for _, x := range due {
 		x.resp.Memory.Release()
 	}
@@ -70,13 +70,6 @@
 	}
 }
 
-func (c *conn) write(out *message) error {
-	if err := c.nc.SetWriteDeadline(c.s.opts.Clock.Now().Add(writeTime)); err != nil {
-		return err
-	}
-	return out.writeTo(c.nc)
-}
-
 // shut ends the sending side after the last response and leaves the reader the
 // linger time to see the caller's close. After a failed write the requests that are still
 // unanswered are canceled: their caller has gone, or takes no more bytes.
--- a/io/mesh/sender.go
+++ b/io/mesh/sender.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/write"
 )
 
 // errBacklog means that the peer accepts bytes too slowly.
@@ -22,7 +23,7 @@
 	// maxShortFrame is the length in bytes up to which a frame is queued beyond maxBacklog:
 	// the answer to a call for whose long answer there was no room, a ping or a cancel.
 	maxShortFrame = 4 << 10
-	// writeTime bounds one write.
+	// writeTime bounds the time in which the peer accepts a step of bytes.
 	writeTime = 5 * time.Second
 )
 
@@ -108,7 +109,7 @@
 		}
 		s.pending, s.spare = s.spare[:0], nil
 		s.mu.Unlock()
-		err := s.write(buf)
+		err := write.Within(s.nc, s.clock, writeTime, buf)
 		releaseAll(held)
 		s.mu.Lock()
 		s.err = err
@@ -128,11 +129,3 @@
 		m.Release()
 	}
 }
-
-func (s *sender) write(buf []byte) error {
-	if err := s.nc.SetWriteDeadline(s.clock.Now().Add(writeTime)); err != nil {
-		return err
-	}
-	_, err := s.nc.Write(buf)
-	return err
-}
