io/front: read a bounded number of bytes behind the last request

A connection that ends with a request that still runs was read at full speed until its caller closed it, to see the close: a caller that sends without end behind a closing request or behind malformed bytes took the processor for as long as the request ran. Behind 256 KB the reader now waits for the last response, as it does behind 32 unanswered requests.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -205,19 +205,32 @@
 }
 
 // awaitClose reads until the caller closes the connection or the last response
-// has been written and the linger time is over.
+// has been written and the linger time is over. Behind maxUnread bytes it waits for the response
+// before it reads on, so that a caller that sends without end takes no processor time.
 func (c *conn) awaitClose() {
 	c.mu.Lock()
 	if !c.ended {
 		_ = c.nc.SetReadDeadline(time.Time{}) // an error shows in the read
 	}
 	c.mu.Unlock()
-	_, _ = io.Copy(io.Discard, c.br) // ends with the connection, whatever the reason
+	if _, err := io.CopyN(io.Discard, c.br, maxUnread); err == nil {
+		c.awaitEnd()
+		_, _ = io.Copy(io.Discard, c.br) // ends with the connection, whatever the reason
+	}
 	c.cancel()
 	c.end()
 	_ = c.nc.Close()
 }
 
+// awaitEnd waits until the last response has been written.
+func (c *conn) awaitEnd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.ended {
+		c.room.Wait()
+	}
+}
+
 // end drops all unanswered exchanges.
 func (c *conn) end() {
 	c.mu.Lock()
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -51,6 +51,9 @@
 	// maxPipeline is the number of requests of one connection that may be
 	// unanswered; further ones stay unread.
 	maxPipeline = 32
+	// maxUnread is the number of bytes behind the last request of a connection that are read
+	// while it runs, to see the caller's close.
+	maxUnread = 256 << 10
 	// lingerTime is how long a connection is read after its last response, so
 	// that unread bytes don't reset it before the caller has the response.
 	lingerTime = 500 * time.Millisecond
