io/mesh: close a connection whose first frame is no hello

A process that isn't a peer was read for as long as it sent frames of unknown kinds, zeros among them, and got a pong for each ping. Daemons of all versions send a hello first, so that any other first frame now ends the connection.

Three rows of the new table test fail on the code before: unknown frames, zeros, and pings without a hello. The other twelve held already.

--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -26,7 +26,8 @@
 //
 // A message that can't be decoded ends its own call only: a call is answered as Refused,
 // an answer ends its call with ErrUndecoded. Others are dropped. Options.Undecoded is told
-// of each. Only a frame over the limit and a failed read or write end the connection.
+// of each. Only a frame over the limit, a first frame that isn't a Hello, and a
+// failed read or write end the connection.
 //
 // # Silence
 //
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -168,11 +168,15 @@
 }
 
 func (p *inbound) read(ctx context.Context, br *bufio.Reader) error {
-	for {
+	for isFirst := true; ; isFirst = false {
 		f, err := readFrame(br, p.s.opts.Memory, p.noteProgress)
 		if err != nil {
 			return err
 		}
+		if isFirst && f.kind != kindHello {
+			f.memory.Release()
+			return errors.Newf("mesh: first frame of kind %d, not a hello", f.kind)
+		}
 		if err := p.handle(ctx, f); err != nil {
 			return err
 		}
