io/mesh: take no memory for frames of unknown kinds

The payload of each frame was read into memory, up to 80 MB, and only those of calls and answers count in the budget. That of an unknown kind is skipped now, and those of kinds without a body, list or document are bounded by 1 MB.

The new test allocates more than 80 MB for four unknown frames on the code before, and less than that now.

--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -26,8 +26,9 @@
 //
 // A message that can't be decoded ends its own call only: a call is answered as Refused,
 // an answer ends its call with ErrUndecoded. Others are dropped. Options.Undecoded is told
-// of each. Only a frame over the limit, a first frame that isn't a Hello, and a
-// failed read or write end the connection.
+// of each. Only a frame over the limit of its kind, a first frame that isn't a Hello, and a
+// failed read or write end the connection. The payload of an unknown kind is skipped without
+// memory for it.
 //
 // # Silence
 //
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -26,8 +26,19 @@
 	kindQuery
 	kindNews
 	kindWelcome
+
+	lastKind = kindWelcome
 )
 
+// maxPayload returns the bound of the payload in bytes.
+func (k kind) maxPayload() int {
+	switch k {
+	case kindCall, kindAnswer, kindNotice, kindNews:
+		return maxFrame
+	}
+	return maxControlFrame
+}
+
 const (
 	// frameHead is the size of a frame's head in bytes: payload length, kind,
 	// number of the call.
@@ -35,6 +46,8 @@
 	// maxFrame bounds a payload in bytes: the largest body of a configuration
 	// that the platform accepts, and its header.
 	maxFrame = 80 << 20
+	// maxControlFrame bounds the payload of a frame without a body, list or document.
+	maxControlFrame = 1 << 20
 	// payloadStep bounds the memory that is taken before bytes have come.
 	payloadStep = 256 << 10
 	// progressStep is the number of bytes of a payload after which its reader notes
@@ -123,6 +136,12 @@
 		return frame{}, errors.Newf("mesh: frame of %d bytes, allowed %d", n, maxFrame)
 	}
 	f := frame{kind: kind(head[4]), call: binary.BigEndian.Uint64(head[5:])}
+	switch {
+	case f.kind == 0 || f.kind > lastKind:
+		return f, discard(br, n, progress) // from a later version
+	case n > f.kind.maxPayload():
+		return frame{}, errors.Newf("mesh: frame of kind %d with %d bytes, allowed %d", f.kind, n, f.kind.maxPayload())
+	}
 	if f.kind == kindCall || f.kind == kindAnswer {
 		f.memory, _ = budget.Hold(0)
 	}
--- a/io/mesh/strange_test.go
+++ b/io/mesh/strange_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -100,3 +101,32 @@
 
 // maxPayload is the length of the longest payload in bytes.
 const maxPayload = 80 << 20
+
+// Guards against frames of unknown kinds that fill the memory: nothing counts them.
+func TestUnknownFramesTakeNoMemory(t *testing.T) {
+	const frames = 4
+	is := is.New(t)
+	_, addr := serve(t, echo)
+	c := dialRaw(t, addr)
+	block := make([]byte, 1<<20)
+	_, err := c.Write(hello(t))
+	is.NoErr(err)
+	_, err = io.ReadFull(c, make([]byte, len(frameOf(0, 0)))) // the head of the welcome
+	is.NoErr(err)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range frames {
+		_, err := c.Write(frameOf(unknownFrame, maxPayload))
+		is.NoErr(err)
+		for range maxPayload / len(block) {
+			_, err := c.Write(block)
+			is.NoErr(err)
+		}
+	}
+	_, err = c.Write(frameOf(pingFrame, 0))
+	is.NoErr(err)
+	_, err = c.Read(block) // something comes: all before has been read or waits in the sockets
+	is.NoErr(err)
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < maxPayload)
+}
