--- a/io/front/slow_test.go
+++ b/io/front/slow_test.go
@@ -53,7 +53,9 @@
 	s := front.New(front.Options{
 		Handle: func(context.Context, *httpw.Request) *httpw.Response { return &httpw.Response{Status: 200, Body: body} },
 		Clock:  clockwork.NewRealClock(),
-		Bounds: func() front.Bounds { return front.Bounds{Message: httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024}, Header: patience, Idle: patience} },
+		Bounds: func() front.Bounds {
+			return front.Bounds{Message: httpw.Limits{HeaderBytes: 1024, BodyBytes: 1024}, Header: patience, Idle: patience}
+		},
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
