--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -128,7 +128,12 @@
 func (m *mirror) Age() time.Duration { return m.age() }
 
 // ReadStore exposes readStore, from the revision that is known.
-func (m *mirror) ReadStore(ctx context.Context) { m.readStore(ctx, m.copy.Revision()) }
+func (m *mirror) ReadStore(ctx context.Context) {
+	m.mu.Lock()
+	after := m.copy.Revision()
+	m.mu.Unlock()
+	m.readStore(ctx, after)
+}
 
 // QueryAgent exposes queryAgent, with the answer of the other agent.
 func (m *mirror) QueryAgent(ctx context.Context, node string, news *mesh.News) {
