io/front: send no interim response before or within an earlier one

The line "100 Continue" was written by the goroutine that reads, while responses to earlier requests of the connection were due: it came before them, and since responses are written in steps it could come within one, so that its body and all that follows were shifted. It was also written under the deadline of the last response, which may be over by then. It is left out now while an earlier request is unanswered, as RFC 9110 allows, and has its own bound.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -95,7 +95,7 @@
 	if head.HasBody() {
 		c.setReadDeadline(b.Idle)
 		if s := head.WantsContinue(); s != "" {
-			if _, err := io.WriteString(c.nc, s); err != nil {
+			if err := c.writeContinue(s); err != nil {
 				return nil, err
 			}
 		}
@@ -206,7 +206,8 @@
 
 // awaitClose reads until the caller closes the connection or the last response
 // has been written and the linger time is over. Behind maxUnread bytes it waits for the response
-// before it reads on, so that a caller that sends without end takes no processor time.
+// before it reads on, so that a caller that sends without end takes no processor time. The close of a caller that
+// has sent so many is seen only then.
 func (c *conn) awaitClose() {
 	c.mu.Lock()
 	if !c.ended {
--- a/io/front/slow_test.go
+++ b/io/front/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -73,3 +74,34 @@
 	is.NoErr(<-done)
 	is.True(l.largest.Load() <= write.StepSize)
 }
+
+// Guards against an interim response before or within the response to an earlier request of
+// the connection, which its caller takes for a part of that.
+func TestContinueMeetsNoEarlierResponse(t *testing.T) {
+	is := is.New(t)
+	h := newScript(t)
+	_, c := serve(t, h.handle)
+	_, err := io.WriteString(c, "GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nx")
+	is.NoErr(err)
+	h.await(2)
+	h.release("/a", "/b")
+	br := bufio.NewReader(c)
+	for _, want := range []string{"/a", "/b"} {
+		line, err := br.Peek(len("HTTP/1.1 200"))
+		is.NoErr(err)
+		is.Equal(string(line), "HTTP/1.1 200")
+		is.Equal(string(read(t, br).Body), want)
+	}
+	_, err = io.WriteString(c, "POST /c HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	is.NoErr(err)
+	line, err := br.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+	_, err = br.Discard(len("\r\n"))
+	is.NoErr(err)
+	_, err = io.WriteString(c, "x")
+	is.NoErr(err)
+	h.await(1)
+	h.release("/c")
+	is.Equal(string(read(t, br).Body), "/c")
+}
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/write"
 )
 
 // answer stores a response and writes all responses that are due. Only one
@@ -70,6 +71,23 @@
 	}
 }
 
+// writeContinue writes an interim response to the request that is being read, unless earlier
+// ones are unanswered: it would come before or within their responses.
+func (c *conn) writeContinue(line string) error {
+	c.mu.Lock()
+	if c.ended || c.writing || len(c.queue) > 0 {
+		c.mu.Unlock()
+		return nil
+	}
+	c.writing = true // only this goroutine adds to the queue, so no response waits for the end
+	c.mu.Unlock()
+	err := write.Within(c.nc, c.s.opts.Clock, writeTime, []byte(line))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	return err
+}
+
 // shut ends the sending side after the last response and leaves the reader the
 // linger time to see the caller's close. After a failed write the requests that are still
 // unanswered are canceled: their caller has gone, or takes no more bytes.
