core/poison, io/agent: don't blame a request that didn't run for a death

A call that the target declined, or that did not reach it, counted as a run that broke off: on trial it got a further death, and its quarantine doubled. The test failed before.

--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -108,6 +108,10 @@
 // working on it, but the end says nothing about the target.
 func (t *Table) Cancel(now time.Time, fp types.Fingerprint) { t.flight.end(now, fp, true) }
 
+// Decline records that the target didn't run the request, or that the request didn't reach
+// it. The end says nothing about either.
+func (t *Table) Decline(now time.Time, fp types.Fingerprint) { t.flight.end(now, fp, false) }
+
 // TargetDied records the death of the local target. It returns the requests
 // that were in flight, in ascending order, which are to be sent to the other
 // daemons (Entries).
--- a/io/agent/suspects.go
+++ b/io/agent/suspects.go
@@ -88,9 +88,12 @@
 	s.mu.Lock()
 	now := s.clock.Now()
 	changed := false
-	if r == mesh.Expired {
+	switch r {
+	case mesh.Expired:
 		s.table.Cancel(now, fp)
-	} else {
+	case mesh.Refused:
+		s.table.Decline(now, fp)
+	default:
 		changed = s.table.End(now, fp, r == mesh.Answered)
 		if r == mesh.Answered && s.table.Check(now, fp) != poison.Clear && s.table.Lift(fp) {
 			changed = true
--- a/io/agent/suspects_test.go
+++ b/io/agent/suspects_test.go
@@ -87,3 +87,23 @@
 		is.Equal(b.Refuses(fp), result == mesh.Broken)
 	}
 }
+
+// Guards against a request that is blamed for a crash, and quarantined once more, though the
+// target declined it or it didn't reach the target.
+func TestDeclinedTrialIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	s := agent.NewSuspects("a", 1, clock, logs.Discard(), func(*mesh.Notice) {})
+	fp := agent.Fingerprint("bookings", "GET", "/x", nil)
+	for range 2 {
+		is.True(s.Begin(fp))
+		s.TargetDied()
+	}
+	clock.Advance(agent.SuspectExpiry)
+	is.True(s.Begin(fp))
+	agent.End(s, fp, mesh.Refused)
+	is.True(s.IsOnTrial(fp))
+	is.True(s.Begin(fp)) // at once
+	agent.End(s, fp, mesh.Answered)
+	is.True(!s.IsOnTrial(fp) && !s.Refuses(fp))
+}
