io/mesh: check the kind of the first frame before its payload

A stranger's first frame could take up to 80 MB before it was refused. News that meet a backlog aren't refused any more: a backlog passes, and the refused sender read the store in their place.

--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -164,15 +164,18 @@
 }
 
 func (p *inbound) read(ctx context.Context, br *bufio.Reader) error {
-	for isFirst := true; ; isFirst = false {
+	// The payload of another first frame isn't read: a stranger takes no memory.
+	switch head, err := br.Peek(frameHead); {
+	case err != nil:
+		return err
+	case kind(head[4]) != kindHello:
+		return errors.Newf("mesh: first frame of kind %d, not a hello", head[4])
+	}
+	for {
 		f, err := readFrame(br, p.s.opts.Memory, p.noteProgress)
 		if err != nil {
 			return err
 		}
-		if isFirst && f.kind != kindHello {
-			f.memory.Release()
-			return errors.Newf("mesh: first frame of kind %d, not a hello", f.kind)
-		}
 		if err := p.handle(ctx, f); err != nil {
 			return err
 		}
@@ -278,7 +281,8 @@
 		msg := serve(ctx)
 		ans, ok := msg.(*Answer)
 		if !ok {
-			if err := p.out.send(k, id, msg); err != nil {
+			// A backlog passes: the query is repeated, and isn't refused.
+			if err := p.out.send(k, id, msg); err != nil && !errors.Is(err, errBacklog) {
 				// An error means that the connection has ended.
 				_ = p.out.send(k, id, refusedNews("news can't be sent: "+err.Error()))
 			}
