io/write: double the step

The step and the bound are the least rate of a peer: 51 KB/s for callers and 102 KB/s for agents, so that slow callers don't hold the memory of responses for as long.

--- a/io/write/write.go
+++ b/io/write/write.go
@@ -17,7 +17,7 @@
 )
 
 // StepSize is the number of bytes that a peer has to accept within the bound.
-const StepSize = 256 << 10
+const StepSize = 512 << 10
 
 // Within writes bufs one after the other. The peer has to accept each step of StepSize bytes
 // within bound.
