--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -31,7 +31,7 @@
 	picks          uint64        // decisions so far
 	lastTrialAt    time.Duration // last trial call, or the first suspension of any target
 	lastTrialPick  uint64        // value of picks at lastTrialAt
-	exploredAt     time.Duration // last call that only the comparison with a bound gave to its target
+	exploredAt     time.Duration // last exploring call
 
 	meanLatency    average
 	meanOtherCalls average // reported calls from other daemons, over all targets
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -76,8 +76,10 @@
 func (v View) hasRecentCalls(i int) bool { return v.p.subset[i].hasRecentCalls(v.now) }
 
 // mayExplore reports whether targets without recent calls are to be compared as if they
-// were as fast as those with recent calls.
-func (v View) mayExplore() bool { return v.now-v.p.exploredAt >= exploreInterval }
+// were as fast as those with recent calls. A second attempt has no time left for that.
+func (v View) mayExplore() bool {
+	return len(v.p.tried) == 0 && v.now-v.p.exploredAt >= exploreInterval
+}
 
 func (v View) explored() { v.p.exploredAt = v.now }
 
