--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -20,11 +20,11 @@
 // a death at once. Each death on trial doubles the length of the next
 // quarantine, up to 32 times Expiry.
 //
-// A request that is refused (Refuse) still comes. This lengthens its quarantine at the
-// daemon that refused it, until the request hasn't come for the length of the
-// quarantine, but at most to four times that length: a harmless request that is sent
-// all the time must get a trial too. Other daemons aren't told of refusals. One that has
-// refused none lets the request run as a trial, at a target whose daemon hasn't either.
+// Each refusal (Refuse) extends the quarantine at the daemon that refused: it ends when the
+// request hasn't come for the length of the quarantine, at most four times that length
+// after the latest death. The bound lets a harmless request that is sent all the time
+// get its trial. Refusals aren't sent to other daemons. One that has refused none lets the
+// request run as a trial, at a target whose daemon hasn't either.
 //
 // A connection to a dying target often breaks before the daemon notices the
 // death. A run that broke off therefore counts as in flight for Grace, and no
--- a/core/poison/suspicion.go
+++ b/core/poison/suspicion.go
@@ -6,10 +6,8 @@
 	// maxDoublings bounds a quarantine at 32 times the expiry. A harmless request that is
 	// blamed again while on trial must get a further trial.
 	maxDoublings = 5
-	// refusalFactor times the length of a quarantine is how long refused requests can make it.
-	// In a trial of an hour with 6 daemons and an expiry of 30 s, a request that came all the time
-	// crashed 10 instead of 14 targets, and a harmless one was refused for 120 instead of 30 s;
-	// without a bound, for the whole hour.
+	// refusalFactor times its length is how long a quarantine lasts at most while its request is
+	// sent all the time. Without the bound a harmless one would never get its trial.
 	refusalFactor = 4
 	// memoryFactor times the expiry is how long a request that was quarantined runs only
 	// on trial: as long as the longest quarantine without refusals.
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -26,9 +26,8 @@
 	// thirtieth of an excess over the service's average is left.
 	maxRecentAge = 5 * idleHalfLife
 	// exploreInterval is the least time between two calls of a Picker that go to targets
-	// because these have no recent calls. Without such a limit a target three times as slow as
-	// 19 others got 2.8 % instead of 1.6 % of the calls in a queueing loop of 200 daemons
-	// with 2.4 calls/s each, and p99 rose from 1.5 to 10 s.
+	// because these have no recent calls. Many daemons with few calls each would otherwise
+	// overload a target that is slower than the others.
 	exploreInterval = 15 * time.Second
 
 	// slowdownHalfLife is the half-life of a reported slowdown. Changes are
--- a/io/agent/mirrorquery.go
+++ b/io/agent/mirrorquery.go
@@ -58,13 +58,13 @@
 		m.mu.Unlock()
 		m.log.WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).Info("agent has lost the store")
 	}
-	age := toldAge(news) + m.lateness(began, queryHoldTime)
+	age := reportedAge(news) + m.lateness(began, queryHoldTime)
 	return m.apply(from, age, items, news.Revision, news.Whole)
 }
 
-// toldAge returns the age of the copy that news come from. Without a bound, the age of a copy
+// reportedAge returns the age of the copy from which news come. Without a bound, the age of a copy
 // that was never current would overflow as more is added to it.
-func toldAge(news *mesh.News) time.Duration {
+func reportedAge(news *mesh.News) time.Duration {
 	ms := min(max(news.AgeMs, 0), unknownAge.Milliseconds())
 	return time.Duration(ms) * time.Millisecond
 }
--- a/io/daemon/suspects.go
+++ b/io/daemon/suspects.go
@@ -28,8 +28,8 @@
 }
 
 // enter decides whether a request may be handed to the own target now. Refusals aren't
-// recorded (poison.Table.Refuse): a quarantine is 10 min here, and one of up to 40 min
-// spared 1 of 8 crashes in a trial of an hour.
+// recorded (poison.Table.Refuse): a quarantine is 10 min here, and a harmless request
+// shouldn't be refused for four times as long.
 func (d *Daemon) enter(fp types.Fingerprint) (types.Outcome, string) {
 	d.poisonMu.Lock()
 	defer d.poisonMu.Unlock()
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -205,9 +205,9 @@
 }
 
 // awaitClose reads until the caller closes the connection or the last response
-// has been written and the linger time is over. Behind maxUnread bytes it waits for the response
-// before it reads on, so that a caller that sends without end takes no processor time. The close of a caller that
-// has sent so many is seen only then.
+// has been written and the linger time is over. After maxUnread bytes it waits for the
+// response before it reads on, so that a caller that sends without end takes no processor
+// time. The close of a caller that has sent as many is seen only then.
 func (c *conn) awaitClose() {
 	c.mu.Lock()
 	if !c.ended {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -52,7 +52,7 @@
 	// maxPipeline is the number of requests of one connection that may be
 	// unanswered; further ones stay unread.
 	maxPipeline = 32
-	// maxUnread is the number of bytes behind the last request of a connection that are read
+	// maxUnread is the number of bytes after the last request of a connection that are read
 	// while it runs, to see the caller's close.
 	maxUnread = 256 << 10
 	// lingerTime is how long a connection is read after its last response, so
@@ -156,7 +156,7 @@
 	}
 }
 
-// UnansweredError tells that connections ended before all their requests were answered.
+// UnansweredError reports that connections ended before all their requests were answered.
 type UnansweredError struct {
 	// Conns is the number of these connections.
 	Conns int
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -26,9 +26,9 @@
 //
 // A message that can't be decoded ends its own call only: a call is answered as Refused,
 // a query ends with ErrRefused at its sender, and an answer ends its call with ErrUndecoded.
-// Others are dropped. Options.Undecoded is told of each. A sender that doesn't know refused
-// queries takes the refusal for news of an old copy without items. Only a frame over the limit
-// of its kind, a first frame that isn't a Hello, and a failed read or write end the connection.
+// Others are dropped. Options.Undecoded is told of each. Only a frame over the
+// limit of its kind, a first frame that isn't a Hello, and a failed read or write end the
+// connection.
 // The payload of an unknown kind is skipped without memory for it.
 //
 // # Silence
