--- a/core/types/name.go
+++ b/core/types/name.go
@@ -3,6 +3,9 @@
 // ServiceName names a service as operators created it.
 type ServiceName string
 
+// CustomerName names a customer of the deployment.
+type CustomerName string
+
 // DataCentre names a data centre.
 type DataCentre string
 
--- a/core/vhost/route.go
+++ b/core/vhost/route.go
@@ -59,6 +59,9 @@
 // Rank returns the priority; 0 is the highest.
 func (r *Route) Rank() int { return r.spec.Rank }
 
+// IsPublic reports whether requests need no API key.
+func (r *Route) IsPublic() bool { return r.spec.Public }
+
 // Service returns the service for a request whose id hashes to h. The result
 // depends on h alone. Over uniformly distributed hashes each service gets a
 // share of the requests in proportion to its weight.
--- a/core/vhost/table.go
+++ b/core/vhost/table.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,7 @@
 	Goal     time.Duration     // latency goal; an answer that takes longer is worth less
 	Rank     int               // priority; 0 is the highest
 	Services []WeightedService // traffic split; at least one weight must be positive
+	Public   bool              // requests need no API key
 }
 
 // ServiceSpec describes a service.
@@ -33,6 +35,19 @@
 	Name           types.ServiceName
 	MaxConnections int    // maximum number of connections that one target accepts
 	HealthPath     string // URL path of the targets' health check
+	// ColdTime is how long a target stays cold after a start: it takes only ColdRate calls
+	// a second then. 0 if unknown.
+	ColdTime time.Duration
+	// ColdRate is the number of calls a second that a cold target takes, 0 for no limit.
+	ColdRate float64
+}
+
+// checkCold returns an error for a time or rate of cold targets that isn't allowed.
+func (s ServiceSpec) checkCold() error {
+	if s.ColdTime < 0 || s.ColdRate < 0 || math.IsNaN(s.ColdRate) || math.IsInf(s.ColdRate, 0) {
+		return fmt.Errorf("service %s: cold for %s with %v calls/s, allowed are finite values from 0", s.Name, s.ColdTime, s.ColdRate)
+	}
+	return nil
 }
 
 // Bounds limits the size of requests and the time that callers may take to send
@@ -46,37 +61,45 @@
 
 // TableSpec describes a Table.
 type TableSpec struct {
-	Version  int64                  // positive
-	Hosts    map[string][]RouteSpec // by host name without a port; names must differ in more than case
-	Services []ServiceSpec
-	Bounds   Bounds
+	Version   int64                  // positive
+	Hosts     map[string][]RouteSpec // by host name without a port; names must differ in more than case
+	Services  []ServiceSpec
+	Customers []CustomerSpec // if there are any, requests need an API key
+	Bounds    Bounds
 }
 
 // Table holds the routes, services and limits of one configuration version. It
 // is immutable and safe for concurrent use.
 type Table struct {
-	version  int64
-	hosts    map[string][]*Route // by lower-case host name; longest prefix first
-	services map[types.ServiceName]ServiceSpec
-	bounds   Bounds
+	version   int64
+	hosts     map[string][]*Route // by lower-case host name; longest prefix first
+	services  map[types.ServiceName]ServiceSpec
+	customers map[types.CustomerName]*Customer
+	keys      map[string]*Customer // by API key
+	bounds    Bounds
 }
 
 // New checks s and returns its table. The error joins one error for each invalid
-// route and one for an invalid version; if it is not nil, the table is incomplete
+// route and customer and one for an invalid version; if it is not nil, the table is incomplete
 // and must not be used. If two routes of a host have the same prefix, the first
 // one is used; if two services have the same name, the last one is.
 func New(s TableSpec) (*Table, error) {
 	t := &Table{
-		version:  s.Version,
-		hosts:    make(map[string][]*Route, len(s.Hosts)),
-		services: make(map[types.ServiceName]ServiceSpec, len(s.Services)),
-		bounds:   s.Bounds,
+		version:   s.Version,
+		hosts:     make(map[string][]*Route, len(s.Hosts)),
+		services:  make(map[types.ServiceName]ServiceSpec, len(s.Services)),
+		customers: make(map[types.CustomerName]*Customer, len(s.Customers)),
+		keys:      make(map[string]*Customer),
+		bounds:    s.Bounds,
 	}
 	var errs []error
 	if s.Version <= 0 {
 		errs = append(errs, fmt.Errorf("version %d is not positive", s.Version))
 	}
 	for _, sv := range s.Services {
+		if err := sv.checkCold(); err != nil {
+			errs = append(errs, err)
+		}
 		t.services[sv.Name] = sv
 	}
 	for host, specs := range s.Hosts {
@@ -94,6 +117,7 @@
 		})
 		t.hosts[strings.ToLower(host)] = routes
 	}
+	errs = append(errs, t.addCustomers(s.Customers))
 	return t, errors.Join(errs...)
 }
 
--- a/core/vhost/vhost_test.go
+++ b/core/vhost/vhost_test.go
@@ -1,6 +1,7 @@
 package vhost_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -79,3 +80,42 @@
 		is.True(strings.Contains(err.Error(), want))
 	}
 }
+
+// Guards against a configuration in force in which one key is accepted for two customers, a
+// key that no caller can send, or a quota that isn't a number, and against errors in the log
+// that show a key.
+func TestCustomersAreChecked(t *testing.T) {
+	const secret = "k-secret"
+	good := vhost.CustomerSpec{Name: "a", Keys: []string{secret, "k-2"}, Rank: 1, PerSecond: 10, Burst: 5}
+	for name, c := range map[string]struct {
+		customers []vhost.CustomerSpec
+		names     string // the error must contain it, "" for no error
+	}{
+		"valid":              {[]vhost.CustomerSpec{good, {Name: "b", Keys: []string{"k-3"}}}, ""},
+		"key of two":         {[]vhost.CustomerSpec{good, {Name: "b", Keys: []string{secret}}}, "customer b: key 1"},
+		"key is empty":       {[]vhost.CustomerSpec{good, {Name: "b", Keys: []string{"k-3", ""}}}, "customer b: key 2"},
+		"key is too long":    {[]vhost.CustomerSpec{{Name: "b", Keys: []string{strings.Repeat("k", 513)}}}, "customer b: key 1"},
+		"negative limit":     {[]vhost.CustomerSpec{{Name: "b", PerSecond: -1}}, "customer b: limit"},
+		"infinite burst":     {[]vhost.CustomerSpec{{Name: "b", Burst: math.Inf(1)}}, "customer b: burst"},
+		"limit is no number": {[]vhost.CustomerSpec{{Name: "b", PerSecond: math.NaN()}}, "customer b: limit"},
+		"named twice":        {[]vhost.CustomerSpec{good, {Name: "a"}}, "customer a: named twice"},
+		"without name":       {[]vhost.CustomerSpec{{Keys: []string{"k-3"}}}, "without name"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb, err := vhost.New(vhost.TableSpec{Version: 1, Customers: c.customers})
+			if c.names == "" {
+				is.NoErr(err)
+				who, ok := tb.CustomerOf(secret)
+				is.True(ok)
+				is.Equal(who.Name(), types.CustomerName("a"))
+				_, ok = tb.CustomerOf("k-unknown")
+				is.True(!ok)
+				return
+			}
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.names))
+			is.True(!strings.Contains(err.Error(), secret))
+		})
+	}
+}
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -29,6 +29,13 @@
 	RetryWindow time.Duration
 	// ProbesPerSecond bounds the health checks of the own target.
 	ProbesPerSecond int
+	// KeyRevocation is the time after which a request may not run any more with an API key
+	// that was removed, at any agent; 0 if only agents that reach the store are bound.
+	KeyRevocation time.Duration
+	// ColdOverrun and ColdExtra are the factor and the number by which the calls to a cold
+	// target in a second may exceed its rate.
+	ColdOverrun float64
+	ColdExtra   float64
 	// BodyMemory bounds the memory in bytes of the long bodies of requests, until they are
 	// answered, and of responses, until they have been passed on.
 	BodyMemory int
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -27,6 +27,7 @@
 	Worth       float64      `cbor:"14,keyasint,omitempty"` // value of the answer
 	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
 	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
+	Customer    string       `cbor:"17,keyasint,omitempty"` // customer whose API key the request had, "" if none
 	// Memory is that of the body at a server, until the call is answered.
 	Memory *httpw.Holding `cbor:"-"`
 }
--- a/io/prefs/keys.go
+++ b/io/prefs/keys.go
@@ -51,6 +51,10 @@
 
 	{"bounds", "probesPerSecond", "1", false, "0 to 1000", "health checks of the target in a second at most; they tell the pace of its host", integer(0, 1000, func(p *Prefs) *int { return &p.agent.ProbesPerSecond })},
 
+	{"bounds", "keyRevocation", "0s", false, "0s to 10m", "time after which no request runs any more with a removed API key, also at agents that have lost the store; 0s: only agents that reach it are bound", duration(0, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.KeyRevocation })},
+	{"bounds", "coldOverrun", "1", false, "1 to 100", "factor by which the calls to a cold target in a second may exceed its rate", number(1, 100, func(p *Prefs) *float64 { return &p.agent.ColdOverrun })},
+	{"bounds", "coldExtra", "0", false, "0 to 1000000", "calls to a cold target in a second beyond its rate and coldOverrun", number(0, 1e6, func(p *Prefs) *float64 { return &p.agent.ColdExtra })},
+
 	{"bounds", "bodyMemory", "33554432", false, "1048576 to 68719476736", "memory in bytes for bodies over 64 KB of requests in progress, and of responses until they have been passed on; requests beyond it are refused", integer(1<<20, 1<<36, func(p *Prefs) *int { return &p.agent.BodyMemory })},
 
 	{"log", "level", "info", false, "debug, info, warn, error", "lowest level that is logged", oneOf([]string{"debug", "info", "warn", "error"}, func(p *Prefs) *string { return &p.logLevel })},
