io/httpw: refuse invalid statuses and control characters in responses

Cause: statuses from 600 to 999 were taken, and control characters in reason phrases and in values of responses, interim responses and trailers. A caller got them as a valid response.

Change: the status is from 100 to 599, and texts of responses have no control character but tabs. Values of requests are read as before.

--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -50,11 +50,11 @@
 
 // readChunked reads a chunked body of at most limit bytes and drops its
 // trailers.
-func readChunked(br *bufio.Reader, limit int64, memory *Holding) ([]byte, error) {
+func readChunked(br *bufio.Reader, isResponse bool, limit int64, memory *Holding) ([]byte, error) {
 	c := &collector{memory: memory}
 	defer c.drop()
 	extensions := 0
-	h := head{position: position{part: PartChunk}, br: br, name: "chunk line", strict: true}
+	h := head{position: position{part: PartChunk}, br: br, name: "chunk line", strict: true, isResponse: isResponse}
 	for {
 		h.left = maxChunkLine
 		line, err := h.line()
--- a/io/httpw/doc.go
+++ b/io/httpw/doc.go
@@ -14,7 +14,9 @@
 // line folding, white space before a colon, CR and NUL within a line, chunk sizes that
 // are no plain hexadecimal number, and lines of a chunked body that end with a bare LF. So are
 // requests with two Host lines, and a response whose status line or a header value goes on
-// with a status line: it broke off there, and another one follows. What is written has
+// with a status line: it broke off there, and another one follows. A response is refused as well
+// if its status isn't from 100 to 599, or if its reason phrase or a header value, also of a
+// trailer or an interim response, has a control character other than a tab. What is written has
 // exactly one framing.
 //
 // # Differences from net/http
@@ -25,7 +27,7 @@
 // slash nor are "*", versions other than HTTP/1.0 and HTTP/1.1, and a second space before a
 // status. RFC 9112 has a server accept absolute targets (section 3.2.2), but only proxies get
 // them, and no route is found by them. Accepted here only, as RFC 9110 and 9112 allow:
-// other control characters in field values, white space before a chunk extension, the same
+// other control characters in field values of requests, white space before a chunk extension, the same
 // length written in two ways, escapes in a target that can't be decoded, which are passed on as
 // they are, and an empty line before a request.
 //
--- a/io/httpw/error.go
+++ b/io/httpw/error.go
@@ -81,6 +81,10 @@
 	return &cutError{position: at, err: err}
 }
 
+// CutBody returns the error for a body of which n bytes came before err showed that it isn't
+// complete.
+func CutBody(n int, err error) error { return cutAt(bodyAt(int64(n)), err) }
+
 // Progress returns the part of a message that was being read when err occurred, and how many
 // bytes of that part had come. It returns PartOther if err is none of this package.
 func Progress(err error) (Part, int64) {
--- a/io/httpw/fuzz_test.go
+++ b/io/httpw/fuzz_test.go
@@ -116,7 +116,7 @@
 			return
 		}
 		checkRequestAgain(t, r)
-		compare(t, data, message{r.Method + " " + r.Target, string(r.Body), r.Close, restOf(br)}, netRequest)
+		compare(t, data, message{r.Method + " " + r.Target, string(r.Body), r.Close, restOf(br)}, netRequest, netStricter)
 	})
 }
 
@@ -165,7 +165,7 @@
 	interim := "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
 	for _, b := range append(noHTTP, "HTTP/1.1 200 "+strings.Repeat("x", longPart), strings.Repeat(interim, 99),
 		strings.Repeat(interim, 8)+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 X\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n\x00",
-		"HTTP/1.1 20HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 999 \xff\r\n\r\n", "HTTP/1.1  200 OK\r\n\r\n") {
+		"HTTP/1.1 20HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 999 \xff\r\n\r\n", "HTTP/1.1 599 \xff\r\n\r\n", "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 +20 X\r\n\r\n", "HTTP/1.1  200 OK\r\n\r\n") {
 		f.Add([]byte(b), false)
 	}
 	f.Fuzz(func(t *testing.T, data []byte, isHead bool) {
@@ -183,7 +183,7 @@
 		}
 		checkResponseAgain(t, r, method)
 		compare(t, data, message{fmt.Sprint(r.Status), string(r.Body), r.Close, restOf(br)},
-			func(data []byte) (message, error) { return netResponse(data, method) })
+			func(data []byte) (message, error) { return netResponse(data, method) }, netStricter[1:])
 	})
 }
 
@@ -229,21 +229,21 @@
 // netStricter are the errors of net/http for messages that RFC 9112 and 9110 let a recipient
 // accept, and that are passed on in one way only.
 var netStricter = []string{
+	"malformed MIME header",        // control characters in values of requests, RFC 9110, section 5.5
 	"invalid byte in chunk length", // white space before an extension, RFC 9110, section 5.6.3
 	"multiple Content-Length",      // the same number, written in two ways, RFC 9112, section 6.3
-	"malformed MIME header",        // control characters in values, RFC 9110, section 5.5
 	"parse \"",                     // the target reads the escapes of its path itself
 }
 
 // compare fails if net/http reads another message than got, or refuses it for a reason that
-// isn't in netStricter.
-func compare(t *testing.T, data []byte, got message, read func([]byte) (message, error)) {
+// isn't in stricter.
+func compare(t *testing.T, data []byte, got message, read func([]byte) (message, error), stricter []string) {
 	t.Helper()
 	want, err := read(data)
 	if err == nil && got != want {
 		t.Fatalf("read %+v, net/http %+v", got, want)
 	}
-	if err != nil && !slices.ContainsFunc(netStricter, func(s string) bool { return strings.Contains(err.Error(), s) }) {
+	if err != nil && !slices.ContainsFunc(stricter, func(s string) bool { return strings.Contains(err.Error(), s) }) {
 		t.Fatalf("net/http refuses what is accepted here as %+v: %v", got, err)
 	}
 }
--- a/io/httpw/head.go
+++ b/io/httpw/head.go
@@ -18,6 +18,9 @@
 	// strict means that lines end with CRLF. With a bare LF at the end of a chunk size, others
 	// take the next line for a part of the extension (RFC 9112, section 7.1).
 	strict bool
+	// isResponse means that values have no control characters but tabs. They are invalid in
+	// requests as well, but a recipient may accept them (RFC 9110, section 5.5).
+	isResponse bool
 }
 
 // newHead returns the reader of the start line and header lines of a message.
@@ -75,6 +78,9 @@
 		if !ok || !isToken(name) {
 			return nil, h.refuse(400, "malformed header line")
 		}
+		if h.isResponse && !isText(value) {
+			return nil, h.refuse(400, "control character in the value of %s", name)
+		}
 		hdr = append(hdr, Field{Name: name, Value: strings.Trim(value, " \t")})
 	}
 }
@@ -101,6 +107,16 @@
 	return true
 }
 
+// isText reports whether s has no control characters but tabs.
+func isText(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' && s[i] != '\t' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 // Versions that are understood.
 const (
 	proto10 = "HTTP/1.0"
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -71,7 +71,7 @@
 	r.memory.budget = lim.Budget
 	switch {
 	case r.frame.chunked:
-		r.Body, err = readChunked(br, lim.BodyBytes, &r.memory)
+		r.Body, err = readChunked(br, false, lim.BodyBytes, &r.memory)
 	case r.frame.length > 0:
 		r.Body, err = readLength(br, r.frame.length, &r.memory)
 	}
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -18,6 +18,7 @@
 // a length whose connection is reset instead of closed.
 func ReadResponse(br *bufio.Reader, method string, lim Limits) (*Response, error) {
 	h := newHead(br, lim)
+	h.isResponse = true
 	for range maxInterim + 1 {
 		h.left = lim.HeaderBytes
 		resp, err := readResponse(h, method, lim)
@@ -30,21 +31,7 @@
 
 // readResponse reads a response whose head begins at h.
 func readResponse(h *head, method string, lim Limits) (*Response, error) {
-	line, err := h.line()
-	if err != nil {
-		return nil, err
-	}
-	resp, proto, err := h.parseStatus(line)
-	if err != nil {
-		return nil, err
-	}
-	if resp.Header, err = h.fields(); err != nil {
-		return nil, err
-	}
-	if isJoined(resp) {
-		return nil, h.refuse(400, "response that breaks off before another one")
-	}
-	frame, err := h.framing(proto, resp.Header)
+	resp, proto, frame, err := h.response()
 	if err != nil {
 		return nil, err
 	}
@@ -56,7 +43,7 @@
 	memory := &Holding{budget: lim.Budget}
 	switch {
 	case frame.chunked:
-		resp.Body, err = readChunked(h.br, lim.BodyBytes, memory)
+		resp.Body, err = readChunked(h.br, true, lim.BodyBytes, memory)
 	case frame.length > lim.BodyBytes:
 		err = newMessageError(400, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
 	case frame.length >= 0:
@@ -73,6 +60,25 @@
 	return resp, nil
 }
 
+// response reads the head of a response up to the empty line.
+func (h *head) response() (resp *Response, proto string, frame framing, err error) {
+	line, err := h.line()
+	if err != nil {
+		return nil, "", frame, err
+	}
+	if resp, proto, err = h.parseStatus(line); err != nil {
+		return nil, "", frame, err
+	}
+	if resp.Header, err = h.fields(); err != nil {
+		return nil, "", frame, err
+	}
+	if isJoined(resp) {
+		return nil, "", frame, h.refuse(400, "response that breaks off before another one")
+	}
+	frame, err = h.framing(proto, resp.Header)
+	return resp, proto, frame, err
+}
+
 func (h *head) parseStatus(line string) (resp *Response, proto string, err error) {
 	proto, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
@@ -80,12 +86,18 @@
 		return nil, "", h.refuse(400, "malformed status line")
 	}
 	status, err := strconv.Atoi(code)
-	if err != nil || status < 100 {
+	if err != nil || !isStatus(status) {
 		return nil, "", h.refuse(400, "status %q", code)
 	}
+	if !isText(reason) {
+		return nil, "", h.refuse(400, "control character in the reason phrase")
+	}
 	return &Response{Status: status, Reason: reason}, proto, nil
 }
 
+// isStatus reports whether a number is a status code (RFC 9110, section 15).
+func isStatus(n int) bool { return n >= 100 && n <= 599 }
+
 // statusLine matches the beginning of a status line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
 
