io/local: wait for the writer before a response without length is complete

Cause: the body of a long request is written by its own goroutine. The kernel reports a reset once. If the writer got it, the reader saw a usual end, and the part of a response without length was returned as a complete one.

Change: a response without length counts only once the request is written without an error. The wait ends with the context, which closes the connection.

A target that ends its response early and reads the whole upload is served as before.

--- a/io/local/client.go
+++ b/io/local/client.go
@@ -155,6 +155,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if resp.NoLength {
+		// The kernel reports a reset once. If the writer gets it, the reader sees a usual end.
+		// The writer ends with the connection, which ends with the context of the request.
+		if err := <-sent; err != nil {
+			resp.Memory.Release()
+			return nil, httpw.CutBody(len(resp.Body), err)
+		}
+		return resp, nil
+	}
 	select {
 	case err := <-sent:
 		if err != nil {
