io/mesh: refuse answers whose response isn't valid

Cause: an answer of another daemon was passed on to the caller with any status, reason phrase and header. Daemons of earlier versions take more of their targets' responses for valid.

Change: the client checks the response of an answer where it is received. An invalid one is ErrUndecoded: the call may have run, it is logged and counted once, and other calls of the connection go on. Stand-ins in tests whose answers had no status now have 200.

--- a/io/agent/undecoded_test.go
+++ b/io/agent/undecoded_test.go
@@ -65,6 +65,18 @@
 
 // bringAnswer has an agent send an answer that can't be decoded.
 func bringAnswer(t *testing.T, a *agent.Agent, ln net.Listener) (from string) {
+	return bringPayload(t, a, ln, garbage)
+}
+
+// bringInvalid has an agent send an answer whose response isn't valid.
+func bringInvalid(t *testing.T, a *agent.Agent, ln net.Listener) (from string) {
+	payload, err := cbor.Marshal(&mesh.Answer{Status: 600})
+	is.New(t).NoErr(err)
+	return bringPayload(t, a, ln, payload)
+}
+
+// bringPayload has an agent answer a call with a payload.
+func bringPayload(t *testing.T, a *agent.Agent, ln net.Listener, payload []byte) (from string) {
 	is := is.New(t)
 	go func() {
 		nc, err := ln.Accept()
@@ -78,7 +90,7 @@
 				return
 			}
 			if kind == frameCall {
-				_, _ = nc.Write(frame(frameAnswer, call, garbage)) // an error shows in the call
+				_, _ = nc.Write(frame(frameAnswer, call, payload)) // an error shows in the call
 			}
 		}
 	}()
@@ -92,7 +104,7 @@
 // nor the counter tells of: nobody would find out why calls end.
 func TestUndecodedMessagesAreLoggedAndCounted(t *testing.T) {
 	for name, bring := range map[string]func(*testing.T, *agent.Agent, net.Listener) string{
-		"call": bringCall, "answer": bringAnswer,
+		"call": bringCall, "answer": bringAnswer, "invalid answer": bringInvalid,
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -22,7 +22,8 @@
 	// ErrNoMemory means that there was no memory for the answer: the call may have
 	// run.
 	ErrNoMemory = errors.New("mesh: no memory")
-	// ErrUndecoded means that the answer can't be decoded: the call may have run.
+	// ErrUndecoded means that the answer can't be decoded, or has a response that isn't valid:
+	// the call may have run.
 	ErrUndecoded = errors.New("mesh: answer can't be decoded")
 	// ErrRefused means that the peer doesn't answer the query, and won't if it is sent again.
 	ErrRefused = errors.New("mesh: query refused")
@@ -44,7 +45,8 @@
 	Notice func(n *Notice)
 	// Ended is told of connections that ended with an error.
 	Ended func(addr string, err error)
-	// Undecoded is told of messages that can't be decoded. It must not block.
+	// Undecoded is told of messages that can't be decoded, and of answers with invalid
+	// responses. It must not block.
 	Undecoded func(addr string, err error)
 	// Memory bounds the long bodies of answers, until they are released; nil for no
 	// bound.
@@ -106,6 +108,11 @@
 	if ans.Memory, err = l.call(ctx, kindCall, head, ans); err != nil {
 		return nil, err
 	}
+	if err := ans.check(); err != nil {
+		ans.Memory.Release()
+		c.opts.Undecoded(addr, err)
+		return nil, errors.Wrap(ErrUndecoded, err.Error())
+	}
 	return ans, nil
 }
 
--- a/io/mesh/drain_test.go
+++ b/io/mesh/drain_test.go
@@ -19,7 +19,7 @@
 	s, addr := serve(t, func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer {
 		started <- struct{}{}
 		<-release
-		return &mesh.Answer{Body: bytes.Repeat([]byte("x"), 256<<10)}
+		return &mesh.Answer{Status: 200, Body: bytes.Repeat([]byte("x"), 256<<10)}
 	})
 	c := client(t, mesh.ClientOptions{})
 	failed := make(chan error, calls)
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -75,7 +75,7 @@
 		for len(both) < 2 {
 			time.Sleep(time.Millisecond)
 		}
-		return &mesh.Answer{Body: []byte(from.Node + " " + c.ID), Load: mesh.Load{Pace: 2.5}}
+		return &mesh.Answer{Status: 200, Body: []byte(from.Node + " " + c.ID), Load: mesh.Load{Pace: 2.5}}
 	})
 	c := client(t, mesh.ClientOptions{})
 	errs := make(chan error, 2)
@@ -100,7 +100,7 @@
 		close(started)
 		<-ctx.Done()
 		close(canceled)
-		return &mesh.Answer{}
+		return &mesh.Answer{Status: 200}
 	})
 	ctx, cancel := context.WithCancel(bounded(t))
 	go func() {
@@ -120,7 +120,7 @@
 	s, addr := serve(t, func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer {
 		go s.Close()
 		time.Sleep(50 * time.Millisecond)
-		return &mesh.Answer{}
+		return &mesh.Answer{Status: 200}
 	})
 	c := client(t, mesh.ClientOptions{})
 	_, err := c.Call(bounded(t), addr, &mesh.CallHead{ID: "1"})
@@ -172,7 +172,7 @@
 // would grow with the square of their number.
 func TestPublishReachesRecentCallersOnly(t *testing.T) {
 	is := is.New(t)
-	s, addr := serve(t, func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer { return &mesh.Answer{} })
+	s, addr := serve(t, func(context.Context, mesh.Hello, *mesh.CallHead) *mesh.Answer { return &mesh.Answer{Status: 200} })
 	got := make(chan *mesh.Notice, 10)
 	c := client(t, mesh.ClientOptions{Notice: func(n *mesh.Notice) { got <- n }})
 	is.NoErr(c.Notify(bounded(t), addr, &mesh.Notice{Node: "a"}))
@@ -194,7 +194,7 @@
 	_, addr := serveWith(t, mesh.ServerOptions{
 		Opened: func(from mesh.Hello) { opened <- from },
 		Serve: func(_ context.Context, _ mesh.Hello, c *mesh.CallHead) *mesh.Answer {
-			return &mesh.Answer{Reason: c.ID}
+			return &mesh.Answer{Status: 200, Reason: c.ID}
 		},
 		Query: func(ctx context.Context, _ mesh.Hello, q *mesh.Query) *mesh.News {
 			if q.Revision == 9 {
@@ -251,7 +251,7 @@
 	is := is.New(t)
 	const kindHello, kindCall, kindAnswer = 1, 2, 4
 	_, addr := serve(t, func(_ context.Context, from mesh.Hello, c *mesh.CallHead) *mesh.Answer {
-		return &mesh.Answer{Reason: from.Node + "/" + c.ID}
+		return &mesh.Answer{Status: 200, Reason: from.Node + "/" + c.ID}
 	})
 	nc, err := net.Dial("tcp", addr)
 	is.NoErr(err)
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -89,6 +89,15 @@
 	return a.Target
 }
 
+// check returns an error if the answer has a response that can't be passed on: daemons of
+// earlier versions take more of their targets' responses for valid.
+func (a *Answer) check() error {
+	if a.Result != Answered {
+		return nil
+	}
+	return httpw.CheckResponse(&httpw.Response{Status: a.Status, Reason: a.Phrase, Header: a.Header})
+}
+
 // Retry returns when a refused call may find room, 0 if unknown.
 func (a *Answer) Retry() time.Duration { return time.Duration(a.RetryMs) * time.Millisecond }
 
