platform: check the heads of the store's answers, report broken ones

Cause: net/http takes statuses such as 000 and +20, folded lines and blanks in names. A write answered with status 000 counted as not executed, and a write or read answered with an invalid head as a good one.

An answer that isn't valid or ends early is logged and counted (store_answers_broken).

--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/io/agent"
 	"trefoilthread/io/logs"
@@ -49,9 +50,11 @@
 	}
 	out.Notes(l)
 	m := meter.New()
+	scope := m.Scope()
 	a := agent.New(agent.Options{
-		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: platform.NewStore(p.StoreAddress()),
-		Scope:          m.Scope(),
+		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l,
+		Store:          platform.NewStoreWith(p.StoreAddress(), platform.StoreOptions{Broken: brokenAnswers(l, scope)}),
+		Scope:          scope,
 		Metrics:        m.Handler(),
 		ReadyHandler:   platform.ReadyHandler,
 		ControlHandler: platform.ControlHandler,
@@ -76,6 +79,15 @@
 	}
 }
 
+// brokenAnswers returns a function that logs and counts answers of the store that broke off or
+// aren't valid.
+func brokenAnswers(l log.Interface, scope tally.Scope) func(path string, err error) {
+	return func(path string, err error) {
+		scope.Counter("store_answers_broken").Inc(1)
+		l.WithError(err).WithField("path", path).Warn("answer of the store broke off or isn't valid")
+	}
+}
+
 // reloader applies changed settings to the running agent. Only the service changes;
 // addresses and all other settings apply from the next start.
 type reloader struct {
