io/agent: log and count health checks whose response broke off

Cause: a health check was logged and counted only if its response wasn't HTTP or exceeded a bound, not if it was cut.

Change: one that broke off after it began is logged and counted as well, unless its time ran out. Checks without a byte are only counted as failed, as before.

--- a/io/agent/brokenoff_test.go
+++ b/io/agent/brokenoff_test.go
@@ -19,8 +19,11 @@
 	"trefoilthread/io/mesh"
 )
 
-// troubledTarget answers each connection with bytes, and closes it when they are sent unless
-// it stays. It returns its address.
+// longUpload is the length in bytes of a body that doesn't fit the sockets' buffers.
+const longUpload = 16 << 20
+
+// troubledTarget answers each connection with bytes before it reads a body, and closes it when
+// they are sent unless it stays. It returns its address.
 func troubledTarget(t *testing.T, bytes string, stays bool) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -40,7 +43,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if _, err := httpw.ReadRequest(bufio.NewReader(c), httpw.Limits{HeaderBytes: 1 << 10}); err != nil {
+				if _, err := httpw.ReadRequestHead(bufio.NewReader(c), httpw.Limits{HeaderBytes: 1 << 10, BodyBytes: longUpload}); err != nil {
 					return
 				}
 				_, _ = c.Write([]byte(bytes)) // until the agent closes the connection
@@ -84,6 +87,7 @@
 		result string
 		part   string
 		read   int64 // least number of bytes
+		upload int   // length of the request's body
 	}{
 		"head":    {bytes: ok + strings.Repeat("A: b\r\n", 20_000), left: never, result: "broken", part: "head", read: 64 << 10},
 		"interim": {bytes: strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 99), left: never, result: "broken", part: "interim", read: 9 * 18},
@@ -93,6 +97,9 @@
 		"memory":  {bytes: ok + "\r\n" + strings.Repeat("x", 300_000), left: never, result: "broken", part: "memory", read: 32 << 10},
 		"cut":     {bytes: ok + "Content-Length: 5\r\n\r\nabc", left: never, result: "broken", part: "body", read: 3},
 		"other":   {bytes: strings.Repeat(ok+"Id: x\r\nContent-Length: 0\r\n\r\n", 9), left: never, result: "broken", part: "other"},
+		"upload":  {bytes: ok + "Id: r7\r\n\r\npart", upload: longUpload, left: never, result: "broken", part: "body"},
+		"status":  {bytes: "HTTP/1.1 600 X\r\n\r\n", left: never, result: "broken", part: "head", read: 16},
+		"name":    {bytes: ok + "A : b\r\n\r\n", left: never, result: "broken", part: "head", read: 24},
 		"slow":    {bytes: ok + "A: ", stays: true, left: soon, result: "expired", part: "head"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -105,7 +112,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), patience)
 			defer cancel()
 			agent.Serve(ctx, a, &mesh.CallHead{
-				ID: "r7", Service: "bookings", Target: "t1", Method: "GET", Path: "/",
+				ID: "r7", Service: "bookings", Target: "t1", Method: "GET", Path: "/", Body: make([]byte, c.upload),
 				RemainingMs: c.left.Milliseconds(), GoalMs: c.left.Milliseconds(),
 			})
 			is.Equal(len(lines), 1)
@@ -125,6 +132,48 @@
 	}
 }
 
+// Guards against a health check whose response ends early or isn't valid, and of which neither
+// the log nor the counter tells, and against lines for a target that restarts or is slow.
+func TestBrokenHealthChecksAreLoggedAndCountedByPart(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct {
+		bytes string
+		stays bool
+		part  string // "" for no line
+	}{
+		"status":       {bytes: "HTTP/1.1 000 X\r\n\r\n", part: "head"},
+		"folded line":  {bytes: ok + "A: b\r\n c\r\n\r\n", part: "head"},
+		"cut head":     {bytes: ok + "A: b", part: "head"},
+		"cut body":     {bytes: ok + "Content-Length: 5\r\n\r\nabc", part: "body"},
+		"empty body":   {bytes: ok + "Content-Length: 5\r\n\r\n", part: "body"},
+		"cut chunk":    {bytes: ok + "Transfer-Encoding: chunked\r\n\r\n", part: "chunk"},
+		"no byte":      {},
+		"slow":         {bytes: ok + "A: ", stays: true},
+		"silent":       {stays: true},
+		"whole":        {bytes: ok + "Content-Length: 0\r\n\r\n"},
+		"whole, ended": {bytes: ok + "\r\nabc"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			scope := tally.NewTestScope("", nil)
+			a, lines := newLogged("health check: target's response broke off", scope)
+			cur := beat.Announcement{ID: "t1", Born: 1, Sequence: 1, Service: "bookings", Slots: 9, Address: troubledTarget(t, c.bytes, c.stays)}
+			agent.AnnounceTarget(a, cur)
+			agent.CheckHealth(a, cur)
+			if c.part == "" {
+				is.Equal(len(lines), 0)
+				return
+			}
+			is.Equal(len(lines), 1)
+			line := <-lines
+			is.Equal(line.Fields.Get("target"), "t1")
+			is.Equal(line.Fields.Get("part"), c.part)
+			is.True(line.Fields.Get("error") != nil)
+			is.Equal(scope.Snapshot().Counters()["responses_broken+part="+c.part].Value(), int64(1))
+		})
+	}
+}
+
 // Guards against callers that send without end and of whom the log and the counters don't
 // tell what they sent.
 func TestUnreadRequestsAreLoggedAndCountedByPart(t *testing.T) {
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -168,6 +168,12 @@
 // AnnounceTarget applies an announcement of the target of a.
 func AnnounceTarget(a *Agent, x beat.Announcement) { a.target.announce(x) }
 
+// CheckHealth makes a health check of the target.
+func CheckHealth(a *Agent, cur beat.Announcement) {
+	a.target.probeDone = make(chan struct{})
+	a.target.runProbe(cur, "/health")
+}
+
 // IsTargetIdle reports whether no call runs or waits at the target of a.
 func IsTargetIdle(a *Agent) bool { return a.target.isIdle() }
 
--- a/io/agent/logging.go
+++ b/io/agent/logging.go
@@ -110,10 +110,12 @@
 	fields["part"], fields["readBytes"] = part.String(), read
 }
 
-// logBadHealth logs a health check whose response was no HTTP or exceeded a bound. That a
-// check failed for another reason is only counted.
+// logBadHealth logs and counts a health check whose response wasn't valid or broke off. That a
+// check got no response in time, or no byte of one, is only counted.
 func (t *localTarget) logBadHealth(cur beat.Announcement, err error) {
-	if !httpw.IsMessageError(err) {
+	part, read := httpw.Progress(err)
+	hasBegun := part != httpw.PartOther && (part != httpw.PartHead || read > 0)
+	if !httpw.IsMessageError(err) && (!hasBegun || errors.IsAny(err, context.Canceled, context.DeadlineExceeded)) {
 		return
 	}
 	t.metrics.countBroken("responses_broken", err)
--- a/io/agent/refused_test.go
+++ b/io/agent/refused_test.go
@@ -114,8 +114,10 @@
 func flakyWire() agent.Wire {
 	return agent.Wire{
 		TargetRequest: func(call *mesh.CallHead, _ time.Duration) *httpw.Request {
-			return &httpw.Request{Method: call.Method, Target: call.Path, Header: httpw.Header{{Name: "Id", Value: call.ID}}}
+			return &httpw.Request{Method: call.Method, Target: call.Path, Header: httpw.Header{{Name: "Id", Value: call.ID}}, Body: call.Body}
 		},
+		HealthRequest: func(path string) *httpw.Request { return &httpw.Request{Method: "GET", Target: path} },
+		ReadHealth:    func(*httpw.Response) agent.HealthInfo { return agent.HealthInfo{Target: "t1"} },
 		Belongs: func(req *httpw.Request, resp *httpw.Response) bool {
 			return req.Header.Get("Id") == resp.Header.Get("Id")
 		},
