--- a/core/admit/displace.go
+++ b/core/admit/displace.go
@@ -49,7 +49,7 @@
 		return true
 	}
 	victim := g.queueOf(e).leastValuable()
-	if victim == nil || victim.worthRate >= e.worthRate {
+	if victim == nil || victim.arrived && !e.arrived || victim.worthRate >= e.worthRate {
 		return false
 	}
 	g.drop(victim, reasonDisplaced)
--- a/core/admit/entry.go
+++ b/core/admit/entry.go
@@ -15,6 +15,7 @@
 	urgent         bool
 	running        bool
 	canceled       bool
+	arrived        bool // its body came after a Forecast
 	deadline       time.Time
 	goal           time.Time
 	assumedService time.Duration // service time at the usual pace until one of the kind is known
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -22,6 +22,7 @@
 	runningNormal  int
 	urgentStreak   int
 	draining       bool
+	expecting      int // calls whose bodies are on their way
 	lastID         uint64
 	pending        []Event
 	kinds          map[string]int // numbers of named kinds
@@ -35,8 +36,8 @@
 func New(o Options) *Gate {
 	g := &Gate{
 		opts:   o.withDefaults(),
-		urgent: queue{before: byDeadline},
-		normal: queue{before: byWorthRate},
+		urgent: queue{before: arrivedFirst(byDeadline)},
+		normal: queue{before: arrivedFirst(byWorthRate)},
 		pace:   1, nextPace: 1,
 	}
 	g.limit = limit.New(g.limitOptions())
@@ -230,12 +231,12 @@
 // incarnation.
 func (g *Gate) Report() types.ReportSpec {
 	return types.ReportSpec{
-		InFlight: g.running, Queued: g.waiting(),
+		InFlight: g.running, Queued: g.waiting() + g.expecting,
 		Limit: g.effectiveSlots(), Latency: g.limit.Latency(), Draining: g.draining,
 	}
 }
 
-// Idle reports whether no call runs or waits.
+// Idle reports whether no call runs, waits or is expected.
 func (g *Gate) Idle() bool {
-	return g.running == 0 && g.waiting() == 0
+	return g.running == 0 && g.waiting() == 0 && g.expecting == 0
 }
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -73,7 +73,7 @@
 func (q *queue) leastValuable() *entry {
 	var least *entry
 	for _, e := range q.items {
-		if least == nil || byWorthRate(least, e) {
+		if least == nil || arrivedFirst(byWorthRate)(least, e) {
 			least = e
 		}
 	}
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -25,7 +25,7 @@
 // estimatedWait returns the estimated time until e would start if it joined its
 // queue now.
 func (g *Gate) estimatedWait(now time.Time, e *entry) time.Duration {
-	grants := g.queueOf(e).countAhead(e) + 1
+	grants := g.queueOf(e).countAhead(e) + 1 + g.expecting
 	if e.urgent {
 		grants += min(g.normal.Len(), grants/g.urgentStreakLimit())
 	} else {
@@ -46,9 +46,9 @@
 const lateWorthShare = 0.1
 
 // missesGoal reports whether the answer to a call that starts after wait would
-// miss its goal. A call without a goal never misses it.
+// miss its goal. A call without a goal, or whose body has come, never misses it.
 func (g *Gate) missesGoal(now time.Time, e *entry, wait time.Duration) bool {
-	return !e.goal.IsZero() && now.Add(wait+g.serviceTime(now, e)).After(e.goal)
+	return !e.arrived && !e.goal.IsZero() && now.Add(wait+g.serviceTime(now, e)).After(e.goal)
 }
 
 // demote reduces the worth rate of a call that would miss its goal to that of a
--- /dev/null
+++ b/core/link/speed.go
@@ -0,0 +1,34 @@
+package link
+
+import "time"
+
+const (
+	// OfferTime is the time on the link above which a body is offered before it is sent. An
+	// offer costs a round trip, up to 8 ms between data centres.
+	OfferTime = 5 * time.Millisecond
+	// PartSize is the number of bytes of a body that are written at a time. A part takes
+	// 6 ms on a link of 11 Mbit/s.
+	PartSize = 8 << 10
+	// bytesPerMbit converts the unit of links.
+	bytesPerMbit = 1e6 / 8
+)
+
+// Slower returns the speed of the slower of two links in Mbit/s. 0 stands for an unknown
+// speed and is ignored.
+func Slower(a, b float64) float64 {
+	if a <= 0 || b > 0 && b < a {
+		return max(b, 0)
+	}
+	return a
+}
+
+// ShouldOffer reports whether a body of n bytes is offered before it is sent over a link.
+func ShouldOffer(n int, mbit float64) bool { return timeOf(n, mbit) > OfferTime }
+
+// timeOf returns the time that n bytes take on a link, 0 if its speed is unknown.
+func timeOf(n int, mbit float64) time.Duration {
+	if mbit <= 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / (mbit * bytesPerMbit) * float64(time.Second))
+}
