io/mesh, io/agent: offer long bodies before they are sent

A call whose body takes more than 5 ms on the slower link is sent without it. The gate answers with a grant or a refusal, and the body follows the grant. Frames over 16 KB that take as long are written in parts of 8 KB, paced to the slower link and to the own one, so that short frames go between them. Peers of an older version get whole calls.

--- a/core/link/doc.go
+++ b/core/link/doc.go
@@ -8,8 +8,8 @@
 //
 // # Offers
 //
-// ShouldOffer tells whether a call is offered: if its body takes longer than OfferTime on
-// the slower of the two links. A body on fast links is sent with its call.
+// IsLong tells whether a call is offered: if its body takes longer than LongTime on the
+// slower of the two links. A body on fast links is sent with its call.
 //
 // An offer is granted if the gate of the target has a place for the call at the time at
 // which its body will have come, and the link has room: the bodies under way, this one
--- a/core/link/speed.go
+++ b/core/link/speed.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// OfferTime is the time on the link above which a body is offered before it is sent. An
-	// offer costs a round trip, up to 8 ms between data centres.
-	OfferTime = 5 * time.Millisecond
+	// LongTime is the time on the link above which a body is offered before it is sent, and
+	// a message is sent in parts. An offer costs a round trip, up to 8 ms between data
+	// centres.
+	LongTime = 5 * time.Millisecond
 	// PartSize is the number of bytes of a body that are written at a time. A part takes
 	// 6 ms on a link of 11 Mbit/s.
 	PartSize = 8 << 10
@@ -22,8 +23,8 @@
 	return a
 }
 
-// ShouldOffer reports whether a body of n bytes is offered before it is sent over a link.
-func ShouldOffer(n int, mbit float64) bool { return timeOf(n, mbit) > OfferTime }
+// IsLong reports whether n bytes take longer than LongTime on a link.
+func IsLong(n int, mbit float64) bool { return timeOf(n, mbit) > LongTime }
 
 // timeOf returns the time that n bytes take on a link, 0 if its speed is unknown.
 func timeOf(n int, mbit float64) time.Duration {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -92,7 +92,7 @@
 	a.balancer = newBalancer(o.Settings, o.Clock, a.boot)
 	a.suspects = newSuspects(o.Settings.Node, a.boot, o.Clock, o.Log, a.broadcast)
 	a.target = newLocalTarget(localTargetOptions{
-		clock: o.Clock, log: o.Log, metrics: a.metrics, wire: o.Wire, onChange: a.targetChanged, onPaceChange: a.publishLoad,
+		clock: o.Clock, log: o.Log, metrics: a.metrics, wire: o.Wire, linkSpeed: o.Settings.Link, onChange: a.targetChanged, onPaceChange: a.publishLoad,
 		presence: a.presence,
 		service:  a.serviceInfo,
 		stop:     a.stop.Load,
@@ -110,14 +110,16 @@
 		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
 		wants: a.wants, sendQuery: a.queryAgent, onChange: a.applyItems, onDiscovered: a.agentsDiscovered, onListed: a.keysListed,
 	})
+	uplink := mesh.NewUplink(o.Settings.Link)
 	a.client = mesh.NewClient(mesh.ClientOptions{
-		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress()}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.handleNotice,
-		Memory: a.bodies, Undecoded: a.recordUndecoded,
+		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress(), Link: o.Settings.Link},
+		Clock: o.Clock, Ended: a.linkEnded, Notice: a.handleNotice,
+		Memory: a.bodies, Undecoded: a.recordUndecoded, Uplink: uplink,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
 		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Opened: a.linkOpened,
 		Failed: a.inboundEnded, Clock: o.Clock, Memory: a.bodies, NoMemory: a.refuseLongCall,
-		Undecoded: a.refuseUndecoded,
+		Undecoded: a.refuseUndecoded, Uplink: uplink,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -151,7 +151,7 @@
 	switch {
 	case errors.Is(res.err, mesh.ErrUnreachable):
 		d.tries.Record(tries.Unsent, "agent unreachable", 0)
-	case errors.Is(res.err, mesh.ErrOldPeer):
+	case errors.Is(res.err, mesh.ErrOldPeer), errors.Is(res.err, mesh.ErrNotSent):
 		d.tries.Record(tries.Unsent, res.err.Error(), 0)
 	case ans == nil && ctx.Err() != nil:
 		d.tries.Record(tries.Expired, "deadline passed or caller left", 0)
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -11,6 +11,7 @@
 	"trefoilthread/core/admit"
 	"trefoilthread/core/beat"
 	"trefoilthread/core/grace"
+	"trefoilthread/core/link"
 	"trefoilthread/core/pace"
 	"trefoilthread/core/probe"
 	"trefoilthread/core/types"
@@ -33,6 +34,8 @@
 	metrics *metrics
 	wire    Wire
 	client  *local.Client
+	// linkSpeed is the speed of the network link of this VM in Mbit/s, 0 if unknown.
+	linkSpeed float64
 	// onChange is called when the target or its state has changed.
 	onChange func()
 	// onPaceChange is called when the pace of the target's host differs enough from the
@@ -61,6 +64,8 @@
 	announced *beat.Tracker
 	gate      *admit.Gate
 	waiters   map[admit.Ticket]chan admit.Event
+	link      *link.Link // over which the bodies of offered calls come
+	offers    map[link.ID]chan link.Event
 	ticking   bool
 	stopping  bool      // this agent is stopping
 	downUntil time.Time // no calls until then, as the target accepted no connection
@@ -76,6 +81,7 @@
 	return &localTarget{
 		localTargetOptions: opts, running: running, cut: cut, announced: beat.New(), gate: admit.New(admit.OptionsFor(0, 0)),
 		waiters: make(map[admit.Ticket]chan admit.Event),
+		link:    link.New(link.Options{Mbit: opts.linkSpeed}), offers: make(map[link.ID]chan link.Event),
 	}
 }
 
@@ -201,7 +207,7 @@
 	r := t.gate.Report()
 	cur, _ := t.announced.Current()
 	return mesh.Load{
-		InFlight: r.InFlight, Queued: r.Queued, Limit: r.Limit,
+		InFlight: r.InFlight, Queued: r.Queued + t.link.Waiting(), Limit: r.Limit,
 		LatencyUs: r.Latency.Microseconds(), Draining: r.Draining, Born: cur.Born, Pace: t.pace.Current(),
 	}
 }
@@ -234,7 +240,8 @@
 	t.mu.Lock()
 	t.setGatePace()
 	events := t.gate.Tick(t.clock.Now())
-	t.ticking = t.gate.Report().Queued > 0
+	t.decideOffers(t.clock.Now())
+	t.ticking = t.gate.Report().Queued > 0 || t.link.Waiting() > 0
 	if t.ticking {
 		t.clock.AfterFunc(queueCheckInterval, t.tick)
 	}
--- a/io/agent/metrics.go
+++ b/io/agent/metrics.go
@@ -16,6 +16,7 @@
 	latency       tally.Histogram // of callers' requests
 	targetLatency tally.Histogram // of calls at the target on this VM
 	hold          tally.Histogram // of responses that waited for earlier ones of their connection
+	linkBusy      tally.Gauge     // link time of the bodies under way to this VM
 	routine       *rate.Limiter   // limits log lines about successful requests and calls
 }
 
@@ -46,6 +47,7 @@
 		latency:       scope.Histogram("request_latency", latencyBuckets),
 		targetLatency: scope.Histogram("target_latency", latencyBuckets),
 		hold:          scope.Histogram("response_hold", latencyBuckets),
+		linkBusy:      scope.Gauge("link_busy_ms"),
 		routine:       rate.NewLimiter(routineLinesPerSecond, routineLinesPerSecond),
 	}
 }
@@ -69,6 +71,11 @@
 	m.scope.Tagged(map[string]string{"part": part.String()}).Counter(name).Inc(1)
 }
 
+// setLinkBusy records the link time of the bodies under way to this VM.
+func (m *metrics) setLinkBusy(d time.Duration) {
+	m.linkBusy.Update(float64(d) / float64(time.Millisecond))
+}
+
 // countEvent adds one to the counter with a name.
 func (m *metrics) countEvent(name string) { m.scope.Counter(name).Inc(1) }
 
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -62,6 +62,7 @@
 	if t.Address() == a.opts.Settings.advertisedAddress() {
 		return a.target.serve(ctx, head), nil
 	}
+	head.PeerLink = t.Link()
 	ans, err := a.client.Call(ctx, t.Address(), head)
 	if err == nil {
 		a.recordContactAt(t)
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -41,6 +41,12 @@
 	if err != nil {
 		return refused("call not understood: "+err.Error(), 0), nil
 	}
+	if head.Offer != nil {
+		if refusal := t.receiveBody(ctx, call, head); refusal != nil {
+			return refusal, nil
+		}
+		now = t.clock.Now()
+	}
 	fp := fingerprintOf(head)
 	ticket, refusal := t.admit(ctx, now, call, head, fp)
 	if refusal != nil {
@@ -68,7 +74,9 @@
 // finish returns the slot of a call that has run for took.
 func (t *localTarget) finish(ticket admit.Ticket, took time.Duration, failed bool) {
 	t.mu.Lock()
-	events := t.gate.Done(t.clock.Now(), ticket, took, failed)
+	now := t.clock.Now()
+	events := t.gate.Done(now, ticket, took, failed)
+	t.decideOffers(now)
 	t.mu.Unlock()
 	t.deliver(events)
 }
@@ -102,16 +110,13 @@
 		t.mu.Unlock()
 		return admit.Ticket{}, refused(reason, 0)
 	}
-	ticket, v := t.gate.Offer(now, call)
+	ticket, v := t.enter(now, call, head)
 	events := t.gate.Pending()
 	var ch chan admit.Event
 	if v == admit.Wait {
 		ch = make(chan admit.Event, 1)
 		t.waiters[ticket] = ch
-		if !t.ticking {
-			t.ticking = true
-			t.clock.AfterFunc(queueCheckInterval, t.tick)
-		}
+		t.startTicking()
 	}
 	hint := t.retryHint()
 	t.mu.Unlock()
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	corelink "trefoilthread/core/link"
 	"trefoilthread/io/httpw"
 )
 
@@ -26,6 +27,9 @@
 	ErrUndecoded = errors.New("mesh: answer can't be decoded")
 	// ErrRefused means that the peer doesn't answer the query, and won't if it is sent again.
 	ErrRefused = errors.New("mesh: query refused")
+	// ErrNotSent means that the caller left, or the deadline passed, before the body of an
+	// offered call was sent: the call has not run.
+	ErrNotSent = errors.New("mesh: body not sent")
 	// ErrOldPeer means that the message has text that isn't UTF-8 and that the peer's
 	// version can't decode it: it was not sent.
 	ErrOldPeer = errors.New("mesh: the other daemon's version can't decode text that isn't UTF-8")
@@ -49,6 +53,9 @@
 	// Memory bounds the long bodies of answers, until they are released; nil for no
 	// bound.
 	Memory *httpw.Budget
+	// Uplink is the network link of this VM, shared with the server; nil if its speed is
+	// unknown.
+	Uplink *Uplink
 }
 
 const (
@@ -68,7 +75,7 @@
 // linkKey names a connection.
 type linkKey struct {
 	addr string
-	bulk bool // for calls with bodies of more than maxShortBody
+	bulk bool // for calls with bodies of more than maxShortBody, and for offered ones
 }
 
 // maxShortBody is the length in bytes of the longest body on the connection of short
@@ -96,14 +103,22 @@
 }
 
 // Call sends a call and waits for its answer. When ctx ends first, the call is
-// canceled at the peer and the error is that of ctx.
+// canceled at the peer and the error is that of ctx. A call whose body is long for the slower
+// of the two links is offered first.
 func (c *Client) Call(ctx context.Context, addr string, head *CallHead) (*Answer, error) {
-	l, err := c.link(ctx, linkKey{addr: addr, bulk: len(head.Body) > maxShortBody})
+	offered := corelink.IsLong(len(head.Body), c.opts.Uplink.slower(head.PeerLink))
+	l, err := c.link(ctx, linkKey{addr: addr, bulk: offered || len(head.Body) > maxShortBody})
 	if err != nil {
 		return nil, err
 	}
+	l.out.setPeerLink(head.PeerLink)
 	ans := new(Answer)
-	if ans.Memory, err = l.call(ctx, kindCall, head, ans); err != nil {
+	if offered {
+		ans.Memory, err = l.offer(ctx, head, ans)
+	} else {
+		ans.Memory, err = l.call(ctx, kindCall, head, ans)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return ans, nil
--- a/io/mesh/drain.go
+++ b/io/mesh/drain.go
@@ -62,5 +62,5 @@
 func (s *sender) isFlushed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.writing && len(s.pending) == 0 || s.err != nil
+	return !s.writing && len(s.pending) == 0 && len(s.long) == 0 || s.err != nil
 }
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -30,11 +30,26 @@
 	lastKind = kindWelcome
 )
 
+// The kinds of version 2. Those between are left to other messages.
+const (
+	kindGrant     kind = iota + 30
+	kindBody           // body of an offered call
+	kindFirstPart      // head and first bytes of a frame
+	kindPart           // next bytes of the frame that the latest kindFirstPart began
+)
+
+// isKnown reports whether this version reads the payloads of frames of a kind.
+func (k kind) isKnown() bool {
+	return k >= kindHello && k <= lastKind || k >= kindGrant && k <= kindPart
+}
+
 // maxPayload returns the bound of the payload in bytes.
 func (k kind) maxPayload() int {
 	switch k {
 	case kindCall, kindAnswer, kindNotice, kindNews:
 		return maxFrame
+	case kindBody, kindFirstPart, kindPart:
+		return maxWhole
 	}
 	return maxControlFrame
 }
@@ -95,6 +110,10 @@
 	if msg == nil {
 		return append(buf, head[:]...), nil
 	}
+	if raw, ok := msg.([]byte); ok {
+		binary.BigEndian.PutUint32(head[:], uint32(len(raw)))
+		return append(append(buf, head[:]...), raw...), nil
+	}
 	out := bytes.NewBuffer(buf)
 	if n := bodyLen(msg); n > maxShortBody {
 		out.Grow(n + maxShortBody)
@@ -137,7 +156,7 @@
 	}
 	f := frame{kind: kind(head[4]), call: binary.BigEndian.Uint64(head[5:])}
 	switch {
-	case f.kind == 0 || f.kind > lastKind:
+	case !f.kind.isKnown():
 		return f, discard(br, n, progress) // from a later version
 	case n > f.kind.maxPayload():
 		return frame{}, errors.Newf("mesh: frame of kind %d with %d bytes, allowed %d", f.kind, n, f.kind.maxPayload())
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -38,9 +38,9 @@
 func (l *link) run() {
 	nc, err := l.c.dial(l.key.addr)
 	if err == nil {
-		l.out = &sender{nc: nc, clock: l.c.opts.Clock}
+		l.out = &sender{nc: nc, clock: l.c.opts.Clock, uplink: l.c.opts.Uplink}
 		hello := l.c.opts.Hello
-		hello.Bulk, hello.Version = l.key.bulk, rawTextVersion
+		hello.Bulk, hello.Version = l.key.bulk, ownVersion
 		if err = l.out.send(kindHello, 0, &hello); err != nil {
 			_ = nc.Close() // the error of the send is reported
 		}
@@ -72,6 +72,8 @@
 }
 
 func (l *link) read(br *bufio.Reader) error {
+	parts := assembler{budget: l.c.opts.Memory}
+	defer parts.drop()
 	for isFirst := true; ; isFirst = false {
 		f, err := readFrame(br, l.c.opts.Memory, l.noteHeard)
 		if err != nil {
@@ -81,6 +83,16 @@
 		if isFirst {
 			l.learnVersion(f)
 		}
+		if f.kind == kindFirstPart || f.kind == kindPart {
+			whole, ok, err := parts.add(f)
+			if err != nil {
+				return err
+			}
+			if !ok {
+				continue
+			}
+			f = whole
+		}
 		l.handle(f)
 	}
 }
@@ -113,6 +125,8 @@
 	switch f.kind {
 	case kindAnswer, kindNews:
 		l.deliver(f)
+	case kindGrant:
+		l.deliverGrant(f)
 	case kindNotice:
 		n := new(Notice)
 		if err := f.decode(n); err != nil {
@@ -153,13 +167,13 @@
 // call sends a message that is answered and decodes the answer into out. It returns the
 // memory of the answer's body.
 func (l *link) call(ctx context.Context, k kind, msg, out any) (*httpw.Holding, error) {
-	id, ch, ok := l.open()
+	id, ch, ok := l.open(1)
 	if !ok {
 		return nil, ErrUnreachable
 	}
-	err := l.out.send(k, id, msg)
+	long, err := l.out.enqueue(k, id, msg, nil)
 	if errors.Is(err, ErrOldPeer) && l.awaitVersion(ctx, ch) {
-		err = l.out.send(k, id, msg)
+		long, err = l.out.enqueue(k, id, msg, nil)
 	}
 	if err != nil {
 		l.forget(id)
@@ -168,23 +182,52 @@
 		}
 		return nil, ErrUnreachable
 	}
+	return l.awaitAnswer(ctx, id, ch, long, out)
+}
+
+// awaitAnswer waits for the answer to a call and decodes it into out. long is the frame of the
+// call if it is sent in parts, else nil: a call whose last part was not written has not run.
+func (l *link) awaitAnswer(ctx context.Context, id uint64, ch chan frame, long *longFrame, out any) (*httpw.Holding, error) {
 	select {
 	case f, ok := <-ch:
-		if !ok {
+		if ok && f.kind == kindGrant { // a second one
+			return l.awaitAnswer(ctx, id, ch, long, out)
+		}
+		switch unsent := l.out.withdraw(long); {
+		case !ok && unsent:
+			return nil, ErrUnreachable
+		case !ok:
 			return nil, ErrBroken
+		case unsent:
+			// It is refused; an error means that the connection is gone.
+			_ = l.out.send(kindCancel, id, nil)
 		}
 		return f.memory, l.decode(f, out)
 	case <-ctx.Done():
-		if l.forget(id) {
-			// An error means that the connection is gone, and the call with it.
-			_ = l.out.send(kindCancel, id, nil)
-		} else if f, ok := <-ch; ok {
-			f.memory.Release() // the answer came at the same time
+		unsent := l.out.withdraw(long)
+		l.cancel(id, ch)
+		if unsent {
+			return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
 		}
 		return nil, ctx.Err()
 	}
 }
 
+// cancel gives a call up.
+func (l *link) cancel(id uint64, ch chan frame) {
+	if l.forget(id) {
+		// An error means that the connection is gone, and the call with it.
+		_ = l.out.send(kindCancel, id, nil)
+		return
+	}
+	for f := range ch { // the answer came at the same time
+		f.memory.Release()
+		if f.kind != kindGrant {
+			return
+		}
+	}
+}
+
 // awaitVersion waits until the peer's version is known; false if the connection or ctx
 // ends before. A peer without other frames to send answers the ping, after its welcome.
 func (l *link) awaitVersion(ctx context.Context, ended <-chan frame) bool {
@@ -213,8 +256,8 @@
 	return nil
 }
 
-// open enters a call and starts to watch for silence.
-func (l *link) open() (uint64, chan frame, bool) {
+// open enters a call that waits for up to n frames and starts to watch for silence.
+func (l *link) open(n int) (uint64, chan frame, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended {
@@ -229,7 +272,7 @@
 		}
 	}
 	l.last++
-	ch := make(chan frame, 1)
+	ch := make(chan frame, n)
 	l.calls[l.last] = ch
 	return l.last, ch, true
 }
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -28,6 +28,11 @@
 	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
 	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
 	Customer    string       `cbor:"17,keyasint,omitempty"` // customer whose API key the request had, "" if none
+	BodyLen     int          `cbor:"30,keyasint,omitempty"` // of an offered call: length of the body, which is sent after a grant
+	// PeerLink is the speed of the link of the called daemon's VM in Mbit/s, 0 if unknown.
+	PeerLink float64 `cbor:"-"`
+	// Offer is the way to the body at a server, nil if the body has come with the call.
+	Offer *Offer `cbor:"-"`
 	// Memory is that of the body at a server, until the call is answered.
 	Memory *httpw.Holding `cbor:"-"`
 }
@@ -131,6 +136,13 @@
 	Address string `cbor:"3,keyasint,omitempty"` // where the sender takes connections
 	Bulk    bool   `cbor:"4,keyasint,omitempty"` // the connection carries calls with long bodies only
 	Version int    `cbor:"5,keyasint,omitempty"` // of the sender
+	// Link is the speed of the link of the sender's VM in Mbit/s, 0 if unknown.
+	Link float64 `cbor:"20,keyasint,omitempty"`
+}
+
+// Grant tells the sender of an offered call to send the body.
+type Grant struct {
+	StartUs int64 `cbor:"1,keyasint,omitempty"` // time until the sender begins
 }
 
 // Query asks for what is in the store: for all changes, or for one key.
--- a/io/mesh/sender.go
+++ b/io/mesh/sender.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	corelink "trefoilthread/core/link"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/write"
 )
@@ -37,8 +39,14 @@
 	// version is that of the peer, 0 until it is known.
 	version atomic.Int32
 
+	uplink *Uplink // of this VM, nil if unknown
+
 	mu      sync.Mutex
 	pending []byte
+	long    []*longFrame     // frames that are sent in parts, after pending
+	pacer   *corelink.Pacer  // of the parts, nil if none is slow
+	toPeer  float64          // speed of the slower one of the links to the peer, Mbit/s, 0 if unknown
+	waiting bool             // resume is called when the next part may be written
 	held    []*httpw.Holding // memory of the bodies in pending
 	spare   []byte
 	writing bool
@@ -54,44 +62,52 @@
 // sendHolding is send with the memory of the message's body, which is released once the
 // frame is written, or isn't queued.
 func (s *sender) sendHolding(k kind, call uint64, msg any, memory *httpw.Holding) error {
-	err := s.enqueue(k, call, msg, memory)
+	_, err := s.enqueue(k, call, msg, memory)
 	if err != nil {
 		memory.Release()
 	}
 	return err
 }
 
-func (s *sender) enqueue(k kind, call uint64, msg any, memory *httpw.Holding) error {
+// enqueue queues a frame and, if nobody else is writing, writes. It returns the frame if it
+// is sent in parts, else nil.
+func (s *sender) enqueue(k kind, call uint64, msg any, memory *httpw.Holding) (*longFrame, error) {
 	if s.version.Load() < rawTextVersion && hasRawText(msg) {
-		return ErrOldPeer
+		return nil, ErrOldPeer
 	}
 	s.mu.Lock()
 	if s.err != nil {
 		defer s.mu.Unlock()
-		return s.err
+		return nil, s.err
 	}
-	waiting := len(s.pending)
+	short := len(s.pending)
 	buf, err := appendFrame(s.pending, k, call, msg)
-	isShort := len(buf)-waiting <= maxShortFrame
-	if err == nil && (waiting > 2*maxBacklog || waiting > maxBacklog && !isShort) {
+	n := len(buf) - short
+	if waiting := short + s.longBytes(); err == nil && (waiting > 2*maxBacklog || waiting > maxBacklog && n > maxShortFrame) {
 		err = errBacklog
 	}
 	if err != nil {
 		s.mu.Unlock()
-		return err
+		return nil, err
 	}
-	s.pending = buf
-	if memory != nil {
-		s.held = append(s.held, memory)
+	var long *longFrame
+	if s.isLong(k, n) {
+		long = &longFrame{call: call, rest: bytes.Clone(buf[short:]), memory: memory}
+		s.long = append(s.long, long)
+	} else {
+		s.pending = buf
+		if memory != nil {
+			s.held = append(s.held, memory)
+		}
 	}
 	if s.writing {
 		s.mu.Unlock()
-		return nil
+		return long, nil
 	}
 	s.writing = true
 	s.mu.Unlock()
 	s.flush()
-	return nil
+	return long, nil
 }
 
 // flush writes until nothing is pending.
@@ -100,9 +116,19 @@
 		s.mu.Lock()
 		buf, held := s.pending, s.held
 		s.held = nil
+		if len(buf) == 0 && s.err == nil {
+			if part := s.takePart(); part != nil {
+				s.mu.Unlock()
+				s.writePart(part)
+				continue
+			}
+		}
 		if len(buf) == 0 || s.err != nil {
 			s.writing = false
 			s.pending = buf[:0]
+			if s.err != nil {
+				held = append(held, s.longMemory()...)
+			}
 			s.mu.Unlock()
 			releaseAll(held)
 			return
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -36,6 +36,9 @@
 	// Undecoded is told of messages that can't be decoded and returns the answer to such a
 	// message if it is a call. It must not block.
 	Undecoded func(from Hello, err error) *Answer
+	// Uplink is the network link of this VM, shared with the clients; nil if its speed is
+	// unknown.
+	Uplink *Uplink
 }
 
 const (
@@ -82,7 +85,7 @@
 			continue
 		}
 		setKeepAlive(nc)
-		p := &inbound{s: s, out: &sender{nc: nc, clock: s.opts.Clock}, calls: make(map[uint64]context.CancelFunc)}
+		p := newInbound(s, nc)
 		if s.add(nc, p) {
 			go s.serveConn(nc, p)
 		}
@@ -150,10 +153,21 @@
 	from Hello
 
 	progressed time.Time // latest pong of noteProgress
+	parts      assembler
 
 	mu     sync.Mutex
 	calls  map[uint64]context.CancelFunc
-	called time.Time // latest call
+	offers map[uint64]*Offer // calls without their bodies
+	called time.Time         // latest call
+}
+
+func newInbound(s *Server, nc net.Conn) *inbound {
+	p := &inbound{
+		s: s, out: &sender{nc: nc, clock: s.opts.Clock, uplink: s.opts.Uplink},
+		calls: make(map[uint64]context.CancelFunc), offers: make(map[uint64]*Offer),
+	}
+	p.parts = assembler{budget: s.opts.Memory, wantsBody: p.wantsBody}
+	return p
 }
 
 // calledSince reports whether a call has come since t.
@@ -164,6 +178,7 @@
 }
 
 func (p *inbound) read(ctx context.Context, br *bufio.Reader) error {
+	defer p.parts.drop()
 	// The payload of another first frame isn't read: a stranger takes no memory.
 	switch head, err := br.Peek(frameHead); {
 	case err != nil:
@@ -198,7 +213,12 @@
 		}
 		p.s.opts.Notice(&n)
 	case kindCancel:
+		p.parts.cancel(f.call)
 		p.cancel(f.call)
+	case kindFirstPart, kindPart:
+		return p.handlePart(ctx, f)
+	case kindBody:
+		p.takeBody(f)
 	case kindCall:
 		from := p.from
 		if f.left > 0 {
@@ -212,8 +232,12 @@
 		if !from.Bulk { // notices take the other connection
 			p.noteCall()
 		}
+		if head.BodyLen > 0 && len(head.Body) == 0 {
+			p.addOffer(f.call, head)
+		}
 		p.start(ctx, f.call, kindAnswer, func(ctx context.Context) any {
-			defer head.Memory.Release()
+			defer func() { head.Memory.Release() }() // an offered call takes it later
+			defer p.endOffer(head.Offer)
 			return p.s.opts.Serve(ctx, from, head)
 		})
 	case kindQuery:
@@ -237,8 +261,9 @@
 	}
 	p.from = from
 	p.out.version.Store(int32(from.Version))
+	p.out.setPeerLink(from.Link)
 	if from.Version > 0 {
-		if err := p.out.send(kindWelcome, 0, &Welcome{Version: rawTextVersion}); err != nil {
+		if err := p.out.send(kindWelcome, 0, &Welcome{Version: ownVersion}); err != nil {
 			return err
 		}
 	}
