core/route: count the bodies on their way to a target

Uploads went to targets whose links were taken by other bodies. The load report tells the link's time that granted bodies and waiting offers take; the picker adds what is left of it for bodies that take more than 5 ms themselves. The hint of a refused offer counts it as well.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -86,6 +86,15 @@
 	return d
 }
 
+// Demand returns the time of the link that the bodies under way and the waiting offers take.
+func (l *Link) Demand(now time.Time) time.Duration {
+	d := l.Busy(now)
+	for _, o := range l.waiting {
+		d += timeOf(o.Bytes, l.opts.Mbit)
+	}
+	return d
+}
+
 // Decide grants and refuses waiting offers. The gate counts the granted ones as expected.
 func (l *Link) Decide(now time.Time, g *admit.Gate) []Event {
 	var events []Event
--- a/core/link/load_test.go
+++ b/core/link/load_test.go
@@ -48,7 +48,6 @@
 	gate    *admit.Gate
 	link    *link.Link
 	uploads map[link.ID]upload
-	running map[admit.Ticket]bool
 	offered bool // bodies are offered first
 
 	short, long                  []time.Duration // time on the way, of short calls and of uploads
--- a/core/link/pacer.go
+++ b/core/link/pacer.go
@@ -9,6 +9,9 @@
 	// minAhead is what is left of that when the next part is written, so that the link
 	// isn't idle if its sender wakes up late.
 	minAhead = time.Millisecond
+	// payloadShare is the share of a link's speed at which parts are written. The rest is
+	// for the headers of packets and for short messages.
+	payloadShare = 0.95
 )
 
 // Pacer spaces the parts of bodies on a link. The zero Pacer has an unknown link, on which
@@ -30,7 +33,7 @@
 		p.free = now
 	}
 	ahead := p.free.Sub(now)
-	p.free = p.free.Add(timeOf(n, p.mbit))
+	p.free = p.free.Add(timeOf(n, p.mbit*payloadShare))
 	if ahead <= maxAhead {
 		return 0
 	}
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -37,6 +37,10 @@
 	// limitMaxAge is the age from which on a reported limit is ignored.
 	limitMaxAge = time.Second
 
+	// maxLinkTime bounds the time for which reported bodies count, as a false report would
+	// keep long bodies from the target.
+	maxLinkTime = time.Second
+
 	// drainHold bounds how long a report that says draining overrides the
 	// membership, which may never show a drain that was canceled.
 	drainHold = 30 * time.Second
@@ -69,7 +73,8 @@
 	otherCalls    float64 // reported calls from other daemons
 	limit         int
 	reportLatency time.Duration
-	slowdown      float64 // factor in the last report, 0 if unknown
+	slowdown      float64       // factor in the last report, 0 if unknown
+	linkFree      time.Duration // when the bodies of the last report have passed the target's link
 
 	suspended bool
 	backoff   time.Duration
@@ -180,6 +185,7 @@
 	m.limit = r.Limit()
 	m.reportLatency = r.Latency()
 	m.slowdown = r.Pace()
+	m.linkFree = now + min(r.Link(), maxLinkTime)
 	if r.Draining() {
 		m.drainingUntil = now + drainHold
 	}
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -29,11 +29,11 @@
 		latency = age / 2
 	}
 	load := 1 + float64(m.inFlight) + p.otherCallsAt(now, m)
-	wait := load/m.slots(now)*latency + float64(p.transferTime(m))
+	wait := load/m.slots(now)*latency + float64(p.transferTime(now, m))
 	if m.slowdown > 0 {
 		// With a known slowdown, the service time of a call here differs from that
 		// of a call elsewhere and therefore counts.
-		wait = (1+loadWeight*load/m.slots(now))*latency*m.slowdownAt(now) + float64(p.transferTime(m))
+		wait = (1+loadWeight*load/m.slots(now))*latency*m.slowdownAt(now) + float64(p.transferTime(now, m))
 	}
 	return wait * (1 + failurePenalty*m.failureShare*weight) / m.slowStartWeight(now)
 }
--- a/core/route/transfer_test.go
+++ b/core/route/transfer_test.go
@@ -82,3 +82,30 @@
 	is.True(long["near"] > short["near"])
 	is.True(long["far"] > 0) // once the queue is long
 }
+
+// Guards against uploads to a VM whose link is taken by other bodies, against short calls
+// that avoid it, and against a report that counts when those bodies have passed.
+func TestLongBodiesAvoidBusyLinks(t *testing.T) {
+	is := is.New(t)
+	list := []types.Target{linked("free", "a", 12), linked("busy", "a", 12)}
+	for _, tc := range []struct {
+		after time.Duration // since the report
+		body  int
+		busy  int // calls of 6 that go to the busy one
+	}{{0, 60 << 10, 0}, {0, 1000, 3}, {ms(400), 60 << 10, 3}} {
+		p := newPicker(list, route.Options{DataCentre: "a", Link: 200})
+		for i := range 20 {
+			completeCall(p, start, list[i%2].ID(), route.Result{Latency: ms(50)})
+		}
+		p.ApplyReport(start, "busy", types.NewReport(types.ReportSpec{Limit: 12, Incarnation: 1, Link: ms(400)}))
+		placed := 0
+		for range 6 {
+			to, _ := p.PickForBody(start.Add(tc.after), nil, tc.body)
+			p.Start(start.Add(tc.after), to.ID())
+			if to.ID() == "busy" {
+				placed++
+			}
+		}
+		is.Equal(placed, tc.busy)
+	}
+}
--- a/core/types/report.go
+++ b/core/types/report.go
@@ -13,6 +13,9 @@
 	// Pace is the present slowdown factor of the target's VM: 1 is the normal
 	// speed, 2 means that work takes twice as long; 0 if unknown.
 	Pace float64
+	// Link is the time that bodies on their way to the target, or waiting for that, take
+	// on the network link of its VM.
+	Link time.Duration
 }
 
 // Report is the load of a target, measured by the daemon on its VM when it sent
@@ -45,3 +48,7 @@
 // Pace returns the present slowdown factor of the target's VM: 1 is the normal
 // speed, 2 means that work takes twice as long; 0 if unknown.
 func (r Report) Pace() float64 { return r.spec.Pace }
+
+// Link returns the time that bodies on their way to the target, or waiting for that, take on
+// the network link of its VM.
+func (r Report) Link() time.Duration { return r.spec.Link }
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -277,5 +277,6 @@
 	return types.NewReport(types.ReportSpec{
 		InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit,
 		Latency: time.Duration(l.LatencyUs) * time.Microsecond, Draining: l.Draining, Incarnation: l.Born, Pace: l.Pace,
+		Link: time.Duration(l.LinkUs) * time.Microsecond,
 	})
 }
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -209,6 +209,7 @@
 	return mesh.Load{
 		InFlight: r.InFlight, Queued: r.Queued + t.link.Waiting(), Limit: r.Limit,
 		LatencyUs: r.Latency.Microseconds(), Draining: r.Draining, Born: cur.Born, Pace: t.pace.Current(),
+		LinkUs: t.link.Demand(t.clock.Now()).Microseconds(),
 	}
 }
 
--- a/io/agent/offer.go
+++ b/io/agent/offer.go
@@ -64,11 +64,12 @@
 	return id, ch, nil
 }
 
-// refusedOffer returns the refusal of an offered call.
+// refusedOffer returns the refusal of an offered call, which may find room when the bodies
+// before it have come and the calls before it have started.
 func (t *localTarget) refusedOffer(reason string) *mesh.Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return refused(reason, t.retryHint())
+	return refused(reason, max(t.retryHint(), t.link.Demand(t.clock.Now())))
 }
 
 // decideOffers grants and refuses offered calls, with the lock held.
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -58,8 +58,9 @@
 	Limit     int     `cbor:"3,keyasint,omitempty"`
 	LatencyUs int64   `cbor:"4,keyasint,omitempty"`
 	Draining  bool    `cbor:"5,keyasint,omitempty"`
-	Born      uint64  `cbor:"6,keyasint,omitempty"` // start of the target
-	Pace      float64 `cbor:"7,keyasint,omitempty"` // how long work takes there, 1 as usual, 0 if unknown
+	Born      uint64  `cbor:"6,keyasint,omitempty"`  // start of the target
+	Pace      float64 `cbor:"7,keyasint,omitempty"`  // how long work takes there, 1 as usual, 0 if unknown
+	LinkUs    int64   `cbor:"20,keyasint,omitempty"` // time of the link that the bodies on their way to the target still take
 }
 
 // Answer is the result of a call.
