io/agent: retry no request whose caller has left, docs of links

A request whose body was not sent counts as not run; it was offered again after its caller had left.

--- a/core/admit/body.go
+++ b/core/admit/body.go
@@ -27,6 +27,9 @@
 	delay := after
 	if g.running+g.expecting+g.waiting() >= g.maxRunning() || !g.allowsStart(now) {
 		delay = max(after, g.estimatedWait(now, e))
+		if g.limit.Latency() <= 0 { // no call has ended yet
+			delay = max(after, service)
+		}
 	}
 	switch remaining := c.Remaining(now); {
 	case remaining <= 0 || remaining < delay+service:
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -142,6 +142,14 @@
 	events := g.Done(late, running, 140*ms, false)
 	is.Equal(len(events), 1)
 	is.Equal(events[0], admit.Event{Ticket: arrived, Verdict: admit.Run})
+
+	g = newGate(1)
+	running, _ = g.Offer(begin, callAt(begin, 0, 1))
+	_, v = g.Offer(begin, callAt(begin, 1, 100))
+	is.Equal(v, admit.Wait)
+	arrived, _ = g.Arrive(begin, callAt(begin, 2, 1))
+	events = g.Done(begin.Add(140*ms), running, 140*ms, false)
+	is.Equal(events, []admit.Event{{Ticket: arrived, Verdict: admit.Run}})
 }
 
 // Guards against parts that fill the queue of a link, wake a sender more often than its link
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -70,7 +70,7 @@
 			if d.inFlight > 0 {
 				continue
 			}
-			if !d.tries.ShouldRetry(d.takeRetry) || !d.startAttempt(ctx) {
+			if ctx.Err() != nil || !d.tries.ShouldRetry(d.takeRetry) || !d.startAttempt(ctx) {
 				return d.finalResponse(d.tries.Reason())
 			}
 		case <-hedge:
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -179,6 +179,14 @@
 	return d.tries.ShouldRetry(func() bool { return true })
 }
 
+// OutcomeOf returns what the caller of a request of a route may rely on whose only attempt
+// ended with err, after ctx.
+func OutcomeOf(ctx context.Context, r *vhost.Route, err error) types.Outcome {
+	d := newDispatch(nil, &request{route: r}, false)
+	d.handleResult(ctx, result{err: err})
+	return d.tries.Outcome()
+}
+
 // ServeMesh takes connections of other agents on ln until it is closed.
 func ServeMesh(a *Agent, ln net.Listener) error { return a.server.Serve(ln) }
 
--- a/io/mesh/client.go
+++ b/io/mesh/client.go
@@ -103,8 +103,8 @@
 }
 
 // Call sends a call and waits for its answer. When ctx ends first, the call is
-// canceled at the peer and the error is that of ctx. A call whose body is long for the slower
-// of the two links is offered first.
+// canceled at the peer and the error is that of ctx, or ErrNotSent if it can't have run. A call
+// whose body is long for the slower of the two links is offered first.
 func (c *Client) Call(ctx context.Context, addr string, head *CallHead) (*Answer, error) {
 	offered := corelink.IsLong(len(head.Body), c.opts.Uplink.slower(head.PeerLink))
 	l, err := c.link(ctx, linkKey{addr: addr, bulk: offered || len(head.Body) > maxShortBody})
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -31,6 +31,15 @@
 // connection.
 // The payload of an unknown kind is skipped without memory for it.
 //
+// # Long bodies
+//
+// A call whose body is long for the slower of the two links (core/link) is offered to a daemon
+// of version 2 or later: its head is sent without the body, and the body when the peer has
+// granted it. At the server such a call has an Offer, whose Receive grants it. Frames over
+// 16 KB that take as long are sent in parts, between which shorter frames go. The parts of all
+// connections that share an Uplink take turns on it, and none is written much earlier than
+// the slower link has room for it.
+//
 // # Silence
 //
 // A connection that has gone silent is told by a ping: when calls are open and
@@ -41,7 +50,7 @@
 //
 // # Proof that nothing ran
 //
-// A call that ends with ErrUnreachable or ErrOldPeer has not run. One that ends with
+// A call that ends with ErrUnreachable, ErrNotSent or ErrOldPeer has not run. One that ends with
 // ErrBroken, ErrNoMemory or ErrUndecoded, or was canceled, may have run. Anything else is
 // for the peer to say in its answer.
 //
--- a/io/mesh/offer.go
+++ b/io/mesh/offer.go
@@ -160,6 +160,9 @@
 // offer sends a call without its body, and the body when the peer has granted it. A peer of
 // an older version gets both at once. It returns the memory of the answer's body.
 func (l *link) offer(ctx context.Context, head *CallHead, out any) (*httpw.Holding, error) {
+	if ctx.Err() != nil {
+		return nil, l.notSent(ctx)
+	}
 	if ok, err := l.takesOffers(ctx); err != nil {
 		return nil, err
 	} else if !ok {
