core/cold: rate of cold targets, core/drain: drained data centres

Cause: a cold target crashes if it gets more calls a second than it takes, and operators drain data centres by a key in the store. The daemon knew neither.

Change: core/cold decides whether a target counts as cold, from health responses, announcements, restarts and broken connections. The gate then has a second limiter, which begins without unused starts and makes up for the calls that started while the target was cold unseen. Waiting calls that can't start within their goal are refused. Load reports carry the rate, and core/route counts the part of a slot that it is worth and the time until the next start. core/drain keeps the drained data centres; pickers leave out their targets, and the gates beside them refuse calls, waiting ones as well.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -14,6 +14,7 @@
 	opts           Options
 	limit          *limit.Limit
 	rate           *rate.Limiter // of starts, nil if there is no limit
+	cold           *rate.Limiter // of starts at a cold target, nil if it isn't cold
 	entries        []*entry
 	free           []*entry
 	urgent         queue
@@ -130,6 +131,10 @@
 		g.start(now, e)
 		return e.ticket(), Run
 	}
+	if g.isBeyondCold(now, e, g.startsBefore(e)) {
+		g.release(e)
+		return g.refusal(reasonCold), Refuse
+	}
 	if g.missesGoal(now, e, g.estimatedWait(now, e)) {
 		if c.PromptOnly() {
 			g.release(e)
@@ -192,6 +197,7 @@
 // now, demotes or refuses those that would miss their goal, and starts waiting
 // calls in free slots.
 func (g *Gate) Tick(now time.Time) []Event {
+	g.dropBeyondCold(now)
 	for _, e := range g.entries {
 		switch {
 		case e.id == 0 || e.running:
--- a/core/admit/rate.go
+++ b/core/admit/rate.go
@@ -34,7 +34,7 @@
 
 // allowsStart reports whether the rate limit allows a call to start now.
 func (g *Gate) allowsStart(now time.Time) bool {
-	return g.rate == nil || g.rate.TokensAt(now) >= 1
+	return (g.rate == nil || g.rate.TokensAt(now) >= 1) && (g.cold == nil || g.cold.TokensAt(now) >= 1)
 }
 
 // recordStart counts a call that starts now.
@@ -42,24 +42,25 @@
 	if g.rate != nil {
 		g.rate.AllowN(now, 1)
 	}
+	if g.cold != nil {
+		g.cold.AllowN(now, 1)
+	}
 }
 
-// rateDelay returns the time until the rate limit has allowed n more starts.
+// rateDelay returns the time until the rate limits have allowed n more starts.
 func (g *Gate) rateDelay(now time.Time, n int) time.Duration {
-	if g.rate == nil {
-		return 0
-	}
-	missing := max(0, float64(n)-g.rate.TokensAt(now))
-	return time.Duration(missing / float64(g.rate.Limit()) * float64(time.Second))
+	return max(limiterDelay(g.rate, now, n), limiterDelay(g.cold, now, n))
 }
 
 // effectiveSlots returns the number of calls that run at a time when the target is fully
 // used: fewer than maxRunning if the rate limit doesn't allow so many starts.
 func (g *Gate) effectiveSlots() int {
 	n := g.maxRunning()
-	if g.rate == nil {
-		return n
+	for _, l := range []*rate.Limiter{g.rate, g.cold} {
+		if l != nil {
+			started := float64(l.Limit()) * g.limit.Latency().Seconds()
+			n = min(n, max(1, int(math.Ceil(started))))
+		}
 	}
-	started := float64(g.rate.Limit()) * g.limit.Latency().Seconds()
-	return min(n, max(1, int(math.Ceil(started))))
+	return n
 }
--- a/core/admit/reason.go
+++ b/core/admit/reason.go
@@ -11,6 +11,15 @@
 	reasonDisplaced
 	reasonQueueReduced
 	reasonGoal
+	reasonCold
+	reasonDrained
+)
+
+const (
+	// ReasonCold is the reason of a refusal by the limit for a cold target.
+	ReasonCold = "target is cold and takes few calls"
+	// ReasonDrained is the reason of a refusal by a drain of the target's data centre.
+	ReasonDrained = "data centre is drained"
 )
 
 func (r reason) String() string {
@@ -27,6 +36,10 @@
 		return "queue made smaller"
 	case reasonGoal:
 		return "answer would come after its goal"
+	case reasonCold:
+		return ReasonCold
+	case reasonDrained:
+		return ReasonDrained
 	}
 	return ""
 }
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -22,15 +22,20 @@
 	return worth / mean.Seconds()
 }
 
+// startsBefore returns the estimated number of calls that start before e if it joined
+// its queue now.
+func (g *Gate) startsBefore(e *entry) int {
+	n := g.queueOf(e).countAhead(e)
+	if e.urgent {
+		return n + min(g.normal.Len(), (n+1)/g.urgentStreakLimit())
+	}
+	return n + min(g.urgent.Len(), (n+1)*g.urgentStreakLimit())
+}
+
 // estimatedWait returns the estimated time until e would start if it joined its
 // queue now.
 func (g *Gate) estimatedWait(now time.Time, e *entry) time.Duration {
-	grants := g.queueOf(e).countAhead(e) + 1
-	if e.urgent {
-		grants += min(g.normal.Len(), grants/g.urgentStreakLimit())
-	} else {
-		grants += min(g.urgent.Len(), grants*g.urgentStreakLimit())
-	}
+	grants := g.startsBefore(e) + 1
 	bySlots := g.meanServiceTime() * time.Duration(grants) / time.Duration(max(g.maxRunning(), 1))
 	return max(bySlots, g.rateDelay(now, grants))
 }
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -70,6 +70,7 @@
 	limit         int
 	reportLatency time.Duration
 	slowdown      float64 // factor in the last report, 0 if unknown
+	starts        startLimit
 
 	suspended bool
 	backoff   time.Duration
@@ -180,6 +181,7 @@
 	m.limit = r.Limit()
 	m.reportLatency = r.Latency()
 	m.slowdown = r.Pace()
+	m.starts.store(now, r.Rate(), r.RateLasts(), r.StartIn())
 	if r.Draining() {
 		m.drainingUntil = now + drainHold
 	}
@@ -187,11 +189,12 @@
 
 // slots returns the number of calls that the target runs at a time: its slots, or
 // the reported limit if that is lower. An old report doesn't count: a target that isn't
-// chosen because of its limit couldn't report the end of it.
-func (m *member) slots(now time.Duration) float64 {
+// chosen because of its limit couldn't report the end of it. A cold target states how long
+// its limit lasts; latency is that of a call in nanoseconds.
+func (m *member) slots(now time.Duration, latency float64) float64 {
 	n := max(1, m.target.Slots())
 	if m.limit > 0 && now-m.reportedAt < limitMaxAge {
 		n = min(n, m.limit)
 	}
-	return float64(n)
+	return m.starts.slots(now, float64(n), latency)
 }
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -116,6 +116,7 @@
 	m := p.byID[id]
 	if m != nil {
 		m.applyIdleDecay(at, p.serviceLatency())
+		m.starts.record(at)
 	}
 	return p.calls.start(at, m)
 }
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -29,12 +29,14 @@
 		latency = age / 2
 	}
 	load := 1 + float64(m.inFlight) + p.otherCallsAt(now, m)
-	wait := load/m.slots(now)*latency + float64(p.transferTime(m))
+	slots := m.slots(now, latency)
+	wait := load/slots*latency + float64(p.transferTime(m))
 	if m.slowdown > 0 {
 		// With a known slowdown, the service time of a call here differs from that
 		// of a call elsewhere and therefore counts.
-		wait = (1+loadWeight*load/m.slots(now))*latency*m.slowdownAt(now) + float64(p.transferTime(m))
+		wait = (1+loadWeight*load/slots)*latency*m.slowdownAt(now) + float64(p.transferTime(m))
 	}
+	wait += float64(m.starts.delay(now))
 	return wait * (1 + failurePenalty*m.failureShare*weight) / m.slowStartWeight(now)
 }
 
--- a/core/route/status.go
+++ b/core/route/status.go
@@ -95,3 +95,16 @@
 
 // Score returns the estimated wait with penalties, by which Weighted compares.
 func (s Status) Score() time.Duration { return s.score }
+
+// CallsInUse returns the estimated number of calls at all targets that take calls, from all
+// daemons.
+func (p *Picker) CallsInUse(now time.Time) float64 {
+	at := p.sinceEpoch(now)
+	n := 0.0
+	for _, m := range p.members {
+		if m.isUsable(at) {
+			n += float64(m.inFlight) + p.otherCallsAt(at, m)
+		}
+	}
+	return n
+}
--- a/core/types/report.go
+++ b/core/types/report.go
@@ -13,6 +13,12 @@
 	// Pace is the present slowdown factor of the target's VM: 1 is the normal
 	// speed, 2 means that work takes twice as long; 0 if unknown.
 	Pace float64
+	// Rate is the number of calls a second that the target takes while it is cold, 0 for no
+	// limit. The limit lasts for RateLasts unless a later report says otherwise, and a call
+	// in addition to those that wait can start after StartIn.
+	Rate      float64
+	RateLasts time.Duration
+	StartIn   time.Duration
 }
 
 // Report is the load of a target, measured by the daemon on its VM when it sent
@@ -45,3 +51,13 @@
 // Pace returns the present slowdown factor of the target's VM: 1 is the normal
 // speed, 2 means that work takes twice as long; 0 if unknown.
 func (r Report) Pace() float64 { return r.spec.Pace }
+
+// Rate returns the number of calls a second that the target takes while it is cold, 0 for no
+// limit.
+func (r Report) Rate() float64 { return r.spec.Rate }
+
+// RateLasts returns how long the limit of Rate holds unless a later report says otherwise.
+func (r Report) RateLasts() time.Duration { return r.spec.RateLasts }
+
+// StartIn returns the time after which the limit of Rate lets a further call start.
+func (r Report) StartIn() time.Duration { return r.spec.StartIn }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
+	"trefoilthread/core/cold"
 	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
@@ -69,6 +70,8 @@
 
 	restoring     sync.Mutex    // held while the record of an earlier start becomes known
 	isRestored    atomic.Bool   // the record of an earlier start is known, or there is none
+	copied        chan struct{} // closed when all keys of the store are known
+	isCopied      atomic.Bool   // copied is closed
 	isSynced      atomic.Bool   // the records of all agents are known
 	newerVersions chan int64    // configuration version that another agent has, newer than the one here
 	tableReads    chan struct{} // holds one token if the configuration has to be read from the store
@@ -85,6 +88,7 @@
 	a := &Agent{
 		opts: o, log: o.Log, clock: o.Clock, store: o.Store, boot: rand.Uint64(),
 		metrics: newMetrics(o.Scope), newerVersions: make(chan int64, 1), tableReads: make(chan struct{}, 1),
+		copied: make(chan struct{}),
 	}
 	a.bodies = httpw.NewBudget(int64(o.Settings.BodyMemory))
 	a.SetService(o.Settings.Service)
@@ -97,7 +101,8 @@
 		service:  a.serviceInfo,
 		stop:     a.stop.Load,
 		probes:   newProbes(o.Clock.Now(), o.Settings.ProbesPerSecond),
-		suspects: a.suspects,
+		suspects: a.suspects, coldBound: cold.Bound{Overrun: o.Settings.ColdOverrun, Extra: o.Settings.ColdExtra},
+		awaitCopy: a.awaitCopy,
 		client: local.New(o.Settings.TargetAddr, local.Options{
 			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits(a.bodies), Dropped: a.recordDropped,
 		}),
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"trefoilthread/core/drain"
 	"trefoilthread/core/relay"
 	"trefoilthread/core/retry"
 	"trefoilthread/core/roster"
@@ -41,6 +42,7 @@
 	// unlisted holds the addresses, by name, of agents that have opened connections but
 	// have no known record.
 	unlisted map[string]string
+	drains   *drain.Set
 }
 
 // serviceState is the state of one service.
@@ -78,6 +80,7 @@
 		settings: set, clock: clock, seed: seed,
 		roster:   roster.New(roster.Options{Self: set.Node}),
 		services: make(map[types.ServiceName]*serviceState), unlisted: make(map[string]string),
+		drains: drain.New(),
 	}
 }
 
@@ -120,8 +123,13 @@
 	}.Part(n)
 }
 
-// targets returns the targets of a service, with the lock held.
+// targets returns the targets of a service that may be called, with the lock held.
 func (b *balancer) targets(name types.ServiceName) []types.Target {
+	return b.drains.Filter(b.knownTargets(name))
+}
+
+// knownTargets returns the targets of a service, with the lock held.
+func (b *balancer) knownTargets(name types.ServiceName) []types.Target {
 	list := b.roster.Targets(name)
 	for _, t := range b.local {
 		if t.Service() == name {
@@ -277,5 +285,6 @@
 	return types.NewReport(types.ReportSpec{
 		InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit,
 		Latency: time.Duration(l.LatencyUs) * time.Microsecond, Draining: l.Draining, Incarnation: l.Born, Pace: l.Pace,
+		Rate: l.Rate, RateLasts: time.Duration(l.RateMs) * time.Millisecond, StartIn: time.Duration(l.StartInMs) * time.Millisecond,
 	})
 }
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	hedge := d.hedgeTimer()
 	if !d.startAttempt(ctx) {
-		return d.finalResponse("no target known")
+		return d.finalResponse(d.missingTarget())
 	}
 	for {
 		select {
@@ -118,6 +118,15 @@
 	return true
 }
 
+// missingTarget returns why there is no target for the first attempt.
+func (d *dispatch) missingTarget() string {
+	if !d.entry.balancer.isDrained(d.request.service) {
+		return "no target known"
+	}
+	d.entry.metrics.countEvent("requests_drained")
+	return "all data centres of the service are drained"
+}
+
 // hedgeTimer returns a channel that fires when the first attempt has taken longer than
 // most requests of its route, nil if no hedge is allowed.
 func (d *dispatch) hedgeTimer() <-chan time.Time {
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -14,11 +14,13 @@
 // together: after a power loss of all VMs each agent learns all others at once, and
 // applying them one by one would rebuild the order of all agents for each of them.
 func (a *Agent) applyItems(items []relay.Item) {
-	var nodes []relay.Item
+	var nodes, drains []relay.Item
 	for _, it := range items {
 		switch {
 		case strings.HasPrefix(it.Key, nodePrefix):
 			nodes = append(nodes, it)
+		case a.isDrainKey(it.Key):
+			drains = append(drains, it)
 		case it.Deleted: // the configuration in force is kept
 		case it.Omitted:
 			a.isTableLong.Store(true)
@@ -28,17 +30,19 @@
 		}
 	}
 	a.applyNodes(nodes)
+	a.applyDrains(drains)
 }
 
 // wants reports whether the agent needs a key of the store.
 func (a *Agent) wants(key string) bool {
-	return key == a.opts.Wire.TableKey || strings.HasPrefix(key, nodePrefix)
+	return key == a.opts.Wire.TableKey || strings.HasPrefix(key, nodePrefix) || a.isDrainKey(key)
 }
 
 // keysListed is called when all keys are known as of a revision. It has a missing record
 // of this agent written again.
 func (a *Agent) keysListed(rev int64, has func(key string) bool) {
 	a.isSynced.Store(true)
+	a.noteCopied()
 	if !has(nodeKey(a.opts.Settings.Node)) {
 		a.registration.noteUnlisted()
 		a.registration.markMissing(rev)
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -10,6 +10,7 @@
 
 	"trefoilthread/core/admit"
 	"trefoilthread/core/beat"
+	"trefoilthread/core/cold"
 	"trefoilthread/core/grace"
 	"trefoilthread/core/pace"
 	"trefoilthread/core/probe"
@@ -47,6 +48,10 @@
 	stop func() *grace.Stop
 	// probes is the budget of the health checks.
 	probes *probe.Budget
+	// awaitCopy waits at the start until the state of the store is known, for a short time.
+	awaitCopy func(ctx context.Context)
+	// coldBound bounds the calls that start at a cold target.
+	coldBound cold.Bound
 }
 
 // localTarget is the target on this VM with its admission gate and its connections. The
@@ -66,6 +71,9 @@
 	downUntil time.Time // no calls until then, as the target accepted no connection
 	pace      pace.Tracker
 	rate      float64 // calls a second that the target takes, 0 if it has named no limit
+	cold      *cold.Tracker
+	isCold    bool // the gate has the limit for a cold target
+	drained   bool // the data centre of the target is drained
 
 	probeDone   chan struct{} // closed when the health check in flight has ended, nil if there is none
 	nextProbeAt time.Time     // no health check before this time
@@ -75,19 +83,21 @@
 	running, cut := context.WithCancel(context.Background())
 	return &localTarget{
 		localTargetOptions: opts, running: running, cut: cut, announced: beat.New(), gate: admit.New(admit.OptionsFor(0, 0)),
-		waiters: make(map[admit.Ticket]chan admit.Event),
+		waiters: make(map[admit.Ticket]chan admit.Event), cold: cold.New(opts.clock.Now()),
 	}
 }
 
 // announce applies an announcement of the target. If the target drains, the gate refuses
 // new calls by the time announce returns.
 func (t *localTarget) announce(a beat.Announcement) beat.Verdict {
+	sent := t.clock.Now().Add(-maxAnnouncementDelay)
 	v := t.apply("announcement", a.ID, func() beat.Verdict { return t.announced.Announce(a) })
 	if v != beat.Stale {
 		t.mu.Lock()
 		t.pace.SetWarmup(t.clock.Now(), a.Cold)
 		t.setGatePace()
 		t.mu.Unlock()
+		t.hearCold(sent, a.Cold)
 	}
 	return v
 }
@@ -116,14 +126,17 @@
 	cur, _ := t.announced.Current()
 	state := t.announced.State()
 	var events []admit.Event
+	after := func() {}
 	if v == beat.Changed {
 		if before.ID != cur.ID || before.Born != cur.Born {
 			t.reset(cur)
 		}
 		events = t.updateGate(cur, state)
+		after = t.updateCold(t.clock.Now())
 	}
 	t.mu.Unlock()
 	t.deliver(events)
+	after()
 	if v != beat.Same {
 		t.log.WithFields(log.Fields{
 			"source": source, "target": string(id), "born": cur.Born, "sequence": cur.Sequence,
@@ -142,6 +155,7 @@
 	t.setGatePace()
 	t.rate = 0
 	t.gate.SetRate(t.clock.Now(), 0)
+	t.cold.Presume(t.clock.Now())
 	t.downUntil = time.Time{}
 	if cur.Address != "" {
 		t.client.SetAddr(cur.Address)
@@ -200,9 +214,11 @@
 func (t *localTarget) load() mesh.Load {
 	r := t.gate.Report()
 	cur, _ := t.announced.Current()
+	perSecond, lastsMs, startInMs := t.coldLoad(t.clock.Now())
 	return mesh.Load{
 		InFlight: r.InFlight, Queued: r.Queued, Limit: r.Limit,
 		LatencyUs: r.Latency.Microseconds(), Draining: r.Draining, Born: cur.Born, Pace: t.pace.Current(),
+		Rate: perSecond, RateMs: lastsMs, StartInMs: startInMs,
 	}
 }
 
@@ -233,6 +249,7 @@
 	t.measurePace(context.Background())
 	t.mu.Lock()
 	t.setGatePace()
+	after := t.updateCold(t.clock.Now())
 	events := t.gate.Tick(t.clock.Now())
 	t.ticking = t.gate.Report().Queued > 0
 	if t.ticking {
@@ -240,4 +257,5 @@
 	}
 	t.mu.Unlock()
 	t.deliver(events)
+	after()
 }
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -51,7 +51,7 @@
 func (t *localTarget) beginProbe() (beat.Announcement, string) {
 	now := t.clock.Now()
 	cur, ok := t.announced.Current()
-	if !ok || t.probeDone != nil || t.announced.State() != types.Up || !t.pace.IsStale(now) || now.Before(t.nextProbeAt) {
+	if !ok || t.probeDone != nil || t.announced.State() != types.Up || !t.pace.IsStale(now) && !t.needsColdCheck(now) || now.Before(t.nextProbeAt) {
 		return cur, ""
 	}
 	path := t.service(cur.Service).HealthPath
@@ -81,6 +81,7 @@
 func (t *localTarget) runProbe(cur beat.Announcement, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	sent := t.clock.Now()
 	resp, err := t.client.Do(ctx, t.wire.HealthRequest(path))
 	var h HealthInfo
 	if err == nil {
@@ -95,6 +96,7 @@
 	if err == nil && h.Target == cur.ID {
 		t.setPace(h.Pace)
 		t.setRate(cur.ID, h.Rate, false)
+		t.hearHealth(cur, sent, h.Cold)
 		if h.Leaving {
 			t.noteLeaving(cur.ID)
 		}
@@ -104,7 +106,7 @@
 	switch {
 	case err != nil || h.Target != cur.ID:
 		t.metrics.countEvent("probes_failed")
-		t.nextProbeAt = t.clock.Now().Add(probeRetryDelay)
+		t.nextProbeAt = t.clock.Now().Add(t.probeRetryPause())
 	case h.Pace == 0:
 		t.pace.ObserveNone()
 	}
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -25,6 +25,7 @@
 	if head.Target != named {
 		ans.Target = head.Target
 	}
+	t.countRefusal(ans.Reason)
 	t.recordCall(head, ans, broken, t.clock.Since(began))
 	return ans
 }
@@ -32,6 +33,7 @@
 // admitAndRun runs a call at the target, or refuses it. It returns the error of the target's
 // response as well, nil if there is none.
 func (t *localTarget) admitAndRun(ctx context.Context, head *mesh.CallHead) (ans *mesh.Answer, broken error) {
+	t.awaitCopy(ctx)
 	t.measurePace(ctx)
 	now := t.clock.Now()
 	if s := t.stop(); s != nil {
@@ -53,6 +55,7 @@
 	ctx, cancel := t.runContext(ctx, call)
 	defer cancel()
 	start := t.clock.Now()
+	t.recordStart(start)
 	left := call.Remaining(start)
 	req := t.wire.TargetRequest(head, left)
 	resp, err := t.client.Do(ctx, req)
@@ -102,6 +105,7 @@
 		t.mu.Unlock()
 		return admit.Ticket{}, refused(reason, 0)
 	}
+	after := t.updateCold(now)
 	ticket, v := t.gate.Offer(now, call)
 	events := t.gate.Pending()
 	var ch chan admit.Event
@@ -116,6 +120,7 @@
 	hint := t.retryHint()
 	t.mu.Unlock()
 	t.deliver(events)
+	after()
 	switch v {
 	case admit.Run:
 		return ticket, nil
@@ -138,6 +143,8 @@
 		return "target runs another service"
 	case t.announced.State() != types.Up || t.stopping:
 		return "target is leaving"
+	case t.drained:
+		return admit.ReasonDrained
 	case now.Before(t.downUntil):
 		return "target accepts no connection"
 	}
@@ -159,7 +166,8 @@
 // all calls that wait now have been started.
 func (t *localTarget) retryHint() time.Duration {
 	r := t.gate.Report()
-	return r.Latency * time.Duration(r.Queued+1) / time.Duration(max(r.Limit, 1))
+	_, startIn := t.gate.ColdRate(t.clock.Now())
+	return max(startIn, r.Latency*time.Duration(r.Queued+1)/time.Duration(max(r.Limit, 1)))
 }
 
 // awaitGrant waits for the gate's decision on a queued call.
@@ -218,6 +226,7 @@
 	case err != nil && ctx.Err() != nil:
 		return &mesh.Answer{Result: mesh.Expired, Reason: "deadline passed or caller left while the target worked"}, false
 	case err != nil:
+		t.presumeCold() // the target may have restarted
 		return &mesh.Answer{Result: mesh.Broken, Reason: "target's response broke off: " + err.Error()}, true
 	}
 	v := t.wire.ReadResponseInfo(resp)
@@ -253,6 +262,7 @@
 	now := t.clock.Now()
 	isNews := now.After(t.downUntil)
 	t.downUntil = now.Add(downPause)
+	t.cold.Presume(now)
 	t.mu.Unlock()
 	t.client.CloseIdle()
 	if isNews && died {
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -43,6 +43,7 @@
 	Pace    float64        // as in ResponseInfo
 	Rate    float64        // as in ResponseInfo
 	Leaving bool           // as in ResponseInfo
+	Cold    time.Duration  // how much longer the target is cold, 0 if it isn't
 }
 
 // Wire converts between the messages of the agent and those of the platform.
@@ -68,4 +69,7 @@
 	DecodeTable func(value []byte) (*vhost.Table, error)
 	// TableKey is the store's key of that document.
 	TableKey string
+	// DrainPrefix is the prefix of the store's keys that name drained data centres, "" if
+	// there are none.
+	DrainPrefix string
 }
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -55,6 +55,10 @@
 	Draining  bool    `cbor:"5,keyasint,omitempty"`
 	Born      uint64  `cbor:"6,keyasint,omitempty"` // start of the target
 	Pace      float64 `cbor:"7,keyasint,omitempty"` // how long work takes there, 1 as usual, 0 if unknown
+	// Rate, RateMs and StartInMs are the limit of a cold target, see types.ReportSpec.
+	Rate      float64 `cbor:"8,keyasint,omitempty"`
+	RateMs    int64   `cbor:"9,keyasint,omitempty"`
+	StartInMs int64   `cbor:"10,keyasint,omitempty"`
 }
 
 // Answer is the result of a call.
