--- a/core/cold/bound.go
+++ b/core/cold/bound.go
@@ -24,9 +24,10 @@
 }
 
 // Debt returns how many starts a limiter has to make up for if the target turned cold unseen
-// and unseen calls have started since.
+// and unseen calls have started since. It is at most what delays the next start by a second:
+// calls that started earlier no longer count.
 func (b Bound) Debt(rate float64, unseen int) int {
 	perSecond, burst := b.Limit(rate)
 	spare := b.calls(rate) - perSecond - float64(burst)
-	return max(0, unseen-int(math.Floor(spare)))
+	return max(0, min(unseen-int(math.Floor(spare)), int(perSecond)-1))
 }
--- a/core/cold/tracker_test.go
+++ b/core/cold/tracker_test.go
@@ -78,8 +78,8 @@
 	is.True(c.NeedsCheck(atMs(4)))
 }
 
-// Guards against a limit that breaks the bound by its burst, or that forgives the starts at a
-// target that turned cold unseen.
+// Guards against a limit that breaks the bound by its burst, that forgives the starts at a
+// target that turned cold unseen, or that starts nothing for seconds because of them.
 func TestBound(t *testing.T) {
 	for _, tc := range []struct {
 		bound     cold.Bound
@@ -91,6 +91,7 @@
 	}{
 		{npBound, 13, 12, 13, 2, 0},
 		{npBound, 13, 20, 13, 2, 8},
+		{npBound, 13, 200, 13, 2, 12},
 		{cold.Bound{Overrun: 1}, 13, 0, 12, 1, 0},
 		{cold.Bound{Overrun: 1}, 13, 5, 12, 1, 5},
 		{cold.Bound{Overrun: 1, Extra: 1.5}, 4, 0, 4, 1, 0},
--- a/io/agent/drained.go
+++ b/io/agent/drained.go
@@ -28,12 +28,16 @@
 }
 
 // awaitCopy waits until the state of the store is known, at most until maxCopyWait after the
-// start. Without it, an agent that starts beside a target that is drained or cold would run
-// calls before it knows of the drain or of the limit.
+// start. Without it, an agent that starts in a drained data centre would run calls before it
+// knows of the drain. Where no service names a rate of cold targets, calls don't wait: those
+// deployments don't need it.
 func (a *Agent) awaitCopy(ctx context.Context) {
 	if a.isCopied.Load() {
 		return
 	}
+	if t := a.table.get(); t == nil || !t.HasColdRates() {
+		return
+	}
 	left := maxCopyWait - a.clock.Since(a.started)
 	if left <= 0 {
 		return
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -190,3 +190,11 @@
 	_, err := a.client.Call(ctx, addr, new(mesh.CallHead))
 	return err
 }
+
+// CallsAtTarget returns the number of calls that run or wait at the target of a.
+func CallsAtTarget(a *Agent) int {
+	a.target.mu.Lock()
+	defer a.target.mu.Unlock()
+	r := a.target.gate.Report()
+	return r.InFlight + r.Queued
+}
