--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -103,6 +103,9 @@
 	}
 	t.mu.Lock()
 	t.metrics.countEvent("probes")
+	if err == nil && h.Target != cur.ID {
+		t.cold.Presume(t.clock.Now()) // another start answers
+	}
 	switch {
 	case err != nil || h.Target != cur.ID:
 		t.metrics.countEvent("probes_failed")
