--- a/core/admit/cold_test.go
+++ b/core/admit/cold_test.go
@@ -67,21 +67,3 @@
 	rate, _ = g.ColdRate(now)
 	is.Equal(rate, 0.0)
 }
-
-// Guards against calls that wait at a target of a drained data centre, and against a drain of
-// the data centre that looks like one of the target, which callers believe for 30 s.
-func TestRefuseWaiting(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	g := admit.New(admit.Options{Slots: 1, Queue: 5, UrgentShare: -1})
-	for i := range 3 {
-		g.Offer(now, coldCall(t, now, fmt.Sprint(i), 4000, 5000))
-	}
-	events := g.RefuseWaiting()
-	is.Equal(len(events), 2)
-	is.Equal(events[1].Reason, admit.ReasonDrained)
-	r := g.Report()
-	is.Equal(r.InFlight, 1)
-	is.Equal(r.Queued, 0)
-	is.True(!r.Draining)
-}
