--- a/core/types/report.go
+++ b/core/types/report.go
@@ -16,6 +16,12 @@
 	// Link is the time that bodies on their way to the target, or waiting for that, take
 	// on the network link of its VM.
 	Link time.Duration
+	// Rate is the number of calls a second that the target takes while it is cold, 0 for no
+	// limit. The limit lasts for RateLasts unless a later report says otherwise, and a call
+	// in addition to those that wait can start after StartIn.
+	Rate      float64
+	RateLasts time.Duration
+	StartIn   time.Duration
 }
 
 // Report is the load of a target, measured by the daemon on its VM when it sent
@@ -52,3 +58,13 @@
 // Link returns the time that bodies on their way to the target, or waiting for that, take on
 // the network link of its VM.
 func (r Report) Link() time.Duration { return r.spec.Link }
+
+// Rate returns the number of calls a second that the target takes while it is cold, 0 for no
+// limit.
+func (r Report) Rate() float64 { return r.spec.Rate }
+
+// RateLasts returns how long the limit of Rate holds unless a later report says otherwise.
+func (r Report) RateLasts() time.Duration { return r.spec.RateLasts }
+
+// StartIn returns the time after which the limit of Rate lets a further call start.
+func (r Report) StartIn() time.Duration { return r.spec.StartIn }
