io/agent, platform: customers of requests, and the age of knowledge

Cause: requests were sent to targets with whatever API key and customer header the caller set, and a daemon cut off from the store would accept removed keys for as long as it was cut off.

Change: the entry finds the customer by the key, removes the key, and answers 401 to a missing, repeated or unknown one. Targets get the customer's name from CallHead. core/fresh tracks up to which time the configuration in force is that of the store: from the sending of calls and queries, on CLOCK_BOOTTIME. With keyRevocation, requests with keys are refused as not run one second before that bound, at the entry and again at the gate. Errors about bytes of callers no longer quote them.

Result: go test ./core/... ./io/agent ./io/httpw ./io/mesh ./platform ./cmd/trefoild passes.

--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -51,6 +51,7 @@
 	m := meter.New()
 	a := agent.New(agent.Options{
 		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l, Store: platform.NewStore(p.StoreAddress()),
+		Elapsed:        agent.SinceBoot,
 		Scope:          m.Scope(),
 		Metrics:        m.Handler(),
 		ReadyHandler:   platform.ReadyHandler,
--- a/core/relay/copy.go
+++ b/core/relay/copy.go
@@ -26,7 +26,7 @@
 type Copy struct {
 	items    map[string]Item
 	deleted  int
-	floor    int64 // deleted keys of this revision and before may be forgotten
+	floor    int64 // deleted keys of this revision and before may be forgotten, or were never known
 	revision int64
 	latest   int64 // revision of the latest item
 }
@@ -81,6 +81,8 @@
 				listed = append(listed, Item{Key: key, Revision: revision, Deleted: true})
 			}
 		}
+		// Others may know keys that were deleted before the listing and were never known here.
+		c.floor = revision
 	}
 	return c.Apply(listed, revision)
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -30,7 +30,10 @@
 	Store    store.Store
 	Log      log.Interface
 	Clock    clockwork.Clock
-	Scope    tally.Scope
+	// Elapsed returns the time since a fixed moment on a clock that counts the time in
+	// which the machine is suspended, as SinceBoot does. The default is that of Clock.
+	Elapsed func() time.Duration
+	Scope   tally.Scope
 	// Metrics serves Settings.Metrics. It is used only if that address is set.
 	Metrics http.Handler
 	// ReadyHandler and ControlHandler return the handlers of Settings.Ready (readiness
@@ -59,6 +62,7 @@
 	target       *localTarget
 	registration *registration
 	suspects     *suspects
+	fresh        *freshness
 	client       *mesh.Client
 	server       *mesh.Server
 	front        *front.Server
@@ -89,6 +93,7 @@
 	a.bodies = httpw.NewBudget(int64(o.Settings.BodyMemory))
 	a.SetService(o.Settings.Service)
 	a.table = &activeTable{log: o.Log}
+	a.fresh = newFreshness(o.Settings.KeyRevocation, o.elapsed(), o.Scope)
 	a.balancer = newBalancer(o.Settings, o.Clock, a.boot)
 	a.suspects = newSuspects(o.Settings.Node, a.boot, o.Clock, o.Log, a.broadcast)
 	a.target = newLocalTarget(localTargetOptions{
@@ -98,6 +103,7 @@
 		stop:     a.stop.Load,
 		probes:   newProbes(o.Clock.Now(), o.Settings.ProbesPerSecond),
 		suspects: a.suspects,
+		fresh:    a.fresh,
 		client: local.New(o.Settings.TargetAddr, local.Options{
 			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits(a.bodies), Dropped: a.recordDropped,
 		}),
@@ -108,6 +114,7 @@
 	})
 	a.mirror = newMirror(mirrorOptions{
 		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
+		fresh: a.fresh,
 		wants: a.wants, sendQuery: a.queryAgent, onChange: a.applyItems, onDiscovered: a.agentsDiscovered, onListed: a.keysListed,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
@@ -122,7 +129,7 @@
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
 		callerService: func() types.ServiceName { return *a.service.Load() }, send: a.send, observeVersion: a.observeVersion,
-		suspects: a.suspects, stop: a.stop.Load,
+		suspects: a.suspects, stop: a.stop.Load, fresh: a.fresh, staleLines: newStaleLines(),
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
@@ -132,6 +139,15 @@
 	return a
 }
 
+// elapsed returns the clock that counts suspension.
+func (o Options) elapsed() func() time.Duration {
+	if o.Elapsed != nil {
+		return o.Elapsed
+	}
+	start := o.Clock.Now()
+	return func() time.Duration { return o.Clock.Since(start) }
+}
+
 // responseLimits bounds the target's responses, whose long bodies take memory from a
 // budget until they have been passed on.
 func responseLimits(budget *httpw.Budget) httpw.Limits {
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -20,6 +20,7 @@
 	req      *httpw.Request
 	route    *vhost.Route
 	service  types.ServiceName
+	identity identity
 	config   int64
 	start    time.Time
 	deadline time.Time
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
@@ -38,7 +39,9 @@
 	observeVersion func(version int64)
 	suspects       *suspects
 	// stop returns the planned stop of this agent, nil if there is none.
-	stop func() *grace.Stop
+	stop       func() *grace.Stop
+	fresh      *freshness
+	staleLines *rate.Limiter
 }
 
 // handle returns the response to one request.
@@ -49,6 +52,7 @@
 		e.logRejected(info, "", http.StatusBadRequest, "request lacks an id or has an unreadable deadline")
 		return plain(http.StatusBadRequest, "request lacks an id or has an unreadable deadline")
 	}
+	k := e.fresh.now() // before the table is taken, which may be replaced by a later one
 	t := e.table.get()
 	if t == nil {
 		e.logRejected(info, "", http.StatusServiceUnavailable, "no configuration yet")
@@ -59,7 +63,12 @@
 		e.logRejected(info, "", http.StatusNotFound, "no route in version "+itoa(t.Version()))
 		return plain(http.StatusNotFound, "no such route")
 	}
-	q := newRequest(now, info, req, t, r, xxhash.Sum64String(info.ID))
+	who, rejected := e.identify(info, t, r, k)
+	if rejected != nil {
+		return rejected
+	}
+	q := newRequest(now, info, e.withoutKey(req, t), t, r, xxhash.Sum64String(info.ID))
+	q.identity = who
 	fp := fingerprint(string(q.service), req.Method, req.Target, req.Body)
 	if wait, ok := e.suspects.refuse(fp); ok {
 		e.logRejected(info, string(q.service), http.StatusServiceUnavailable, "request has crashed targets")
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/core/beat"
 	"trefoilthread/core/relay"
@@ -113,8 +114,10 @@
 
 // NewMirrorWith returns a mirror as NewMirror does, with onListed.
 func NewMirrorWith(st store.Store, clock clockwork.Clock, onListed func(revision int64, has func(key string) bool)) *Mirror {
+	start := clock.Now()
 	return newMirror(mirrorOptions{
 		store: st, clock: clock, log: logs.Discard(), self: "self", prefix: nodePrefix,
+		fresh:    newFreshness(0, func() time.Duration { return clock.Since(start) }, tally.NoopScope),
 		wants:    func(string) bool { return true },
 		onChange: func([]relay.Item) {},
 		onListed: onListed,
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if it.Revision > 0 {
-		a.mirror.hold(it)
+		a.holdTable(it)
 		a.applyTable(it.Value, it.Revision, "start")
 	}
 }
@@ -61,6 +61,7 @@
 	if revision > a.tableApplied.Load() {
 		a.tableApplied.Store(revision) // a stale read may end after a later change
 	}
+	defer a.fresh.applied(revision) // an invalid one doesn't make the one in force old
 	a.isTableLong.Store(len(value) > longTableBytes)
 	t, err := a.opts.Wire.DecodeTable(value)
 	if err != nil {
@@ -70,6 +71,13 @@
 	a.table.replaceIfNewer(t, source)
 }
 
+// holdTable makes the copy have a document that is about to be applied. Until then the
+// knowledge of the configuration must not be taken for that of the copy.
+func (a *Agent) holdTable(it store.Item) {
+	a.fresh.want(it.Revision)
+	a.mirror.hold(it)
+}
+
 // runTableReads reads the configuration from the store when another agent has a newer
 // version, or when it was too long to be sent by another agent. It returns when ctx
 // ends.
@@ -128,7 +136,7 @@
 		}
 		return
 	}
-	a.mirror.hold(it)
+	a.holdTable(it)
 	a.applyTable(it.Value, it.Revision, "read")
 }
 
@@ -141,7 +149,7 @@
 		a.metrics.countEvent("table_reads_stale")
 		return false
 	}
-	a.mirror.hold(it)
+	a.holdTable(it)
 	a.applyTable(it.Value, it.Revision, "staleRead")
 	return heard <= a.table.version()
 }
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -19,9 +19,11 @@
 		switch {
 		case strings.HasPrefix(it.Key, nodePrefix):
 			nodes = append(nodes, it)
-		case it.Deleted: // the configuration in force is kept
+		case it.Deleted:
+			a.fresh.applied(it.Revision) // the configuration in force is kept
 		case it.Omitted:
 			a.isTableLong.Store(true)
+			a.fresh.want(it.Revision)
 			a.requestTableRead(it.Revision)
 		default:
 			a.applyTable(it.Value, it.Revision, "follow")
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -39,6 +39,7 @@
 	// last one reported.
 	onPaceChange func(cur beat.Announcement, l mesh.Load)
 	suspects     *suspects
+	fresh        *freshness
 	// service returns the configuration of a service, the zero value if unknown.
 	service func(name types.ServiceName) vhost.ServiceSpec
 	// presence describes the target together with this agent.
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -22,6 +22,8 @@
 	// prefix is the prefix of the keys of agent records.
 	prefix string
 	link   float64 // of this VM, Mbit/s, 0 if unknown
+	// fresh is told which knowledge of the store has been applied.
+	fresh *freshness
 	// wants reports whether the agent needs a key.
 	wants func(key string) bool
 	// sendQuery sends a query to another agent.
@@ -74,6 +76,7 @@
 		m.discover(ctx) // other agents may have started meanwhile
 	}
 	for ctx.Err() == nil {
+		m.fresh.report()
 		m.mu.Lock()
 		next, after := m.sources.Next(m.clock.Now()), m.copy.Revision()
 		m.mu.Unlock()
--- a/io/agent/mirrorquery.go
+++ b/io/agent/mirrorquery.go
@@ -30,7 +30,7 @@
 	m.mu.Lock()
 	isOutage := m.sources.IsOutage(m.clock.Now())
 	m.mu.Unlock()
-	began := m.clock.Now()
+	began, sent := m.clock.Now(), m.fresh.elapsed()
 	news, err := m.sendQuery(bounded, from.Node, &mesh.Query{Revision: after, Wait: isOutage})
 	if ctx.Err() != nil {
 		return 0
@@ -59,7 +59,9 @@
 		m.log.WithField("node", from.Node).WithField("copyAgeMs", m.age().Milliseconds()).Info("agent has lost the store")
 	}
 	age := reportedAge(news) + m.lateness(began, queryHoldTime)
-	return m.apply(from, age, items, news.Revision, news.Whole)
+	pause := m.apply(from, age, items, news.Revision, news.Whole)
+	m.fresh.learnFrom(sent, news)
+	return pause
 }
 
 // reportedAge returns the age of the copy from which news come. Without a bound, the age of a copy
--- a/io/agent/mirrorstore.go
+++ b/io/agent/mirrorstore.go
@@ -59,9 +59,13 @@
 	if m.clock.Since(m.answeredAt) < storeSeriesGap {
 		wait = storeWaitTime - rand.N(storeWaitTime/10) // spreads the calls of agents that started together
 	}
-	began := m.clock.Now()
+	began, sent := m.clock.Now(), m.fresh.elapsed()
 	events, rev, err := m.store.Changes(ctx, "", after, wait)
-	if errors.Is(err, store.ErrCompacted) {
+	if errors.Is(err, store.ErrRestored) {
+		m.log.WithError(err).WithField("revision", after).Warn("reading all keys again")
+		m.fresh.forget()
+	}
+	if errors.IsAny(err, store.ErrCompacted, store.ErrRestored) {
 		m.needsList = true
 		return 0
 	}
@@ -72,7 +76,9 @@
 	for i, ev := range events {
 		items[i] = relay.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision, Deleted: ev.Deleted}
 	}
-	return m.apply(relay.Source{Store: true}, m.lateness(began, wait), items, rev, false)
+	pause := m.apply(relay.Source{Store: true}, m.lateness(began, wait), items, rev, false)
+	m.fresh.learn(sent) // the answer may have been formed at once
+	return pause
 }
 
 // lateness returns how old the answer to a call may be that began at a time and may have
@@ -83,13 +89,14 @@
 
 // listStore reads all keys from the store and returns the pause until the next step.
 func (m *mirror) listStore(ctx context.Context) time.Duration {
-	began := m.clock.Now()
+	began, sent := m.clock.Now(), m.fresh.elapsed()
 	listed, rev, err := m.store.List(ctx, "", false)
 	if !m.recordStoreResult(ctx, err) {
 		return 0
 	}
 	m.needsList = false
 	m.apply(relay.Source{Store: true}, m.lateness(began, 0), listedItems(listed), rev, true)
+	m.fresh.learn(sent)
 	return 0 // wait for changes at once
 }
 
--- a/io/agent/query.go
+++ b/io/agent/query.go
@@ -16,11 +16,14 @@
 func (m *mirror) serveQuery(ctx context.Context, q *mesh.Query) *mesh.News {
 	ctx, cancel := context.WithTimeout(ctx, queryHoldTime)
 	defer cancel()
+	came := m.fresh.elapsed()
 	for {
+		held := m.fresh.elapsed() - came
 		m.mu.Lock()
 		news := m.answer(q)
 		changed := m.changed
 		m.mu.Unlock()
+		news.HeldMs = held.Milliseconds()
 		if len(news.Items) > 0 || news.Lost && !q.Wait || ctx.Err() != nil {
 			return news
 		}
@@ -59,6 +62,7 @@
 	if news.Revision == 0 {
 		return news // the copy is empty
 	}
+	news.KnownMs = m.fresh.known()
 	items, whole := m.copy.Since(after)
 	news.Whole = whole
 	limit := m.sources.TellLimit()
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -32,6 +32,7 @@
 // admitAndRun runs a call at the target, or refuses it. It returns the error of the target's
 // response as well, nil if there is none.
 func (t *localTarget) admitAndRun(ctx context.Context, head *mesh.CallHead) (ans *mesh.Answer, broken error) {
+	came := t.fresh.elapsed()
 	t.measurePace(ctx)
 	now := t.clock.Now()
 	if s := t.stop(); s != nil {
@@ -46,6 +47,10 @@
 	if refusal != nil {
 		return refusal, nil
 	}
+	if reason := t.staleReason(head, came); reason != "" {
+		t.release(ticket)
+		return refused(reason, staleRetryDelay), nil
+	}
 	if !t.suspects.begin(fp) {
 		t.release(ticket)
 		return refused("request has crashed targets and others are suspects here", 0), nil
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -14,6 +14,7 @@
 	ID      string        // unique for each attempt of a caller
 	Host    string        // virtual host
 	Timeout time.Duration // how long the caller waits, 0 if not given
+	Key     string        // API key, "" if there is none or more than one; it must not be logged
 }
 
 // ResponseInfo is what the target's response says.
@@ -50,8 +51,11 @@
 	// ReadRequestInfo reads the header of a caller's request; false if a required value is
 	// missing or invalid.
 	ReadRequestInfo func(req *httpw.Request) (RequestInfo, bool)
-	// TargetRequest returns the request for the target; left is the time until its
-	// deadline.
+	// WithoutKey returns the header of a request without API keys and customers that the
+	// caller has named.
+	WithoutKey func(hdr httpw.Header) httpw.Header
+	// TargetRequest returns the request for the target, with the customer of the call if it
+	// has one; left is the time until its deadline.
 	TargetRequest func(call *mesh.CallHead, left time.Duration) *httpw.Request
 	// Belongs reports whether resp is the response to req, a request of TargetRequest.
 	Belongs func(req *httpw.Request, resp *httpw.Response) bool
--- a/io/httpw/head.go
+++ b/io/httpw/head.go
@@ -79,7 +79,9 @@
 	}
 }
 
-// refuse returns the error for bytes that are no valid message, or beyond a limit.
+// refuse returns the error for bytes that are no valid message, or beyond a limit. It is
+// logged, so it must not hold bytes of the message: where a line end is missing, a value is
+// followed by other header lines, also by one with an API key.
 func (h *head) refuse(status int, format string, args ...any) *MessageError {
 	return newMessageError(status, h.position, format, args...)
 }
@@ -121,13 +123,13 @@
 		switch {
 		case strings.EqualFold(l.Name, "Transfer-Encoding"):
 			if f.chunked || !strings.EqualFold(l.Value, "chunked") {
-				return f, h.refuse(501, "transfer encoding %q", l.Value)
+				return f, h.refuse(501, "transfer encoding other than chunked, or repeated")
 			}
 			f.chunked = true
 		case strings.EqualFold(l.Name, "Content-Length"):
 			n, ok := parseLength(l.Value)
 			if !ok || f.length >= 0 && f.length != n {
-				return f, h.refuse(400, "content length %q", l.Value)
+				return f, h.refuse(400, "content length no number, or contradictory")
 			}
 			f.length = n
 		}
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -34,7 +34,7 @@
 		return nil, h.refuse(400, "malformed request line")
 	}
 	if proto != proto11 && proto != proto10 {
-		return nil, h.refuse(400, "protocol %q", proto)
+		return nil, h.refuse(400, "unknown protocol")
 	}
 	r := &RequestHead{Request: Request{Method: method, Target: target}}
 	if r.Header, err = h.fields(); err != nil {
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -28,6 +28,7 @@
 	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
 	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
 	Customer    string       `cbor:"17,keyasint,omitempty"` // customer whose API key the request had, "" if none
+	StartMs     int64        `cbor:"24,keyasint,omitempty"` // time left in which a call with a customer may start, 0 for no bound
 	// Memory is that of the body at a server, until the call is answered.
 	Memory *httpw.Holding `cbor:"-"`
 }
@@ -148,6 +149,10 @@
 	AgeMs    int64  `cbor:"4,keyasint,omitempty"` // later changes may be missing if they are not older than this
 	Lost     bool   `cbor:"5,keyasint,omitempty"` // the sender has lost the store
 	Refused  string `cbor:"6,keyasint,omitempty"` // why the query isn't answered, "" if it is
+	// KnownMs is the age of the sender's proof that no later change is missing, unlike AgeMs
+	// counted from the call to the store and while the machine was suspended; 0 if unknown.
+	KnownMs int64 `cbor:"24,keyasint,omitempty"`
+	HeldMs  int64 `cbor:"25,keyasint,omitempty"` // time for which the sender held the query before
 }
 
 // refusedAge is the age of refused news. Daemons that don't know the field Refused take them
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -25,6 +25,9 @@
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrCompacted means that the store has dropped the changes asked for.
 	ErrCompacted = errors.New("store has dropped its history")
+	// ErrRestored means that the store has returned from an older copy: changes
+	// that were known are gone, and its revisions were issued again.
+	ErrRestored = errors.New("store restored from an older copy")
 )
 
 // LeaseID names a lease; 0 is no lease.
@@ -70,7 +73,8 @@
 	List func(ctx context.Context, prefix string, stale bool) ([]Item, int64, error)
 	// Changes waits until there are changes below prefix after a revision, at
 	// most for wait. It returns them in order and the revision to go on from. It
-	// fails with ErrCompacted if they are not known any more.
+	// fails with ErrCompacted if they are not known any more, and with ErrRestored
+	// if the revision is one of before the store was restored.
 	Changes func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
 	// Grant makes a lease that expires ttl after the last renewal.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
