--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -114,7 +114,7 @@
 	})
 	a.mirror = newMirror(mirrorOptions{
 		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
-		fresh: a.fresh,
+		fresh: a.fresh, accepts: a.accepts,
 		wants: a.wants, sendQuery: a.queryAgent, onChange: a.applyItems, onDiscovered: a.agentsDiscovered, onListed: a.keysListed,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -118,6 +118,7 @@
 	return newMirror(mirrorOptions{
 		store: st, clock: clock, log: logs.Discard(), self: "self", prefix: nodePrefix,
 		fresh:    newFreshness(0, func() time.Duration { return clock.Since(start) }, tally.NoopScope),
+		accepts:  func(string, []byte) bool { return true },
 		wants:    func(string) bool { return true },
 		onChange: func([]relay.Item) {},
 		onListed: onListed,
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"trefoilthread/core/vhost"
 	"trefoilthread/io/store"
 )
 
@@ -63,19 +64,34 @@
 	}
 	defer a.fresh.applied(revision) // an invalid one doesn't make the one in force old
 	a.isTableLong.Store(len(value) > longTableBytes)
+	if t := a.decodeTable(value); t != nil {
+		a.table.replaceIfNewer(t, source)
+	}
+}
+
+// decodeTable decodes the operator's document. It returns nil if that is invalid.
+func (a *Agent) decodeTable(value []byte) *vhost.Table {
 	t, err := a.opts.Wire.DecodeTable(value)
 	if err != nil {
 		a.log.WithError(err).WithField("inForce", a.table.version()).Error("configuration not understood, keeping the version in force")
-		return
+		return nil
 	}
-	a.table.replaceIfNewer(t, source)
+	return t
 }
 
-// holdTable makes the copy have a document that is about to be applied. Until then the
+// accepts reports whether the copy may hold a value of a key: other agents, which may have
+// started since, are told the latest valid configuration.
+func (a *Agent) accepts(key string, value []byte) bool {
+	return key != a.opts.Wire.TableKey || a.decodeTable(value) != nil
+}
+
+// holdTable makes the copy have a valid document that is about to be applied. Until then the
 // knowledge of the configuration must not be taken for that of the copy.
 func (a *Agent) holdTable(it store.Item) {
-	a.fresh.want(it.Revision)
-	a.mirror.hold(it)
+	if a.accepts(it.Key, it.Value) {
+		a.fresh.want(it.Revision)
+		a.mirror.hold(it)
+	}
 }
 
 // runTableReads reads the configuration from the store when another agent has a newer
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -26,6 +26,9 @@
 	fresh *freshness
 	// wants reports whether the agent needs a key.
 	wants func(key string) bool
+	// accepts reports whether a value of a key may be known. The copy keeps the value before
+	// one that is refused, and other agents are told that.
+	accepts func(key string, value []byte) bool
 	// sendQuery sends a query to another agent.
 	sendQuery func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
 	// onChange is called with changes in order of revision.
@@ -97,18 +100,25 @@
 // changed it, and returns the pause until the next step. whole means that the items are
 // all keys.
 func (m *mirror) apply(from relay.Source, age time.Duration, items []relay.Item, rev int64, whole bool) time.Duration {
-	values := make(map[string][]byte, len(items))
+	values := make(map[state][]byte, len(items))
 	kept := items[:0]
+	var refused []string
 	for _, it := range items {
 		if !m.wants(it.Key) {
 			continue
 		}
-		it, values[it.Key] = m.prepareItem(it)
+		it, value := m.prepareItem(it)
+		if value != nil && !m.accepts(it.Key, value) {
+			refused = append(refused, it.Key)
+			continue
+		}
+		values[state{it.Key, it.Revision}] = value
 		kept = append(kept, it)
 	}
 	m.mu.Lock()
 	var news []relay.Item
 	if whole {
+		kept = m.appendKnown(kept, refused)
 		news = m.copy.Replace(kept, rev)
 	} else {
 		news = m.copy.Apply(kept, rev)
@@ -121,7 +131,7 @@
 	m.logSourceChange(from)
 	for i := range news {
 		it := &news[i]
-		if value := values[it.Key]; value != nil {
+		if value := values[state{it.Key, it.Revision}]; value != nil {
 			it.Value, it.Packed, it.Omitted = value, false, false
 		}
 	}
@@ -134,6 +144,23 @@
 	return pause
 }
 
+// state is a state of a key. One answer may hold several of a key.
+type state struct {
+	key      string
+	revision int64
+}
+
+// appendKnown appends the known items of keys, with the lock held: a whole listing would
+// delete them if it lacked them.
+func (m *mirror) appendKnown(items []relay.Item, keys []string) []relay.Item {
+	for _, key := range keys {
+		if it, ok := m.copy.Get(key); ok && !it.Deleted {
+			items = append(items, it)
+		}
+	}
+	return items
+}
+
 // has reports whether a key is known to exist.
 func (m *mirror) has(key string) bool {
 	m.mu.Lock()
