io/agent, core/relay: tests of the age of knowledge

Cause: a copy that began with a listing told those behind it nothing of keys deleted before, which they kept; and the ages had no tests.

Tests of the ages of calls, queries and configurations still to be read, and of the check at the gate.

--- a/core/relay/copy_test.go
+++ b/core/relay/copy_test.go
@@ -78,6 +78,20 @@
 	})
 }
 
+// Guards against keys that stay known for ever, because the copy that is asked began with a
+// listing of after their deletion.
+func TestDeletedBeforeTheListing(t *testing.T) {
+	is := is.New(t)
+	c, late := relay.NewCopy(), relay.NewCopy()
+	late.Apply([]relay.Item{put("a", 5), put("b", 6)}, 6)
+	c.Replace([]relay.Item{put("a", 5)}, 9) // b was deleted at 8
+	items, whole := c.Since(late.Revision())
+	is.True(whole)
+	is.Equal(late.Replace(items, c.Revision()), []relay.Item{gone("b", 9)})
+	_, whole = c.Since(late.Revision())
+	is.True(!whole)
+}
+
 // Guards against a copy that grows with each key that ever was, and against one
 // that is behind the forgotten keys and keeps them.
 func TestDeletedKeysAreForgotten(t *testing.T) {
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -131,6 +131,33 @@
 // Age exposes age.
 func (m *mirror) Age() time.Duration { return m.age() }
 
+// KnowledgeAge returns the age of the knowledge of the store.
+func (m *mirror) KnowledgeAge() time.Duration { return m.fresh.storeAge() }
+
+// Suspend makes the clock that counts suspension run on.
+func (m *mirror) Suspend(d time.Duration) {
+	elapsed := m.fresh.elapsed
+	m.fresh.elapsed = func() time.Duration { return elapsed() + d }
+}
+
+// LearnSent notes the answer to a call of the store that was sent some time ago.
+func (m *mirror) LearnSent(ago time.Duration) { m.fresh.learn(m.fresh.elapsed() - ago) }
+
+// LearnStore notes that a knows the present state of the store.
+func LearnStore(a *Agent) { a.fresh.learn(a.fresh.elapsed()) }
+
+// KnowledgeAge exposes knowledgeAge.
+func KnowledgeAge(a *Agent) time.Duration { return a.knowledgeAge() }
+
+// MayAcceptKeys reports whether a knows the configuration well enough for requests with keys.
+func MayAcceptKeys(a *Agent) bool { return a.fresh.now().isRecent }
+
+// Discover exposes discover.
+func (m *mirror) Discover(ctx context.Context) {
+	m.onDiscovered = func(context.Context, bool) {}
+	m.discover(ctx)
+}
+
 // ReadStore exposes readStore, from the revision that is known.
 func (m *mirror) ReadStore(ctx context.Context) {
 	m.mu.Lock()
--- /dev/null
+++ b/io/agent/freshness_test.go
@@ -0,0 +1,199 @@
+package agent_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"trefoilthread/core/beat"
+	"trefoilthread/core/relay"
+	"trefoilthread/core/vhost"
+	"trefoilthread/io/agent"
+	"trefoilthread/io/logs"
+	"trefoilthread/io/mesh"
+	"trefoilthread/io/store"
+)
+
+const (
+	callTime = 300 * time.Millisecond // of each call of the store or query
+	slack    = 2 * time.Millisecond   // ages are rounded between agents
+)
+
+// slowStore is a store whose calls take callTime; err is that of calls for changes.
+func slowStore(clock *clockwork.FakeClock, err *error) store.Store {
+	return store.Store{
+		List: func(context.Context, string, bool) ([]store.Item, int64, error) {
+			clock.Advance(callTime)
+			return nil, 5, nil
+		},
+		Changes: func(_ context.Context, _ string, after int64, _ time.Duration) ([]store.Event, int64, error) {
+			clock.Advance(callTime)
+			return nil, after, *err
+		},
+	}
+}
+
+// Guards against knowledge that seems younger than it is: by answers that waited on their
+// way, by time in which the machine was suspended, or by stale reads and failures.
+func TestKnowledgeIsAsOldAsItsCall(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	var failure error
+	m := agent.NewMirror(slowStore(clock, &failure), clock)
+	is.Equal(m.KnowledgeAge(), time.Hour)
+	m.Discover(t.Context())
+	is.Equal(m.KnowledgeAge(), time.Hour) // a stale read
+	m.ReadStore(t.Context())              // lists
+	is.Equal(m.KnowledgeAge(), callTime)
+	m.ReadStore(t.Context()) // the call could wait for changes
+	is.Equal(m.KnowledgeAge(), callTime)
+	failure = store.ErrUnavailable
+	m.ReadStore(t.Context())
+	is.Equal(m.KnowledgeAge(), 2*callTime)
+	m.Suspend(7 * time.Second) // the clock of the mirror stands still meanwhile
+	is.Equal(m.KnowledgeAge(), 2*callTime+7*time.Second)
+	failure = store.ErrRestored
+	m.ReadStore(t.Context())
+	is.Equal(m.KnowledgeAge(), time.Hour)
+	m.ReadStore(t.Context()) // lists again
+	is.Equal(m.KnowledgeAge(), callTime)
+}
+
+// Guards against an agent that takes the news of another one for younger than that knows them
+// to be, and against ages that grow by the time for which the other one held the query.
+func TestKnowledgeOfOtherAgents(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	var failure error
+	other := agent.NewMirror(slowStore(clock, &failure), clock)
+	m := agent.NewMirror(store.Store{}, clock)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	query := func(held time.Duration) {
+		m.QueryAgentWith(t.Context(), "other", func() *mesh.News {
+			clock.Advance(callTime) // on its way
+			news := other.ServeQuery(ended, new(mesh.Query))
+			news.HeldMs = held.Milliseconds()
+			clock.Advance(held)
+			return news
+		})
+	}
+	query(0)
+	is.Equal(m.KnowledgeAge(), time.Hour) // the other one knows nothing
+	other.ReadStore(t.Context())
+	clock.Advance(time.Second)
+	query(0)
+	is.True(m.KnowledgeAge() >= other.KnowledgeAge())
+	is.True(m.KnowledgeAge() <= other.KnowledgeAge()+callTime+slack)
+	other.Suspend(4 * time.Second)
+	other.ReadStore(t.Context())
+	query(400 * time.Millisecond)
+	is.True(m.KnowledgeAge() >= callTime)
+	is.True(m.KnowledgeAge() <= 2*callTime+400*time.Millisecond+slack)
+}
+
+// Guards against ages near the bound in usual service, in which keys would be refused: two
+// readers wait 0.7 s at the store and others 0.4 s at a reader.
+func TestUsualAgeOfKnowledge(t *testing.T) {
+	const hold, wait, rounds = 400 * time.Millisecond, 700 * time.Millisecond, 40
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	reader := agent.NewMirror(store.Store{
+		List: func(context.Context, string, bool) ([]store.Item, int64, error) { return nil, 5, nil },
+	}, clock)
+	m := agent.NewMirror(store.Store{}, clock)
+	reader.ReadStore(t.Context())
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	var oldest, sinceRead time.Duration
+	for i := range rounds {
+		m.QueryAgentWith(t.Context(), "reader", func() *mesh.News {
+			for range hold / (50 * time.Millisecond) {
+				clock.Advance(50 * time.Millisecond)
+				if sinceRead += 50 * time.Millisecond; sinceRead >= wait {
+					reader.LearnSent(sinceRead) // the answer to a call that was sent then
+					sinceRead = 0
+				}
+			}
+			news := reader.ServeQuery(ended, &mesh.Query{Revision: 5})
+			news.HeldMs = hold.Milliseconds()
+			if i > 0 {
+				oldest = max(oldest, m.KnowledgeAge())
+			}
+			return news
+		})
+	}
+	t.Logf("oldest knowledge: %s", oldest)
+	is.True(oldest < 2*time.Second)
+}
+
+// Guards against a removed key that is accepted because the knowledge of the store is recent,
+// while the configuration that it shows is still to be read, and against an invalid
+// configuration that counts as one to be read.
+func TestConfigurationToBeReadIsNotKnown(t *testing.T) {
+	const key = "config"
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table, err := vhost.New(vhost.TableSpec{Version: 1})
+	is.NoErr(err)
+	a := agent.New(agent.Options{
+		Settings: agent.Settings{Node: "self", KeyRevocation: 5 * time.Second}, Log: logs.Discard(), Clock: clock, Scope: tally.NoopScope,
+		Wire: agent.Wire{TableKey: key, DecodeTable: func(value []byte) (*vhost.Table, error) {
+			if string(value) == "invalid" {
+				return nil, store.ErrConflict
+			}
+			return table, nil
+		}},
+	})
+	is.True(!agent.MayAcceptKeys(a))
+	agent.ApplyItems(a, []relay.Item{{Key: key, Revision: 1, Value: []byte("1")}})
+	agent.LearnStore(a)
+	is.True(agent.MayAcceptKeys(a))
+	agent.ApplyItems(a, []relay.Item{{Key: key, Revision: 2, Omitted: true}})
+	clock.Advance(4 * time.Second)
+	agent.LearnStore(a)
+	is.Equal(agent.KnowledgeAge(a), time.Duration(0))
+	is.True(!agent.MayAcceptKeys(a))
+	agent.ApplyItems(a, []relay.Item{{Key: key, Revision: 2, Value: []byte("invalid")}})
+	is.True(agent.MayAcceptKeys(a))
+	agent.ApplyItems(a, []relay.Item{{Key: key, Revision: 3, Omitted: true}})
+	agent.ApplyItems(a, []relay.Item{{Key: key, Revision: 4, Deleted: true}})
+	clock.Advance(4 * time.Second)
+	agent.LearnStore(a)
+	is.True(agent.MayAcceptKeys(a))
+}
+
+// Guards against a call with a customer that starts although its agent doesn't know the
+// configuration any more, or after the time in which it had to start, as it has waited.
+func TestGateChecksKnowledge(t *testing.T) {
+	is := is.New(t)
+	var elapsed, step time.Duration
+	a := agent.New(agent.Options{
+		Settings: agent.Settings{Node: "self", DataCentre: "kl", KeyRevocation: 5 * time.Second, TargetAddr: newFlakyTarget(t, 1).ln.Addr().String()},
+		Wire:     flakyWire(), Log: logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
+		Elapsed: func() time.Duration { elapsed += step; return elapsed },
+	})
+	agent.AnnounceTarget(a, beat.Announcement{ID: "i-1", Service: "bookings", Slots: 4, Born: 1, Sequence: 1})
+	serve := func(customer string, startMs int64) *mesh.Answer {
+		return agent.Serve(t.Context(), a, &mesh.CallHead{
+			ID: "r", Service: "bookings", Target: "i-1", Method: "GET", Path: "/", RemainingMs: 5000, GoalMs: 5000, Worth: 1,
+			Customer: customer, StartMs: startMs,
+		})
+	}
+	isStale := func(ans *mesh.Answer) bool { return ans.Result == mesh.Refused && ans.RetryMs == 300 && !ans.Reached }
+	is.True(!isStale(serve("", 0)))
+	is.True(isStale(serve("north", 0)))
+	agent.LearnStore(a)
+	is.True(!isStale(serve("north", 0)))
+	step = 10 * time.Millisecond // each look at the clock
+	is.True(!isStale(serve("north", 1000)))
+	is.True(isStale(serve("north", 5)))
+	elapsed += 4 * time.Second
+	is.True(isStale(serve("north", 1000)))
+	is.True(!isStale(serve("", 0)))
+	is.True(agent.IsTargetIdle(a))
+}
