io/agent: write the own record again after the store was restored

Cause: a store that returns from an older copy has earlier states of records, and other agents took a target that drains for a ready one.

Change: an agent that learns an earlier state of the record of its own start writes the present one again.

Result: go test ./platform -run 'Restored|TargetRequest' -count=3 passes; the test of the restored store fails without the change.

--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -21,6 +21,8 @@
 			a.registration.noteListed(it)
 		case it.Deleted && name == a.opts.Settings.Node:
 			a.registration.markMissing(it.Revision)
+		case name == a.opts.Settings.Node:
+			a.registration.noteStored(it)
 		case it.Deleted:
 			missing = append(missing, name)
 		default:
--- a/io/agent/registration.go
+++ b/io/agent/registration.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 
+	"trefoilthread/core/relay"
 	"trefoilthread/core/types"
 	"trefoilthread/io/store"
 )
@@ -117,6 +118,23 @@
 	}
 }
 
+// noteStored requests a write if the store has an earlier state of the record of this start,
+// as after it was restored from an older copy. Records of other starts are left alone, so
+// that two agents with one name don't replace each other's without end.
+func (r *registration) noteStored(it relay.Item) {
+	_, rec, err := decodeRecord(it.Key, it.Value, it.Revision)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	isOld := r.isCurrent && it.Revision > r.writtenAt && rec.Boot == r.written.Boot && rec != r.written
+	r.isCurrent = r.isCurrent && !isOld
+	r.mu.Unlock()
+	if isOld {
+		r.requestWrite()
+	}
+}
+
 // awaitWrite waits until the store has the present record. It returns false if ctx ends
 // first.
 func (r *registration) awaitWrite(ctx context.Context) bool {
