io/agent: have agents that start told the latest valid configuration

Cause: an agent that reads the store itself and starts while the store holds an invalid configuration had none until the operator mended it. Documents were also decoded twice since the copy refuses invalid ones.

Change: such an agent asks another one that tells long values. The result of the latest decoding is kept.

Result: go test ./core/relay ./io/agent passes, and the test of invalid documents in ./platform with agents that start first and last in the order of readers.

--- a/core/relay/tellers.go
+++ b/core/relay/tellers.go
@@ -23,6 +23,11 @@
 	if s.IsTeller(now) {
 		return ""
 	}
+	return s.OtherTeller(now)
+}
+
+// OtherTeller returns another daemon that tells long values, "" if there is none.
+func (s *Sources) OtherTeller(now time.Time) string {
 	isOutage := s.IsOutage(now)
 	return s.choose(s.opts.Self, s.tellers(), func(n node) bool { return n.isOut(now, isOutage) })
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -79,9 +79,13 @@
 	tableWanted   atomic.Int64  // revision of the latest configuration that has to be read from the store
 	tableApplied  atomic.Int64  // revision of the latest configuration that was decoded
 	isTableLong   atomic.Bool   // the latest configuration was longer than longTableBytes, or too long to be sent
-	cancel        context.CancelFunc
-	started       time.Time
-	httpServers   []*http.Server
+	decoded       atomic.Pointer[decodedTable]
+	// isTableInvalid means that the store holds an invalid configuration while there is none
+	// in force: others are asked for the one before.
+	isTableInvalid atomic.Bool
+	cancel         context.CancelFunc
+	started        time.Time
+	httpServers    []*http.Server
 }
 
 // New returns an agent that isn't running.
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/store"
 )
@@ -26,6 +28,10 @@
 // of a second on a link of 10 Mbit/s. Others wait for it at the agents that tell it.
 const maxReadDelay = 200 * time.Millisecond
 
+// validRetryDelay is the mean delay before another agent is asked again for a valid
+// configuration, by one that has found an invalid one in the store at its start.
+const validRetryDelay = time.Second
+
 // initialReadSpread is the time for each agent over which the first reads of all agents are
 // spread while they ask others. It is what a configuration of 370 KB takes on a link of
 // 1,000 Mbit/s, the store's.
@@ -69,13 +75,29 @@
 	}
 }
 
-// decodeTable decodes the operator's document. It returns nil if that is invalid.
+// decodedTable is a document that was decoded; table is nil if it is invalid.
+type decodedTable struct {
+	sum   uint64 // hash of the document
+	table *vhost.Table
+}
+
+// decodeTable decodes the operator's document. It returns nil if that is invalid. The latest
+// result is kept, as a document is checked before it is applied and may come several times.
 func (a *Agent) decodeTable(value []byte) *vhost.Table {
+	sum := xxhash.Sum64(value)
+	if d := a.decoded.Load(); d != nil && d.sum == sum {
+		return d.table
+	}
 	t, err := a.opts.Wire.DecodeTable(value)
 	if err != nil {
+		t = nil
 		a.log.WithError(err).WithField("inForce", a.table.version()).Error("configuration not understood, keeping the version in force")
-		return nil
+		if a.table.get() == nil {
+			a.isTableInvalid.Store(true)
+			a.requestTableRead(a.tableWanted.Load())
+		}
 	}
+	a.decoded.Store(&decodedTable{sum: sum, table: t})
 	return t
 }
 
@@ -118,6 +140,10 @@
 			if a.askTable(ctx, a.tableWanted.Load()-1, tellTimeout) {
 				continue
 			}
+			if a.isTableInvalid.Load() && a.table.get() == nil {
+				a.clock.AfterFunc(jitterAround(validRetryDelay), func() { a.requestTableRead(a.tableWanted.Load()) })
+				continue
+			}
 			sleep(ctx, a.clock, jitterUpTo(maxReadDelay))
 			a.readTable(ctx, 0)
 		}
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -24,6 +24,7 @@
 		case it.Omitted:
 			a.isTableLong.Store(true)
 			a.fresh.want(it.Revision)
+			a.isTableInvalid.Store(false)
 			a.requestTableRead(it.Revision)
 		default:
 			a.applyTable(it.Value, it.Revision, "follow")
--- a/io/agent/tell.go
+++ b/io/agent/tell.go
@@ -46,7 +46,11 @@
 // the value within the timeout.
 func (m *mirror) ask(ctx context.Context, key string, after int64, timeout time.Duration) (store.Item, error) {
 	m.mu.Lock()
-	node := m.sources.Teller(m.clock.Now())
+	now := m.clock.Now()
+	node := m.sources.Teller(now)
+	if _, ok := m.copy.Get(key); node == "" && !ok {
+		node = m.sources.OtherTeller(now) // the store may hold a value that isn't accepted
+	}
 	m.mu.Unlock()
 	if node == "" {
 		return store.Item{}, errNotTold
