--- a/io/agent/customer.go
+++ b/io/agent/customer.go
@@ -77,8 +77,8 @@
 	return &stripped
 }
 
-// identify adds the customer of a request to a call.
-func (q *request) identify(head *mesh.CallHead, elapsed func() time.Duration) {
+// addCustomer adds the customer of a request to a call.
+func (q *request) addCustomer(head *mesh.CallHead, elapsed func() time.Duration) {
 	if q.identity.customer == nil {
 		return
 	}
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -107,7 +107,7 @@
 	sent := d.entry.clock.Now()
 	head := d.request.callHead(sent, t, d.entry.callerService())
 	head.Prompt = d.tries.PromptOnly(others)
-	d.request.identify(head, d.entry.fresh.elapsed)
+	d.request.addCustomer(head, d.entry.fresh.elapsed)
 	go func() {
 		ans, err := d.entry.send(ctx, t, head)
 		d.entry.balancer.finishCall(d.request.service, tok, routeResult(ctx, ans, err, d.entry.clock.Since(sent)))
--- a/io/agent/doc.go
+++ b/io/agent/doc.go
@@ -7,13 +7,15 @@
 // target itself. The decisions are those of core: vhost (which service), route
 // (which target), retry (whether to send again), admit (whether to run now),
 // roster and beat (which agents and targets exist), relay (from which agent or
-// store to read changes), prune (which agents are gone), pace and probe (how fast the
+// store to read changes), fresh (whether the configuration is known well enough for requests
+// with API keys), prune (which agents are gone), pace and probe (how fast the
 // target's host is), poison (which requests crash targets).
 //
 // # State and its owners
 //
 //	mirror        copy of the store's keys, read from the store or from another agent
 //	activeTable   configuration in force, decoded from the operator's document in the store
+//	freshness     up to which time the store and the configuration in force are known
 //	balancer      other agents, their targets, statistics of this agent's calls, retry budgets
 //	localTarget   the target on this VM, its admission gate and its connections
 //	registration  this agent's record in the store
