--- a/cmd/trefoild/run.go
+++ b/cmd/trefoild/run.go
@@ -55,6 +55,7 @@
 		Settings: p.Agent(), Wire: platform.Wire(), Clock: clock, Log: l,
 		Store:          platform.NewStoreWith(p.StoreAddress(), platform.StoreOptions{Broken: brokenAnswers(l, scope)}),
 		Scope:          scope,
+		Elapsed:        agent.SinceBoot,
 		Metrics:        m.Handler(),
 		ReadyHandler:   platform.ReadyHandler,
 		ControlHandler: platform.ControlHandler,
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/core/beat"
 	"trefoilthread/core/relay"
@@ -113,8 +114,11 @@
 
 // NewMirrorWith returns a mirror as NewMirror does, with onListed.
 func NewMirrorWith(st store.Store, clock clockwork.Clock, onListed func(revision int64, has func(key string) bool)) *Mirror {
+	start := clock.Now()
 	return newMirror(mirrorOptions{
 		store: st, clock: clock, log: logs.Discard(), self: "self", prefix: nodePrefix,
+		fresh:    newFreshness(0, func() time.Duration { return clock.Since(start) }, tally.NoopScope),
+		accepts:  func(string, []byte) bool { return true },
 		wants:    func(string) bool { return true },
 		onChange: func([]relay.Item) {},
 		onListed: onListed,
@@ -127,6 +131,30 @@
 // Age exposes age.
 func (m *mirror) Age() time.Duration { return m.age() }
 
+// KnowledgeAge returns the age of the knowledge of the store.
+func (m *mirror) KnowledgeAge() time.Duration { return m.fresh.storeAge() }
+
+// Suspend makes the clock that counts suspension run on.
+func (m *mirror) Suspend(d time.Duration) {
+	elapsed := m.fresh.elapsed
+	m.fresh.elapsed = func() time.Duration { return elapsed() + d }
+}
+
+// LearnStore notes that a knows the present state of the store.
+func LearnStore(a *Agent) { a.fresh.learn(a.fresh.elapsed()) }
+
+// KnowledgeAge exposes knowledgeAge.
+func KnowledgeAge(a *Agent) time.Duration { return a.knowledgeAge() }
+
+// MayAcceptKeys reports whether a knows the configuration well enough for requests with keys.
+func MayAcceptKeys(a *Agent) bool { return a.fresh.now().isRecent }
+
+// Discover exposes discover.
+func (m *mirror) Discover(ctx context.Context) {
+	m.onDiscovered = func(context.Context, bool) {}
+	m.discover(ctx)
+}
+
 // ReadStore exposes readStore, from the revision that is known.
 func (m *mirror) ReadStore(ctx context.Context) {
 	m.mu.Lock()
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -5,6 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"trefoilthread/core/vhost"
 	"trefoilthread/io/store"
 )
 
@@ -25,6 +28,10 @@
 // of a second on a link of 10 Mbit/s. Others wait for it at the agents that tell it.
 const maxReadDelay = 200 * time.Millisecond
 
+// validRetryDelay is the mean delay before another agent is asked again for a valid
+// configuration, by one that has found an invalid one in the store at its start.
+const validRetryDelay = time.Second
+
 // initialReadSpread is the time for each agent over which the first reads of all agents are
 // spread while they ask others. It is what a configuration of 370 KB takes on a link of
 // 1,000 Mbit/s, the store's.
@@ -49,7 +56,7 @@
 		return
 	}
 	if it.Revision > 0 {
-		a.mirror.hold(it)
+		a.holdTable(it)
 		a.applyTable(it.Value, it.Revision, "start")
 	}
 }
@@ -61,13 +68,52 @@
 	if revision > a.tableApplied.Load() {
 		a.tableApplied.Store(revision) // a stale read may end after a later change
 	}
+	defer a.fresh.applied(revision) // an invalid one doesn't make the one in force old
 	a.isTableLong.Store(len(value) > longTableBytes)
+	if t := a.decodeTable(value); t != nil {
+		a.table.replaceIfNewer(t, source)
+	}
+}
+
+// decodedTable is a document that was decoded; table is nil if it is invalid.
+type decodedTable struct {
+	sum   uint64 // hash of the document
+	table *vhost.Table
+}
+
+// decodeTable decodes the operator's document. It returns nil if that is invalid. The latest
+// result is kept, as a document is checked before it is applied and may come several times.
+func (a *Agent) decodeTable(value []byte) *vhost.Table {
+	sum := xxhash.Sum64(value)
+	if d := a.decoded.Load(); d != nil && d.sum == sum {
+		return d.table
+	}
 	t, err := a.opts.Wire.DecodeTable(value)
 	if err != nil {
+		t = nil
 		a.log.WithError(err).WithField("inForce", a.table.version()).Error("configuration not understood, keeping the version in force")
-		return
+		if a.table.get() == nil {
+			a.isTableInvalid.Store(true)
+			a.requestTableRead(a.tableWanted.Load())
+		}
+	}
+	a.decoded.Store(&decodedTable{sum: sum, table: t})
+	return t
+}
+
+// accepts reports whether the copy may hold a value of a key: other agents, which may have
+// started since, are told the latest valid configuration.
+func (a *Agent) accepts(key string, value []byte) bool {
+	return key != a.opts.Wire.TableKey || a.decodeTable(value) != nil
+}
+
+// holdTable makes the copy have a valid document that is about to be applied. Until then the
+// knowledge of the configuration must not be taken for that of the copy.
+func (a *Agent) holdTable(it store.Item) {
+	if a.accepts(it.Key, it.Value) {
+		a.fresh.want(it.Revision)
+		a.mirror.hold(it)
 	}
-	a.table.replaceIfNewer(t, source)
 }
 
 // runTableReads reads the configuration from the store when another agent has a newer
@@ -94,6 +140,10 @@
 			if a.askTable(ctx, a.tableWanted.Load()-1, tellTimeout) {
 				continue
 			}
+			if a.isTableInvalid.Load() && a.table.get() == nil {
+				a.clock.AfterFunc(jitterAround(validRetryDelay), func() { a.requestTableRead(a.tableWanted.Load()) })
+				continue
+			}
 			sleep(ctx, a.clock, jitterUpTo(maxReadDelay))
 			a.readTable(ctx, 0)
 		}
@@ -128,7 +178,7 @@
 		}
 		return
 	}
-	a.mirror.hold(it)
+	a.holdTable(it)
 	a.applyTable(it.Value, it.Revision, "read")
 }
 
@@ -141,7 +191,7 @@
 		a.metrics.countEvent("table_reads_stale")
 		return false
 	}
-	a.mirror.hold(it)
+	a.holdTable(it)
 	a.applyTable(it.Value, it.Revision, "staleRead")
 	return heard <= a.table.version()
 }
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -21,9 +21,12 @@
 			nodes = append(nodes, it)
 		case a.isDrainKey(it.Key):
 			drains = append(drains, it)
-		case it.Deleted: // the configuration in force is kept
+		case it.Deleted:
+			a.fresh.applied(it.Revision) // the configuration in force is kept
 		case it.Omitted:
 			a.isTableLong.Store(true)
+			a.fresh.want(it.Revision)
+			a.isTableInvalid.Store(false)
 			a.requestTableRead(it.Revision)
 		default:
 			a.applyTable(it.Value, it.Revision, "follow")
