core/quota: tokens of customers' quotas over all daemons

A customer's quota holds over all daemons, and an unused part of it has to move to where the demand is within a second. Owners grant only with knowledge of the store younger than 5 s and 5.5 s after they became the owner; after a gap in that knowledge of at most 15 s they continue. The buckets of a customer together hold at least 10 requests.

--- /dev/null
+++ b/core/quota/limit.go
@@ -0,0 +1,23 @@
+package quota
+
+// MaxOwners is the number of owners that a customer has at most. Data centres beyond it, in
+// the order of their names, have none; their daemons ask those of the others.
+const MaxOwners = 10
+
+// minBurst is the smallest size of the buckets of a customer together, in requests. It takes
+// half of the 20 requests that the bound allows beyond the quota. Requests of small
+// customers come irregularly: with a size of one token in each data centre, customers far
+// below their quotas would be refused.
+const minBurst = 10
+
+// Limit is the quota of a customer over all daemons.
+type Limit struct {
+	PerSecond float64 // 0 for no limit
+	Burst     float64
+}
+
+// share returns the part of one of n owners.
+func (l Limit) share(n int) Limit {
+	k := float64(max(n, 1))
+	return Limit{PerSecond: l.PerSecond / k, Burst: max(l.Burst, minBurst) / k}
+}
--- /dev/null
+++ b/core/quota/owner.go
@@ -0,0 +1,152 @@
+package quota
+
+import (
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+const (
+	// MaxAge is the age of the knowledge of the store from which on no token is granted.
+	MaxAge = 5 * time.Second
+	// takeoverTime is the time without grants after a daemon has become the owner. It is
+	// longer than MaxAge, since the earlier owner may have learned the last state before
+	// the change just then.
+	takeoverTime = 5500 * time.Millisecond
+	// maxGap is the longest time without recent knowledge after which an owner continues.
+	// It is shorter than the 16 s in which the record of a silent daemon is deleted
+	// (core/prune).
+	maxGap = 15 * time.Second
+	// resumeTime is the time without grants after such a gap. Changes of records are
+	// entered after the age of the knowledge has changed.
+	resumeTime = 250 * time.Millisecond
+)
+
+// Owner holds the buckets of a daemon for the customers that it owns.
+type Owner struct {
+	self    string
+	dc      types.DataCentre
+	dir     *Directory
+	changes uint64 // of dir
+	learned time.Time
+	buckets map[types.CustomerName]*bucket
+
+	known   time.Time // the state of the store up to then is known, on a clock that counts suspension
+	isFresh bool      // the knowledge was younger than MaxAge at the latest look
+	start   time.Time // no grants before
+}
+
+// NewOwner returns an Owner of no customers.
+func NewOwner(self string, dc types.DataCentre, dir *Directory) *Owner {
+	return &Owner{self: self, dc: dc, dir: dir, buckets: make(map[types.CustomerName]*bucket)}
+}
+
+// SetLimits sets the quotas of all customers of the configuration in force. A lower quota
+// applies at once, the buckets of removed customers are dropped.
+func (o *Owner) SetLimits(now time.Time, limits map[types.CustomerName]Limit) {
+	o.learnMembers(now)
+	for name := range o.buckets {
+		if _, ok := limits[name]; !ok {
+			delete(o.buckets, name)
+		}
+	}
+	for name, l := range limits {
+		l = l.share(o.dir.Len())
+		b := o.buckets[name]
+		switch {
+		case b == nil, (b.limit.PerSecond == 0) != (l.PerSecond == 0):
+			b = &bucket{limit: l, filled: now}
+			if o.dir.Owner(name, o.dc) == o.self {
+				b.since = o.learned // at the earliest
+			}
+			o.buckets[name] = b
+		case b.limit != l:
+			if start, ok := o.entitledFrom(b); ok && !now.Before(start) {
+				b.fill(now, start)
+			}
+			b.setLimit(l)
+		}
+	}
+}
+
+// learnMembers takes over changes of the directory.
+func (o *Owner) learnMembers(now time.Time) {
+	if o.changes == o.dir.Changes() {
+		return
+	}
+	o.changes, o.learned = o.dir.Changes(), now
+	for name, b := range o.buckets {
+		switch isOwner := o.dir.Owner(name, o.dc) == o.self; {
+		case !isOwner:
+			b.since = time.Time{}
+		case b.since.IsZero():
+			b.since = now
+		}
+	}
+}
+
+// Observe takes the age of the knowledge of the store, and changes of the directory. seen is
+// the time on a clock that counts suspension. It has to be called several times a second, as
+// a longer time between calls may hide a gap, and counts as one if it is as long as MaxAge.
+func (o *Owner) Observe(now, seen time.Time, age time.Duration) {
+	o.learnMembers(now)
+	gap := seen.Sub(o.known)
+	wasFresh := o.isFresh && gap < MaxAge
+	o.isFresh = age < MaxAge
+	if !o.isFresh {
+		return
+	}
+	if !wasFresh {
+		wait := resumeTime
+		if o.known.IsZero() || gap > maxGap {
+			wait = takeoverTime
+		}
+		if at := now.Add(wait); at.After(o.start) {
+			o.start = at
+		}
+	}
+	if k := seen.Add(-age); k.After(o.known) {
+		o.known = k
+	}
+}
+
+// entitledFrom returns the time from which on tokens of a bucket may be granted, and false
+// if they may not.
+func (o *Owner) entitledFrom(b *bucket) (time.Time, bool) {
+	if !o.isFresh || b.since.IsZero() {
+		return time.Time{}, false
+	}
+	start := b.since.Add(takeoverTime)
+	if o.start.After(start) {
+		start = o.start
+	}
+	return start, true
+}
+
+// Grant answers a request for tokens of a customer. Observe has to be called right before.
+func (o *Owner) Grant(now time.Time, c types.CustomerName, want int) Grant {
+	b := o.buckets[c]
+	if b == nil || want <= 0 {
+		return Grant{}
+	}
+	if b.limit.PerSecond == 0 {
+		return Grant{Entitled: true, Count: want}
+	}
+	start, ok := o.entitledFrom(b)
+	if !ok || now.Before(start) {
+		return Grant{}
+	}
+	b.fill(now, start)
+	return b.take(now, want)
+}
+
+// Owned returns the number of customers with a quota that this daemon owns.
+func (o *Owner) Owned() int {
+	n := 0
+	for _, b := range o.buckets {
+		if !b.since.IsZero() && b.limit.PerSecond > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/core/vhost/customer.go
+++ b/core/vhost/customer.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 
 	"trefoilthread/core/types"
 )
@@ -93,6 +95,14 @@
 	return c, ok
 }
 
+// Customers returns all customers in no order. It returns none for a nil table.
+func (t *Table) Customers() []*Customer {
+	if t == nil {
+		return nil
+	}
+	return slices.Collect(maps.Values(t.customers))
+}
+
 // Customer returns the named customer, and false if it is not defined.
 func (t *Table) Customer(name types.CustomerName) (*Customer, bool) {
 	c, ok := t.customers[name]
