io/agent, io/mesh, platform: requests take tokens of their customer's quota

A token of a request that no target got is used again.

Until requests carry API keys none has a customer, and nothing changes.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +61,8 @@
 	target       *localTarget
 	registration *registration
 	suspects     *suspects
+	quotas       *quotas
+	customerOf   func(q *request) *vhost.Customer // customer of a request, nil if it has none
 	client       *mesh.Client
 	server       *mesh.Server
 	front        *front.Server
@@ -110,19 +114,25 @@
 		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
 		wants: a.wants, sendQuery: a.queryAgent, onChange: a.applyItems, onDiscovered: a.agentsDiscovered, onListed: a.keysListed,
 	})
+	a.customerOf = func(*request) *vhost.Customer { return nil }
+	a.quotas = newQuotas(quotaOptions{
+		self: o.Settings.Node, dc: o.Settings.DataCentre, centres: slices.Collect(maps.Keys(o.Settings.Regions)),
+		clock: o.Clock, elapsed: o.Clock.Now, log: o.Log, metrics: a.metrics, table: a.table.get, age: a.knowledgeAge, ask: a.askAgent,
+	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress()}, Clock: o.Clock, Ended: a.linkEnded, Notice: a.handleNotice,
 		Memory: a.bodies, Undecoded: a.recordUndecoded,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
-		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Opened: a.linkOpened,
+		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Tokens: a.quotas.serveTokens, Opened: a.linkOpened,
 		Failed: a.inboundEnded, Clock: o.Clock, Memory: a.bodies, NoMemory: a.refuseLongCall,
 		Undecoded: a.refuseUndecoded,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
 		callerService: func() types.ServiceName { return *a.service.Load() }, send: a.send, observeVersion: a.observeVersion,
-		suspects: a.suspects, stop: a.stop.Load,
+		suspects: a.suspects, stop: a.stop.Load, quotas: a.quotas,
+		customerOf: func(q *request) *vhost.Customer { return a.customerOf(q) },
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
@@ -189,6 +199,7 @@
 	go a.runTableReads(ctx)
 	go a.registration.run(ctx)
 	go newCleaner(a).run(ctx)
+	go a.quotas.run(ctx)
 	a.log.WithFields(log.Fields{
 		"node": a.opts.Settings.Node, "dataCentre": string(a.opts.Settings.DataCentre),
 		"service": string(a.opts.Settings.Service), "boot": a.boot, "startMs": a.clock.Since(a.started).Milliseconds(),
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -11,6 +11,7 @@
 
 	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
+	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
 )
@@ -37,6 +38,9 @@
 	// observeVersion is called with the configuration version of an agent that answered.
 	observeVersion func(version int64)
 	suspects       *suspects
+	quotas         *quotas
+	// customerOf returns the customer of a request, nil if it has none.
+	customerOf func(q *request) *vhost.Customer
 	// stop returns the planned stop of this agent, nil if there is none.
 	stop func() *grace.Stop
 }
@@ -71,9 +75,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
+	verdict := e.takeToken(ctx, q)
+	if resp := e.refuseByQuota(q, verdict); resp != nil {
+		return resp
+	}
 	e.balancer.countRequest(q.service, r.Name())
 	d := newDispatch(e, q, e.suspects.isOnTrial(fp))
 	resp := d.do(ctx)
+	e.settleToken(verdict, d)
 	if resp.Status < http.StatusInternalServerError {
 		e.balancer.recordLatency(q.service, r.Name(), e.clock.Since(now))
 	}
--- a/io/agent/metrics.go
+++ b/io/agent/metrics.go
@@ -69,6 +69,9 @@
 	m.scope.Tagged(map[string]string{"part": part.String()}).Counter(name).Inc(1)
 }
 
+// setOwned sets the number of customers whose quotas this agent owns.
+func (m *metrics) setOwned(n int) { m.scope.Gauge("quota_customers_owned").Update(float64(n)) }
+
 // countEvent adds one to the counter with a name.
 func (m *metrics) countEvent(name string) { m.scope.Counter(name).Inc(1) }
 
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -16,6 +16,11 @@
 	var missing []string
 	for _, it := range items {
 		name := strings.TrimPrefix(it.Key, nodePrefix)
+		if it.Deleted {
+			a.quotas.removeRecord(name)
+		} else if name == a.opts.Settings.Node {
+			a.quotas.setRecord(name, a.opts.Settings.DataCentre)
+		}
 		switch {
 		case name == a.opts.Settings.Node && !a.isRestored.Load():
 			a.registration.noteListed(it)
@@ -46,6 +51,7 @@
 	if rec.Node == a.opts.Settings.Node {
 		return records
 	}
+	a.quotas.setRecord(rec.Node, rec.DataCentre)
 	return append(records, rec)
 }
 
--- /dev/null
+++ b/io/agent/quotaentry.go
@@ -0,0 +1,49 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"trefoilthread/io/httpw"
+)
+
+// quotaRetryDelay is the mean retry delay of a caller whose request was refused for its
+// customer's quota. A shorter one would only repeat the refusal: the callers of a customer
+// over its quota share the next tokens.
+const quotaRetryDelay = 500 * time.Millisecond
+
+// refuseByQuota returns the response to a request without a token, nil if it may be
+// dispatched. The request has not run and never will.
+func (e *entry) refuseByQuota(q *request, v quotaVerdict) *httpw.Response {
+	var reason string
+	respond := e.wire.Refusal
+	status := http.StatusServiceUnavailable
+	switch v.result {
+	case withinQuota:
+		return nil
+	case overQuota:
+		reason, respond, status = "over the customer's quota", e.wire.TooMany, http.StatusTooManyRequests
+	default:
+		reason = "quota of the customer unknown"
+	}
+	// A customer far over its quota would use up the log rate needed for failures.
+	if e.metrics.mayLogRoutine(e.clock.Now()) {
+		e.logRejected(q.info, string(q.service), status, reason)
+	} else {
+		e.metrics.recordResponse(status, 0)
+	}
+	return respond(reason, jitterAround(quotaRetryDelay))
+}
+
+// takeToken takes a token for a request of the customer that it names.
+func (e *entry) takeToken(ctx context.Context, q *request) quotaVerdict {
+	return e.quotas.take(ctx, e.customerOf(q))
+}
+
+// settleToken returns the token of a request that no target got.
+func (e *entry) settleToken(v quotaVerdict, d *dispatch) {
+	if d.tries.Reached() == 0 && d.inFlight == 0 && d.reason != "" {
+		e.quotas.giveBack(v)
+	}
+}
--- a/io/agent/wire.go
+++ b/io/agent/wire.go
@@ -64,6 +64,9 @@
 	// Refusal returns the response to a request that has not run and never will; retry
 	// is the time after which the caller may repeat it.
 	Refusal func(reason string, retry time.Duration) *httpw.Response
+	// TooMany returns the response to a request over its customer's quota, which has not
+	// run and never will; retry is as in Refusal.
+	TooMany func(reason string, retry time.Duration) *httpw.Response
 	// DecodeTable decodes the operator's document.
 	DecodeTable func(value []byte) (*vhost.Table, error)
 	// TableKey is the store's key of that document.
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -26,8 +26,10 @@
 	kindQuery
 	kindNews
 	kindWelcome
+	kindTokenRequest
+	kindTokens
 
-	lastKind = kindWelcome
+	lastKind = kindTokens
 )
 
 // maxPayload returns the bound of the payload in bytes.
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -111,7 +111,7 @@
 // versions.
 func (l *link) handle(f frame) {
 	switch f.kind {
-	case kindAnswer, kindNews:
+	case kindAnswer, kindNews, kindTokens:
 		l.deliver(f)
 	case kindNotice:
 		n := new(Notice)
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -13,8 +13,8 @@
 	"trefoilthread/io/httpw"
 )
 
-// ServerOptions configure a Server. All fields but Memory, NoMemory and
-// Undecoded are required.
+// ServerOptions configure a Server. All fields but Memory, NoMemory, Undecoded and
+// Tokens are required.
 type ServerOptions struct {
 	// Serve runs a call. Its context ends when the caller cancels it or its
 	// connection breaks.
@@ -23,6 +23,8 @@
 	Notice func(n *Notice)
 	// Query answers a query, at once or when there is news.
 	Query func(ctx context.Context, from Hello, q *Query) *News
+	// Tokens answers a request for tokens; nil if there are none to grant. It must not block.
+	Tokens func(from Hello, r *TokenRequest) *Tokens
 	// Opened is told who opened a connection. It must not block.
 	Opened func(from Hello)
 	// Failed is told of connections that ended with an error.
@@ -216,6 +218,8 @@
 			defer head.Memory.Release()
 			return p.s.opts.Serve(ctx, from, head)
 		})
+	case kindTokenRequest:
+		return p.grantTokens(f)
 	case kindQuery:
 		q := new(Query)
 		if err := f.decode(q); err != nil {
