--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -4,7 +4,7 @@
 // The quota of a customer is split evenly over data centres. In each of them one daemon
 // owns the customer's part: the one with the highest rendezvous hash of the daemon and the
 // customer among those with records in the store (Directory). It keeps a token bucket of
-// rate PerSecond/n and size max(Burst, 10)/n for n owners, which starts empty (Owner). Any
+// rate PerSecond/n and size (Burst+10)/n for n owners, which starts empty (Owner). Any
 // daemon that has a request of the customer asks the owners in turn, that of its own data
 // centre first (Asker). Unused parts therefore go where the demand is, and a failed owner
 // costs at most its part.
@@ -13,11 +13,11 @@
 //
 // In any window of 5 s, (PerSecond*5 + Burst)*1.1 + 20 requests may run. A bucket grants
 // at most rate*T + size in any time T, so the owners of a customer together grant at most
-// PerSecond*T + max(Burst, 10, n). A token is valid for Lifetime from the time at which it
-// was asked for, so the tokens that are used within 5 s are granted within T = 5.25 s. What
-// is left is PerSecond*0.25 + 10 at least, for the time that requests wait at gates. This
-// needs n <= 20; with MaxOwners = 10 the size of a bucket is never below one token. The rate
-// may be any fraction, as buckets hold fractions of tokens and grant whole ones.
+// PerSecond*T + Burst + 10. A token is valid for Lifetime from the time at which it was asked
+// for, so the tokens that are used within 5 s are granted within T = 5.25 s. What is left is
+// PerSecond*0.25 + Burst*0.1 + 10, for the time that requests wait at gates. The size of a
+// bucket must not be below one token, which would never be whole: hence MaxOwners = 10. The
+// rate may be any fraction, as buckets hold fractions of tokens and grant whole ones.
 //
 // # One owner at a time
 //
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -4,11 +4,11 @@
 // the order of their names, have none; their daemons ask those of the others.
 const MaxOwners = 10
 
-// minBurst is the smallest size of the buckets of a customer together, in requests. It takes
-// half of the 20 requests that the bound allows beyond the quota. Requests of small
-// customers come irregularly: with a size of one token in each data centre, customers far
-// below their quotas would be refused.
-const minBurst = 10
+// extraBurst is added to the burst of a customer for the sizes of its buckets, in requests. It
+// takes half of the 20 requests that the bound allows beyond the quota. Requests come
+// irregularly: with a size of one token in each data centre, small customers far below their
+// quotas would be refused.
+const extraBurst = 10
 
 // Limit is the quota of a customer over all daemons.
 type Limit struct {
@@ -19,5 +19,5 @@
 // share returns the part of one of n owners.
 func (l Limit) share(n int) Limit {
 	k := float64(max(n, 1))
-	return Limit{PerSecond: l.PerSecond / k, Burst: max(l.Burst, minBurst) / k}
+	return Limit{PerSecond: l.PerSecond / k, Burst: (l.Burst + extraBurst) / k}
 }
