--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +66,9 @@
 	registration *registration
 	suspects     *suspects
 	fresh        *freshness
+	quotas       *quotas
+	startQuotas  func() // called when there are customers
+	customerOf   func(q *request) *vhost.Customer // customer of a request, nil if it has none
 	client       *mesh.Client
 	server       *mesh.Server
 	front        *front.Server
@@ -126,20 +131,27 @@
 		wants: a.wants, sendQuery: a.queryAgent, onChange: a.applyItems, onDiscovered: a.agentsDiscovered, onListed: a.keysListed,
 	})
 	uplink := mesh.NewUplink(o.Settings.Link)
+	a.startQuotas = func() {} // until Start
+	a.customerOf = func(q *request) *vhost.Customer { return q.identity.customer }
+	a.quotas = newQuotas(quotaOptions{
+		self: o.Settings.Node, dc: o.Settings.DataCentre, centres: slices.Collect(maps.Keys(o.Settings.Regions)),
+		clock: o.Clock, elapsed: a.fresh.time, log: o.Log, metrics: a.metrics, table: a.table.get, age: a.knowledgeAge, ask: a.askAgent,
+	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress(), Link: o.Settings.Link},
 		Clock: o.Clock, Ended: a.linkEnded, Notice: a.handleNotice,
 		Memory: a.bodies, Undecoded: a.recordUndecoded, Uplink: uplink,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
-		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Opened: a.linkOpened,
+		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Tokens: a.quotas.serveTokens, Opened: a.linkOpened,
 		Failed: a.inboundEnded, Clock: o.Clock, Memory: a.bodies, NoMemory: a.refuseLongCall,
 		Undecoded: a.refuseUndecoded, Uplink: uplink,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
 		callerService: func() types.ServiceName { return *a.service.Load() }, send: a.send, observeVersion: a.observeVersion,
-		suspects: a.suspects, stop: a.stop.Load, fresh: a.fresh, staleLines: newStaleLines(),
+		suspects: a.suspects, stop: a.stop.Load, fresh: a.fresh, staleLines: newStaleLines(), quotas: a.quotas,
+		customerOf: func(q *request) *vhost.Customer { return a.customerOf(q) },
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
@@ -211,6 +223,7 @@
 	if err := a.listen(); err != nil {
 		return err
 	}
+	a.startQuotas = sync.OnceFunc(func() { go a.quotas.run(ctx) })
 	go a.mirror.run(ctx)
 	go a.runTableReads(ctx)
 	go a.registration.run(ctx)
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -70,8 +70,13 @@
 	}
 	defer a.fresh.applied(revision) // an invalid one doesn't make the one in force old
 	a.isTableLong.Store(len(value) > longTableBytes)
-	if t := a.decodeTable(value); t != nil {
-		a.table.replaceIfNewer(t, source)
+	t := a.decodeTable(value)
+	if t == nil {
+		return
+	}
+	a.table.replaceIfNewer(t, source)
+	if t.HasCustomers() {
+		a.startQuotas()
 	}
 }
 
--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -28,6 +28,9 @@
 	return &freshness{elapsed: elapsed, gauge: scope.Gauge("knowledge_age_seconds"), clock: fresh.New(bound)}
 }
 
+// time returns the time of the clock, counted from an arbitrary moment.
+func (f *freshness) time() time.Time { return time.Unix(0, 0).Add(f.elapsed()) }
+
 // isBound reports whether requests with keys need recent knowledge.
 func (f *freshness) isBound() bool { return f.clock.IsBound() }
 
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -26,8 +26,10 @@
 	kindQuery
 	kindNews
 	kindWelcome
+	kindTokenRequest
+	kindTokens
 
-	lastKind = kindWelcome
+	lastKind = kindTokens
 )
 
 // The kinds of version 2. Those between are left to other messages.
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -123,7 +123,7 @@
 // versions.
 func (l *link) handle(f frame) {
 	switch f.kind {
-	case kindAnswer, kindNews:
+	case kindAnswer, kindNews, kindTokens:
 		l.deliver(f)
 	case kindGrant:
 		l.deliverGrant(f)
