--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -67,7 +67,7 @@
 	suspects     *suspects
 	fresh        *freshness
 	quotas       *quotas
-	startQuotas  func() // called when there are customers
+	startQuotas  func()                           // called when there are customers
 	customerOf   func(q *request) *vhost.Customer // customer of a request, nil if it has none
 	client       *mesh.Client
 	server       *mesh.Server
