--- a/io/agent/quota.go
+++ b/io/agent/quota.go
@@ -51,6 +51,8 @@
 type customerQuota struct {
 	name    types.CustomerName
 	asker   *quota.Asker
+	owners  []string // as of changes of the directory
+	changes uint64
 	waiting []*quotaWait
 	asking  bool // a goroutine asks the owners for those that wait
 }
--- a/io/agent/quotatake.go
+++ b/io/agent/quotatake.go
@@ -94,7 +94,12 @@
 
 // owners returns the owners of a customer in the order in which they are asked, with the
 // lock held.
-func (q *quotas) owners(s *customerQuota) []string { return q.directory.Owners(s.name, q.dc) }
+func (q *quotas) owners(s *customerQuota) []string {
+	if n := q.directory.Changes(); s.owners == nil || s.changes != n {
+		s.owners, s.changes = q.directory.Owners(s.name, q.dc), n
+	}
+	return s.owners
+}
 
 // refusal returns the verdict on a request for which no owner can be asked now, with the
 // lock held.
