--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -25,6 +25,10 @@
 // daemon that becomes the owner grants nothing for takeoverTime (5.5 s): by then the earlier
 // owner either knows of the change or has no recent knowledge.
 //
+// A daemon that starts and has had a record in the store for SettleTime needs no takeoverTime:
+// its earlier starts grant no more, another owner that was there before its record has heard
+// of it or has no recent knowledge, and one whose record was deleted since is treated below.
+//
 // Knowledge that was older than MaxAge for a moment may hide another owner in between. That
 // owner has waited for takeoverTime itself, and its record was deleted since, which takes
 // 16 s if it hasn't stopped by itself. So after a gap of at most maxGap (15 s) an owner
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -109,7 +109,7 @@
 		},
 		"restart": func(t *rapid.T) {
 			if a := pick(t); !a.isOff() {
-				a.start()
+				a.restart()
 			}
 		},
 		"stop": func(t *rapid.T) {
@@ -133,7 +133,7 @@
 		},
 		"return": func(t *rapid.T) {
 			if a := pick(t); !a.isOff() && !a.isCut {
-				w.records[a.name] = a.dc
+				w.setRecord(a)
 			}
 		},
 		"": func(t *rapid.T) {
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -17,6 +17,9 @@
 	// It is shorter than the 16 s in which the record of a silent daemon is deleted
 	// (core/prune).
 	maxGap = 15 * time.Second
+	// SettleTime is the age of a record from which on a daemon that starts needs no
+	// takeoverTime. It allows for ages that are taken on a clock that is wrong by seconds.
+	SettleTime = 15 * time.Second
 	// resumeTime is the time without grants after such a gap. Changes of records are
 	// entered after the age of the knowledge has changed.
 	resumeTime = 250 * time.Millisecond
@@ -34,6 +37,8 @@
 	known   time.Time // the state of the store up to then is known, on a clock that counts suspension
 	isFresh bool      // the knowledge was younger than MaxAge at the latest look
 	start   time.Time // no grants before
+
+	isRestart bool // the record of this daemon has been in the store for SettleTime
 }
 
 // NewOwner returns an Owner of no customers.
@@ -41,6 +46,13 @@
 	return &Owner{self: self, dc: dc, dir: dir, buckets: make(map[types.CustomerName]*bucket)}
 }
 
+// SetRestart notes whether the store has had a record of this daemon for SettleTime when it
+// starts, from its earlier starts. They grant no more, and any other owner of the customers
+// that the daemon owns by its first recent knowledge has stopped or hasn't known the store for
+// long. The daemon therefore continues after resumeTime. It has no effect once the store is
+// known.
+func (o *Owner) SetRestart(isSettled bool) { o.isRestart = isSettled }
+
 // SetLimits sets the quotas of all customers of the configuration in force. A lower quota
 // applies at once, the buckets of removed customers are dropped.
 func (o *Owner) SetLimits(now time.Time, limits map[types.CustomerName]Limit) {
@@ -98,7 +110,10 @@
 	}
 	if !wasFresh {
 		wait := resumeTime
-		if o.known.IsZero() || gap > maxGap {
+		switch {
+		case o.known.IsZero() && o.isRestart:
+			o.continueOwned(now)
+		case o.known.IsZero(), gap > maxGap:
 			wait = takeoverTime
 		}
 		if at := now.Add(wait); at.After(o.start) {
@@ -110,6 +125,16 @@
 	}
 }
 
+// continueOwned has the customers that this daemon owns count as owned for long enough.
+func (o *Owner) continueOwned(now time.Time) {
+	o.learned = now.Add(-takeoverTime)
+	for _, b := range o.buckets {
+		if !b.since.IsZero() {
+			b.since = o.learned
+		}
+	}
+}
+
 // entitledFrom returns the time from which on tokens of a bucket may be granted, and false
 // if they may not.
 func (o *Owner) entitledFrom(b *bucket) (time.Time, bool) {
--- a/core/quota/owner_test.go
+++ b/core/quota/owner_test.go
@@ -16,6 +16,7 @@
 	at, age    time.Duration
 	add        bool // a daemon that goes before this one gets a record
 	remove     bool // it loses it
+	isRestart  bool // its record has been in the store for SettleTime
 	isEntitled bool
 }
 
@@ -31,12 +32,14 @@
 		return append(list, looks...)
 	}
 	for name, looks := range map[string][]look{
-		"after its start":        steady(look{at: 5400 * ms}, look{at: 5500 * ms, isEntitled: true}),
-		"with old knowledge":     steady(look{at: 7 * s, isEntitled: true}, look{at: 8 * s, age: 4900 * ms, isEntitled: true}, look{at: 8 * s, age: 5 * s}),
-		"after a short gap":      steady(look{at: 10 * s, age: 5 * s}, look{at: 12 * s}, look{at: 12300 * ms, isEntitled: true}),
-		"after a long gap":       steady(look{at: 10 * s, age: 5 * s}, look{at: 30 * s}, look{at: 35 * s}, look{at: 35600 * ms, isEntitled: true}),
-		"after a gap not looked": steady(look{at: 10 * s, isEntitled: true}, look{at: 15 * s}, look{at: 15300 * ms, isEntitled: true}),
-		"after a long pause":     steady(look{at: 10 * s, isEntitled: true}, look{at: 40 * s}, look{at: 41 * s}, look{at: 44 * s}, look{at: 46 * s, isEntitled: true}),
+		"after its start":                     steady(look{at: 5400 * ms}, look{at: 5500 * ms, isEntitled: true}),
+		"after a restart":                     {{isRestart: true}, {at: 200 * ms}, {at: 250 * ms, isEntitled: true}},
+		"after a restart, then another owner": {{isRestart: true}, {at: s, add: true}, {at: 2 * s, remove: true}, {at: 7 * s}, {at: 7500 * ms, isEntitled: true}},
+		"with old knowledge":                  steady(look{at: 7 * s, isEntitled: true}, look{at: 8 * s, age: 4900 * ms, isEntitled: true}, look{at: 8 * s, age: 5 * s}),
+		"after a short gap":                   steady(look{at: 10 * s, age: 5 * s}, look{at: 12 * s}, look{at: 12300 * ms, isEntitled: true}),
+		"after a long gap":                    steady(look{at: 10 * s, age: 5 * s}, look{at: 30 * s}, look{at: 35 * s}, look{at: 35600 * ms, isEntitled: true}),
+		"after a gap not looked":              steady(look{at: 10 * s, isEntitled: true}, look{at: 15 * s}, look{at: 15300 * ms, isEntitled: true}),
+		"after a long pause":                  steady(look{at: 10 * s, isEntitled: true}, look{at: 40 * s}, look{at: 41 * s}, look{at: 44 * s}, look{at: 46 * s, isEntitled: true}),
 		"another owner": steady(
 			look{at: 7 * s, add: true}, look{at: 8 * s, remove: true}, look{at: 11 * s}, look{at: 13400 * ms}, look{at: 13500 * ms, isEntitled: true},
 		),
@@ -57,6 +60,9 @@
 				if l.remove {
 					d.Remove(other)
 				}
+				if l.isRestart {
+					o.SetRestart(true)
+				}
 				now := start.Add(l.at)
 				o.Observe(now, now, l.age)
 				got := o.Grant(now, customer, 1)
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -46,6 +46,7 @@
 	suspended time.Duration // in all
 	resumes   time.Time     // nothing happens here before
 	inbox     []func()      // what came meanwhile
+	since     time.Time     // its record is in the store since then
 	isDead    bool
 	isCut     bool // from the store
 	waiting   int  // requests
@@ -71,11 +72,25 @@
 func (w *world) join(name string, centre int) *agent {
 	a := &agent{w: w, name: name, dc: w.centres[centre]}
 	w.agents = append(w.agents, a)
-	w.records[name] = a.dc
+	w.setRecord(a)
 	a.start()
 	return a
 }
 
+// setRecord enters the record of a daemon, unless it is there.
+func (w *world) setRecord(a *agent) {
+	if _, ok := w.records[a.name]; !ok {
+		w.records[a.name], a.since = a.dc, w.now
+	}
+}
+
+// restart starts the daemon again.
+func (a *agent) restart() {
+	_, ok := a.w.records[a.name]
+	a.start()
+	a.owner.SetRestart(ok && a.w.now.Sub(a.since) >= quota.SettleTime)
+}
+
 // start gives the daemon the state of a new process.
 func (a *agent) start() {
 	a.dir = quota.NewDirectory(a.w.centres)
@@ -132,6 +147,9 @@
 	for name, dc := range a.w.records {
 		a.dir.Set(name, dc)
 	}
+	if _, ok := a.w.records[a.name]; !ok {
+		a.owner.SetRestart(false)
+	}
 	a.known = a.w.now
 	a.observe()
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -67,8 +67,8 @@
 	suspects     *suspects
 	fresh        *freshness
 	quotas       *quotas
-	startQuotas  func()                           // called when there are customers
-	customerOf   func(q *request) *vhost.Customer // customer of a request, nil if it has none
+	since        atomic.Int64 // since when the store has a record of this agent, in Unix milliseconds
+	startQuotas  func()       // called when there are customers
 	client       *mesh.Client
 	server       *mesh.Server
 	front        *front.Server
@@ -103,6 +103,7 @@
 		metrics: newMetrics(o.Scope), newerVersions: make(chan int64, 1), tableReads: make(chan struct{}, 1),
 		copied: make(chan struct{}),
 	}
+	a.since.Store(o.Clock.Now().UnixMilli())
 	a.bodies = httpw.NewBudget(int64(o.Settings.BodyMemory))
 	a.SetService(o.Settings.Service)
 	a.table = &activeTable{log: o.Log}
@@ -132,7 +133,6 @@
 	})
 	uplink := mesh.NewUplink(o.Settings.Link)
 	a.startQuotas = func() {} // until Start
-	a.customerOf = func(q *request) *vhost.Customer { return q.identity.customer }
 	a.quotas = newQuotas(quotaOptions{
 		self: o.Settings.Node, dc: o.Settings.DataCentre, centres: slices.Collect(maps.Keys(o.Settings.Regions)),
 		clock: o.Clock, elapsed: a.fresh.time, log: o.Log, metrics: a.metrics, table: a.table.get, age: a.knowledgeAge, ask: a.askAgent,
@@ -151,7 +151,6 @@
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
 		callerService: func() types.ServiceName { return *a.service.Load() }, send: a.send, observeVersion: a.observeVersion,
 		suspects: a.suspects, stop: a.stop.Load, fresh: a.fresh, staleLines: newStaleLines(), quotas: a.quotas,
-		customerOf: func(q *request) *vhost.Customer { return a.customerOf(q) },
 	}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -40,8 +40,6 @@
 	observeVersion func(version int64)
 	suspects       *suspects
 	quotas         *quotas
-	// customerOf returns the customer of a request, nil if it has none.
-	customerOf func(q *request) *vhost.Customer
 	// stop returns the planned stop of this agent, nil if there is none.
 	stop       func() *grace.Stop
 	fresh      *freshness
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"trefoilthread/core/quota"
 	"trefoilthread/core/relay"
 	"trefoilthread/core/roster"
 )
@@ -18,8 +19,11 @@
 		name := strings.TrimPrefix(it.Key, nodePrefix)
 		if it.Deleted {
 			a.quotas.removeRecord(name)
+			if name == a.opts.Settings.Node {
+				a.removeOwnRecord()
+			}
 		} else if name == a.opts.Settings.Node {
-			a.quotas.setRecord(name, a.opts.Settings.DataCentre)
+			a.noteOwnRecord(it)
 		}
 		switch {
 		case name == a.opts.Settings.Node && !a.isRestored.Load():
@@ -42,6 +46,22 @@
 	}
 }
 
+// noteOwnRecord enters this agent as an owner of quotas. The record of an earlier start tells
+// since when the store has had one.
+func (a *Agent) noteOwnRecord(it relay.Item) {
+	if _, rec, err := decodeRecord(it.Key, it.Value, it.Revision); err == nil && rec.Boot != a.boot {
+		a.keepSince(rec)
+		a.quotas.setRestart(a.clock.Now().UnixMilli()-rec.Since >= quota.SettleTime.Milliseconds() && rec.Since > 0)
+	}
+	a.quotas.setRecord(a.opts.Settings.Node, a.opts.Settings.DataCentre)
+}
+
+// removeOwnRecord notes that the store has no record of this agent.
+func (a *Agent) removeOwnRecord() {
+	a.since.Store(a.clock.Now().UnixMilli())
+	a.quotas.setRestart(false)
+}
+
 // appendRecord appends the record of another agent. Invalid records and the one of this
 // agent are left out.
 func (a *Agent) appendRecord(records []roster.Record, it relay.Item) []roster.Record {
--- a/io/agent/quota.go
+++ b/io/agent/quota.go
@@ -51,6 +51,8 @@
 type customerQuota struct {
 	name    types.CustomerName
 	asker   *quota.Asker
+	owners  []string // as of changes of the directory
+	changes uint64
 	waiting []*quotaWait
 	asking  bool // a goroutine asks the owners for those that wait
 }
@@ -85,6 +87,13 @@
 	q.directory.Set(node, dc)
 }
 
+// setRestart notes whether the store has had a record of this agent for quota.SettleTime.
+func (q *quotas) setRestart(isSettled bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.owner.SetRestart(isSettled)
+}
+
 // removeRecord removes an agent whose record is gone from the store.
 func (q *quotas) removeRecord(node string) {
 	q.mu.Lock()
--- a/io/agent/quotaentry.go
+++ b/io/agent/quotaentry.go
@@ -38,7 +38,7 @@
 
 // takeToken takes a token for a request of the customer that it names.
 func (e *entry) takeToken(ctx context.Context, q *request) quotaVerdict {
-	return e.quotas.take(ctx, e.customerOf(q))
+	return e.quotas.take(ctx, q.identity.customer)
 }
 
 // settleToken returns the token of a request that no target got.
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -30,6 +30,7 @@
 	TargetSequence uint64  `cbor:"tseq,omitempty"`
 	State          uint8   `cbor:"state"`
 	Leaving        bool    `cbor:"leaving,omitempty"` // the target has said in a response that it leaves
+	Since          int64   `cbor:"since,omitempty"`   // since when the store has a record of the agent, in Unix milliseconds
 }
 
 // errInvalidRecord means that a record cannot be read or lacks required values.
@@ -80,6 +81,14 @@
 		Boot: a.boot, Address: a.opts.Settings.advertisedAddress(), DataCentre: string(a.opts.Settings.DataCentre),
 		Link: a.opts.Settings.Link, Target: string(cur.ID), Service: string(cur.Service), TargetAddress: cur.Address,
 		Slots: cur.Slots, Born: cur.Born, TargetSequence: cur.Sequence, State: uint8(state), Leaving: cur.Leaving,
+		Since: a.since.Load(),
+	}
+}
+
+// keepSince takes over since when the store has a record of this agent.
+func (a *Agent) keepSince(previous storedRecord) {
+	if own := a.since.Load(); previous.Since > 0 && previous.Since < own {
+		a.since.Store(previous.Since)
 	}
 }
 
--- a/io/agent/restore.go
+++ b/io/agent/restore.go
@@ -55,7 +55,11 @@
 // rec is nil if there is none.
 func (a *Agent) restoreTarget(rec *storedRecord) {
 	a.isRestored.Store(true)
-	if rec == nil || rec.Target == "" {
+	if rec == nil {
+		return
+	}
+	a.keepSince(*rec)
+	if rec.Target == "" {
 		return
 	}
 	ann, gone := rec.announcement()
