--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -12,7 +12,6 @@
 
 	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
-	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
 )
