io/front: send the interim response after a response that is being written

A caller that had the response to its latest request sent the next one with Expect: 100-continue before the goroutine that wrote the response had taken the lock again. The connection still counted as writing, so no interim response was sent, and the caller waited for it.

Change: writeContinue waits for the end of a write when no request is unanswered.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -31,7 +31,7 @@
 	br     *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
-	room   *sync.Cond // signals a shorter queue, or that it takes no more; uses mu
+	room   *sync.Cond // signals a shorter queue, or that it takes no more, or the end of a write; uses mu
 
 	mu      sync.Mutex
 	queue   []*exchange // unanswered, oldest first
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -25,6 +25,7 @@
 		c.writeNext()
 	}
 	c.writing = false
+	c.room.Signal()
 }
 
 // writeNext writes the oldest responses that are there in one go. It is called
@@ -72,9 +73,13 @@
 }
 
 // writeContinue writes an interim response to the request that is being read, unless earlier
-// ones are unanswered: it would come before or within their responses.
+// ones are unanswered: it would come before or within their responses. It waits for the end of
+// a response that is being written: its caller may have it already, and waits for this one.
 func (c *conn) writeContinue(line string) error {
 	c.mu.Lock()
+	for c.writing && len(c.queue) == 0 && !c.ended {
+		c.room.Wait()
+	}
 	if c.ended || c.writing || len(c.queue) > 0 {
 		c.mu.Unlock()
 		return nil
