core/admit: order by customer and share a full gate between customers

A gate knew no customers: one that sent 7.5 times its usual load took the slots of the others, and the priority of a customer had no effect.

Calls carry their customer and its rank (CallSpec, CallHead field 18). The rank goes before the worth rate. Calls of one rank and route run in turn by customer, a customer beyond its even share of the waiting calls loses its newest one first, and a customer served less than 0.35 as often as all takes precedence at every second start.

--- /dev/null
+++ b/core/admit/customers_test.go
@@ -0,0 +1,211 @@
+package admit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilthread/core/admit"
+	"trefoilthread/core/types"
+)
+
+// sender is a customer of a simulated load.
+type sender struct {
+	weight float64 // of all calls
+	rank   int
+
+	offered, prompt int // calls, and those answered within their goal
+}
+
+// share returns the share of the sender's calls that were answered within their goal.
+func (s *sender) share() float64 { return float64(s.prompt) / float64(max(s.offered, 1)) }
+
+// simulateSenders offers the calls of senders for two minutes at a load relative to the
+// capacity of 12 slots. Calls take 80 to 240 ms and have a goal of 500 ms and a deadline of
+// 2 s. The gate knows the customers only if named is set.
+func simulateSenders(senders []*sender, load float64, named bool) {
+	const slots, mean = 12, 160 * time.Millisecond
+	rng := rand.New(rand.NewPCG(5, 6))
+	g := admit.New(admit.Options{Slots: slots, Queue: 3 * slots, UrgentShare: -1})
+	total := 0.0
+	for _, s := range senders {
+		total += s.weight
+	}
+	type call struct {
+		from    *sender
+		arrived time.Time
+		work    time.Duration
+		end     time.Time
+	}
+	calls := make(map[admit.Ticket]*call)
+	var running []admit.Ticket
+	run := func(now time.Time, t admit.Ticket) {
+		calls[t].end = now.Add(calls[t].work)
+		running = append(running, t)
+	}
+	handle := func(now time.Time, events []admit.Event) {
+		for _, ev := range events {
+			if ev.Verdict == admit.Run {
+				run(now, ev.Ticket)
+			}
+		}
+	}
+	for now := start; now.Before(start.Add(2 * time.Minute)); now = now.Add(time.Millisecond) {
+		for _, t := range slices.Clone(running) {
+			c := calls[t]
+			if now.Before(c.end) {
+				continue
+			}
+			running = slices.DeleteFunc(running, func(o admit.Ticket) bool { return o == t })
+			if now.Sub(c.arrived) <= 500*time.Millisecond {
+				c.from.prompt++
+			}
+			handle(now, g.Done(now, t, c.work, false))
+		}
+		if rng.Float64() < load*slots/mean.Seconds()/1000 {
+			i, at := 0, rng.Float64()*total
+			for ; at > senders[i].weight; i++ {
+				at -= senders[i].weight
+			}
+			s := senders[i]
+			s.offered++
+			spec := types.CallSpec{
+				ID: "a", Service: "bookings", Worth: 1, Kind: "lookup",
+				Goal: now.Add(500 * time.Millisecond), Deadline: now.Add(2 * time.Second),
+			}
+			if named {
+				spec.Customer, spec.CustomerRank = types.CustomerName(fmt.Sprint(i)), s.rank
+			}
+			c, err := types.NewCall(spec)
+			if err != nil {
+				panic(err)
+			}
+			t, v := g.Offer(now, c)
+			calls[t] = &call{from: s, arrived: now, work: mean/2 + time.Duration(rng.Int64N(int64(mean)))}
+			if v == admit.Run {
+				run(now, t)
+			}
+			handle(now, g.Pending())
+		}
+		handle(now, g.Tick(now))
+	}
+}
+
+// newSenders returns n senders of weight 1 and rank 0 after change of each.
+func newSenders(n int, change func(i int, s *sender)) []*sender {
+	list := make([]*sender, n)
+	for i := range list {
+		list[i] = &sender{weight: 1}
+		change(i, list[i])
+	}
+	return list
+}
+
+// shareOf returns the share of calls of several senders that were answered within their goal.
+func shareOf(list []*sender) float64 {
+	var sum sender
+	for _, s := range list {
+		sum.offered += s.offered
+		sum.prompt += s.prompt
+	}
+	return sum.share()
+}
+
+// worst returns the share of calls of the worst tenth of the senders.
+func worst(list []*sender) float64 {
+	sorted := slices.SortedFunc(slices.Values(list), func(a, b *sender) int {
+		return int(1e6 * (a.share() - b.share()))
+	})
+	return shareOf(sorted[:len(sorted)/10])
+}
+
+// Guards against a customer that sends 7.5 times its usual load and takes the slots of the
+// others, at 130 % of the capacity. 72 customers with the usual load of the others would use
+// 119 %, so that 0.84 of their calls can be served.
+func TestHotCustomerDelaysItself(t *testing.T) {
+	is := is.New(t)
+	run := func(named bool) (hot, others, tenth float64) {
+		list := newSenders(72, func(i int, s *sender) {
+			if i == 0 {
+				s.weight = 7.5
+			}
+		})
+		simulateSenders(list, 1.3, named)
+		t.Logf("customers named %v: hot one %.3f, others %.3f, worst tenth %.3f", named, list[0].share(), shareOf(list[1:]), worst(list[1:]))
+		return list[0].share(), shareOf(list[1:]), worst(list[1:])
+	}
+	hot, others, tenth := run(true)
+	hotBefore, othersBefore, tenthBefore := run(false)
+	is.True(others > othersBefore+0.02)
+	is.True(tenth > tenthBefore)
+	is.True(hot < hotBefore/2)
+	is.True(hot > others/4)
+}
+
+// Guards against a rank that is not put first, and against one that starves lower ranks for
+// good: at twice and four times the capacity, no customer may be served less than a quarter as
+// often as all.
+func TestRanksAreFirstAndStarveNobody(t *testing.T) {
+	for _, load := range []float64{1.3, 2, 4} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			is := is.New(t)
+			list := newSenders(30, func(i int, s *sender) { s.rank = i / 10 })
+			simulateSenders(list, load, true)
+			t.Logf("ranks %.3f, %.3f, %.3f, all %.3f", shareOf(list[:10]), shareOf(list[10:20]), shareOf(list[20:]), shareOf(list))
+			is.True(shareOf(list[:10]) > shareOf(list[20:]))
+			for _, s := range list {
+				is.True(s.share() > shareOf(list)/4)
+			}
+		})
+	}
+}
+
+// Guards against large customers that starve because each customer gets the same: two of 40
+// send 30 times as much as the others, as usual.
+func TestLargeCustomersAreServed(t *testing.T) {
+	is := is.New(t)
+	list := newSenders(40, func(i int, s *sender) {
+		if i < 2 {
+			s.weight = 30
+		}
+	})
+	simulateSenders(list, 2.5, true)
+	t.Logf("large ones %.3f, others %.3f, all %.3f", shareOf(list[:2]), shareOf(list[2:]), shareOf(list))
+	is.True(list[0].share() > shareOf(list)/4)
+	is.True(list[1].share() > shareOf(list)/4)
+}
+
+// Guards against an order by worth or arrival before the rank of the customer, and against a
+// customer that gets two turns while another one waits.
+func TestOrderByCustomer(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1})
+	names := make(map[admit.Ticket]string)
+	var running admit.Ticket
+	for _, c := range []struct {
+		customer types.CustomerName
+		rank     int
+		worth    float64
+	}{{"", 0, 1}, {"a", 2, 9}, {"a", 2, 9}, {"a", 2, 9}, {"b", 2, 9}, {"c", 1, 2}, {"c", 1, 5}, {"d", 0, 1}} {
+		call, err := types.NewCall(types.CallSpec{
+			ID: "a", Service: "bookings", Kind: fmt.Sprint(c.worth), Worth: c.worth,
+			Customer: c.customer, CustomerRank: c.rank, Deadline: start.Add(time.Hour),
+		})
+		is.NoErr(err)
+		ticket, v := g.Offer(start, call)
+		if v == admit.Run {
+			running = ticket
+		}
+		names[ticket] = fmt.Sprint(c.customer, c.worth)
+	}
+	var order []string
+	for range 7 {
+		running = g.Done(start, running, time.Millisecond, false)[0].Ticket
+		order = append(order, names[running])
+	}
+	is.Equal(fmt.Sprint(order), "[d1 c5 c2 a9 b9 a9 a9]")
+}
--- a/core/admit/displace.go
+++ b/core/admit/displace.go
@@ -48,8 +48,8 @@
 		g.drop(g.urgent.leastValuable(), reasonDisplaced)
 		return true
 	}
-	victim := g.queueOf(e).leastValuable()
-	if victim == nil || victim.worthRate >= e.worthRate {
+	victim := g.victimOf(e)
+	if victim == nil {
 		return false
 	}
 	g.drop(victim, reasonDisplaced)
@@ -58,6 +58,7 @@
 
 // drop removes a waiting call from its queue and adds its refusal to the events.
 func (g *Gate) drop(e *entry, r reason) {
+	g.customers.recordRefusal(e.customer, r)
 	g.queueOf(e).remove(e)
 	g.pending = append(g.pending, Event{Ticket: e.ticket(), Verdict: Refuse, Reason: r.String()})
 	g.release(e)
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -35,8 +35,19 @@
 //     normal call, so the first urgent call runs within 2 grants. The bound is 1
 //     of 8 if the normal call has the lower worth rate.
 //
-// Within a group the order is strict: a normal call with a low worth rate can
-// wait until it is refused because of its deadline.
+// Within a group, and without customers, the order is strict: a normal call with a
+// low worth rate can wait until it is refused because of its deadline.
+//
+// # Customers
+//
+// A call may have a customer with a rank. The rank goes before the order within
+// a group. Calls of one rank and kind run in turn: that of the customer whose
+// last start is the longest ago is next. If the queue is full, or if a call would
+// be refused for its goal, a customer that holds more than its even share of the
+// waiting calls of its rank loses its newest one for a call of a customer that
+// holds less. If the served share of a customer's calls is below 0.35 of that of
+// all customers, every second start goes to its oldest waiting call. Without
+// customers, none of this has an effect.
 //
 // # Goals
 //
--- a/core/admit/entries.go
+++ b/core/admit/entries.go
@@ -19,6 +19,7 @@
 		g.entries = append(g.entries, e)
 	}
 	e.id, e.kind = g.lastID, g.kindOf(c)
+	e.customer, e.customerRank = g.customers.find(c.Customer()), c.CustomerRank()
 	e.urgent, e.deadline, e.goal = c.Class().Urgent(), c.Deadline(), c.Goal()
 	if e.assumedService = 0; !e.goal.IsZero() {
 		e.assumedService = e.goal.Sub(now) / goalServiceRatio
--- a/core/admit/entry.go
+++ b/core/admit/entry.go
@@ -12,6 +12,8 @@
 	id             uint64
 	index          uint32
 	kind           int
+	customer       *customer // nil for none
+	customerRank   int
 	urgent         bool
 	running        bool
 	canceled       bool
--- /dev/null
+++ b/core/admit/fair.go
@@ -0,0 +1,172 @@
+package admit
+
+import (
+	"time"
+
+	"trefoilthread/core/types"
+)
+
+// isTurnOf reports whether e and o run in turn by their customers: they have the same rank
+// and kind, and both are expected to meet their goal or both to miss it.
+func (e *entry) isTurnOf(o *entry) bool {
+	return e.customer != nil && o.customer != nil &&
+		e.customerRank == o.customerRank && e.kind == o.kind && e.demoted == o.demoted
+}
+
+// next returns the waiting call of q, which isn't empty, that runs next: every second one may
+// be that of a customer with precedence, the others are in the order of the queue and, among
+// equal ones, of the customer whose last start is the longest ago.
+func (g *Gate) next(q *queue) *entry {
+	first := q.items[0]
+	if !g.customers.known() {
+		return first
+	}
+	if e := g.oldestOwed(q); e != nil && !g.customers.owedLast {
+		return e
+	}
+	best := first
+	for _, e := range q.items {
+		if e.isTurnOf(first) && (e.customer.turn < best.customer.turn || e.customer.turn == best.customer.turn && q.before(e, best)) {
+			best = e
+		}
+	}
+	return best
+}
+
+// oldestOwed returns the oldest waiting call of q whose customer has precedence, nil if there
+// is none.
+func (g *Gate) oldestOwed(q *queue) *entry {
+	var oldest *entry
+	for _, e := range q.items {
+		if g.customers.isOwed(e.customer) && (oldest == nil || e.id < oldest.id) {
+			oldest = e
+		}
+	}
+	return oldest
+}
+
+// countAhead returns how many waiting calls of its queue run before e.
+func (g *Gate) countAhead(e *entry) int {
+	q := g.queueOf(e)
+	if e.customer == nil {
+		return q.countAhead(e)
+	}
+	if g.customers.isOwed(e.customer) {
+		return min(g.countOwed(q)*2+1, q.Len())
+	}
+	g.customers.count(q, e.customer, e.isTurnOf)
+	rounds := e.customer.waiting + 1
+	n := e.customer.waiting
+	for _, o := range q.items {
+		switch {
+		case !o.isTurnOf(e):
+			if q.before(o, e) || g.customers.isOwed(o.customer) {
+				n++
+			}
+		case o.customer != e.customer && o.customer.waiting > 0:
+			n += min(o.customer.waiting, rounds)
+			o.customer.waiting = 0 // counted
+		}
+	}
+	return n
+}
+
+// countOwed returns the number of waiting calls of q whose customers have precedence.
+func (g *Gate) countOwed(q *queue) int {
+	n := 0
+	for _, e := range q.items {
+		if g.customers.isOwed(e.customer) {
+			n++
+		}
+	}
+	return n
+}
+
+// beyondShare returns the newest waiting call of the customer that holds most of the waiting
+// calls of the rank of e, if that is more than its even share and the customer of e holds
+// less than its own. Else it returns nil. isBelow tells the latter.
+func (g *Gate) beyondShare(e *entry) (victim *entry, isBelow bool) {
+	if e.customer == nil {
+		return nil, true
+	}
+	q := g.queueOf(e)
+	calls, n := g.customers.count(q, e.customer, func(o *entry) bool { return o.customerRank == e.customerRank })
+	share := max(1, calls/n)
+	if e.customer.waiting >= share {
+		return nil, false
+	}
+	for _, o := range q.items {
+		if o.customer == nil || o.customerRank != e.customerRank || o.customer.waiting <= share || g.customers.isOwed(o.customer) {
+			continue
+		}
+		if victim == nil || o.customer.waiting > victim.customer.waiting ||
+			o.customer.waiting == victim.customer.waiting && o.id > victim.id {
+			victim = o
+		}
+	}
+	return victim, true
+}
+
+// victimOf returns the waiting call that a full queue gives up for e, nil if there is none of
+// less value.
+func (g *Gate) victimOf(e *entry) *entry {
+	q := g.queueOf(e)
+	if !g.customers.known() {
+		if v := q.leastValuable(); v != nil && v.worthRate < e.worthRate {
+			return v
+		}
+		return nil
+	}
+	victim, isBelow := g.beyondShare(e)
+	if victim != nil {
+		return victim
+	}
+	for _, o := range q.items {
+		if g.mayDisplace(e, o, isBelow) && (victim == nil || byWorthRate(victim, o)) {
+			victim = o
+		}
+	}
+	return victim
+}
+
+// mayDisplace reports whether e has more value than a waiting call o. A customer that holds
+// its share of the waiting calls displaces only its own.
+func (g *Gate) mayDisplace(e, o *entry, isBelowShare bool) bool {
+	switch {
+	case g.customers.isOwed(o.customer):
+		return false
+	case g.customers.isOwed(e.customer):
+		return true
+	case o.customerRank != e.customerRank:
+		return o.customerRank > e.customerRank
+	}
+	return o.worthRate < e.worthRate && (isBelowShare || o.customer == e.customer)
+}
+
+// makeRoomForGoal reports whether e meets its goal in place of a waiting call of a customer
+// beyond its share, and refuses that call if so.
+func (g *Gate) makeRoomForGoal(now time.Time, e *entry) bool {
+	victim, _ := g.beyondShare(e)
+	if victim == nil {
+		return false
+	}
+	q := g.queueOf(e)
+	q.remove(victim)
+	misses := g.missesGoal(now, e, g.estimatedWait(now, e))
+	q.add(victim)
+	if !misses {
+		g.drop(victim, reasonShare)
+	}
+	return !misses
+}
+
+// Offer decides whether a call that has arrived runs, waits or is refused. A
+// refused call has not run, and its ticket has the reason. A waiting call gets
+// its final decision in an Event.
+func (g *Gate) Offer(now time.Time, c types.Call) (Ticket, Verdict) {
+	t, v := g.decide(now, c)
+	if v == Refuse {
+		g.customers.recordRefusal(g.customers.find(c.Customer()), t.reason)
+	}
+	return t, v
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -29,6 +29,7 @@
 	paceChangeIn   time.Duration  // time until the pace is expected to change, 0 if unknown
 	nextPace       float64        // pace after paceChangeIn
 	runningPaceSum float64        // sum of the paces at which running calls started
+	customers      customers      // how the calls of each customer were served
 }
 
 // New returns a gate that is not draining and has the usual pace.
@@ -106,10 +107,8 @@
 	return time.Duration(float64(d) * g.runningPaceSum / float64(g.running))
 }
 
-// Offer decides whether a call that has arrived runs, waits or is refused. A
-// refused call has not run, and its ticket has the reason. A waiting call gets
-// its final decision in an Event.
-func (g *Gate) Offer(now time.Time, c types.Call) (Ticket, Verdict) {
+// decide is Offer without the count of refusals.
+func (g *Gate) decide(now time.Time, c types.Call) (Ticket, Verdict) {
 	if g.draining {
 		return g.refusal(reasonDraining), Refuse
 	}
@@ -135,11 +134,13 @@
 			g.release(e)
 			return g.refusal(reasonGoal), Refuse
 		}
-		if g.hasPromptBacklog() {
+		switch {
+		case !g.hasPromptBacklog(e):
+			e.demote()
+		case !g.makeRoomForGoal(now, e):
 			g.release(e)
 			return g.refusal(reasonGoal), Refuse
 		}
-		e.demote()
 	}
 	if remaining < g.estimatedWait(now, e)+service {
 		g.release(e)
--- a/core/admit/grant.go
+++ b/core/admit/grant.go
@@ -33,6 +33,7 @@
 
 func (g *Gate) start(now time.Time, e *entry) {
 	g.recordStart(now)
+	g.customers.recordStart(e.customer)
 	e.running, e.pace = true, g.pace
 	g.running++
 	g.runningPaceSum += e.pace
@@ -53,7 +54,7 @@
 		if normal && (!urgent || g.urgentStreak >= g.urgentStreakLimit()) {
 			q = &g.normal
 		}
-		e := q.items[0]
+		e := g.next(q)
 		if g.missesDeadline(now, e) {
 			g.drop(e, reasonDeadline)
 			continue
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -9,16 +9,24 @@
 	before func(a, b *entry) bool
 }
 
-// byDeadline orders urgent calls: earliest deadline first, then the older call.
+// byDeadline orders urgent calls: rank of the customer first, then the earliest deadline,
+// then the older call.
 func byDeadline(a, b *entry) bool {
+	if a.customerRank != b.customerRank {
+		return a.customerRank < b.customerRank
+	}
 	if !a.deadline.Equal(b.deadline) {
 		return a.deadline.Before(b.deadline)
 	}
 	return a.id < b.id
 }
 
-// byWorthRate orders normal calls: highest worth rate first, then by deadline.
+// byWorthRate orders normal calls: rank of the customer first, then the highest worth rate,
+// then by deadline.
 func byWorthRate(a, b *entry) bool {
+	if a.customerRank != b.customerRank {
+		return a.customerRank < b.customerRank
+	}
 	if a.worthRate != b.worthRate {
 		return a.worthRate > b.worthRate
 	}
@@ -68,8 +76,8 @@
 	return n
 }
 
-// leastValuable returns the waiting call with the lowest worth rate, of equal ones
-// that with the latest deadline; nil if none waits.
+// leastValuable returns the waiting call of the last rank with the lowest worth rate, of
+// equal ones that with the latest deadline; nil if none waits.
 func (q *queue) leastValuable() *entry {
 	var least *entry
 	for _, e := range q.items {
--- a/core/admit/reason.go
+++ b/core/admit/reason.go
@@ -11,6 +11,7 @@
 	reasonDisplaced
 	reasonQueueReduced
 	reasonGoal
+	reasonShare
 )
 
 func (r reason) String() string {
@@ -27,6 +28,8 @@
 		return "queue made smaller"
 	case reasonGoal:
 		return "answer would come after its goal"
+	case reasonShare:
+		return "customer holds more than its share of the waiting calls"
 	}
 	return ""
 }
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -25,7 +25,7 @@
 // estimatedWait returns the estimated time until e would start if it joined its
 // queue now.
 func (g *Gate) estimatedWait(now time.Time, e *entry) time.Duration {
-	grants := g.queueOf(e).countAhead(e) + 1
+	grants := g.countAhead(e) + 1
 	if e.urgent {
 		grants += min(g.normal.Len(), grants/g.urgentStreakLimit())
 	} else {
@@ -58,13 +58,13 @@
 	e.worthRate *= lateWorthShare
 }
 
-// hasPromptBacklog reports whether so many waiting normal calls can meet their
-// goal that a demoted call would hardly ever run, because calls that arrive later
-// run before it.
-func (g *Gate) hasPromptBacklog() bool {
+// hasPromptBacklog reports whether so many waiting normal calls of its rank and
+// higher ones can meet their goal that e would hardly ever run if it were demoted,
+// because calls that arrive later run before it.
+func (g *Gate) hasPromptBacklog(e *entry) bool {
 	prompt := 0
-	for _, e := range g.normal.items {
-		if !e.demoted {
+	for _, o := range g.normal.items {
+		if !o.demoted && o.customerRank <= e.customerRank {
 			prompt++
 		}
 	}
@@ -75,7 +75,7 @@
 // behind those that can meet theirs, or refuses it if there are so many of them
 // that it would only wait.
 func (g *Gate) demoteOrDrop(e *entry) {
-	if g.hasPromptBacklog() {
+	if g.hasPromptBacklog(e) {
 		g.drop(e, reasonGoal)
 		return
 	}
--- a/core/types/call.go
+++ b/core/types/call.go
@@ -12,20 +12,23 @@
 
 // CallSpec lists the properties of a call for NewCall.
 type CallSpec struct {
-	ID          string
-	Service     ServiceName
-	Method      string
-	Path        string
-	Class       Class
-	Deadline    time.Time
-	Goal        time.Time // when the response loses most of its worth; zero for never
-	Kind        string    // calls of one kind have similar service times; "" stands for the class
-	PromptOnly  bool      // refuse the call rather than queue it beyond its goal
-	Worth       float64
-	Depth       int
-	Key         string
-	Fingerprint Fingerprint
-	TriesLeft   int
+	ID         string
+	Service    ServiceName
+	Method     string
+	Path       string
+	Class      Class
+	Deadline   time.Time
+	Goal       time.Time // when the response loses most of its worth; zero for never
+	Kind       string    // calls of one kind have similar service times; "" stands for the class
+	PromptOnly bool      // refuse the call rather than queue it beyond its goal
+	Worth      float64
+	Customer   CustomerName // customer that sent it, "" for none
+	// CustomerRank is the priority of the customer; 0 is the highest.
+	CustomerRank int
+	Depth        int
+	Key          string
+	Fingerprint  Fingerprint
+	TriesLeft    int
 }
 
 // Call is the identity of one request, the same at each hop and attempt.
@@ -81,6 +84,13 @@
 // Worth returns the value of a response in a unit that the operator chooses.
 func (c Call) Worth() float64 { return c.spec.Worth }
 
+// Customer returns the customer that sent the call, "" for none.
+func (c Call) Customer() CustomerName { return c.spec.Customer }
+
+// CustomerRank returns the priority of the customer; 0 is the highest, also that of a call
+// without a customer.
+func (c Call) CustomerRank() int { return c.spec.CustomerRank }
+
 // Depth returns the number of hops before this one.
 func (c Call) Depth() int { return c.spec.Depth }
 
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -24,6 +24,7 @@
 	start    time.Time
 	deadline time.Time
 	goal     time.Time
+	customer *vhost.Customer // nil for none
 }
 
 // newRequest applies a route to a request. The deadline is the earlier one of the route
@@ -55,6 +56,14 @@
 // operator gives an order, not values; rank 0 is worth 1, rank 1 a half, rank 2 a third.
 func worth(rank int) float64 { return 1 / float64(1+max(rank, 0)) }
 
+// customerRank returns the rank of the request's customer, 0 without one.
+func (q *request) customerRank() int {
+	if q.customer == nil {
+		return 0
+	}
+	return q.customer.Rank()
+}
+
 // callHead returns the message that carries the request to the agent beside t.
 func (q *request) callHead(now time.Time, t types.Target, caller types.ServiceName) *mesh.CallHead {
 	return &mesh.CallHead{
@@ -63,6 +72,7 @@
 		RemainingMs: q.deadline.Sub(now).Milliseconds(), GoalMs: q.goal.Sub(now).Milliseconds(),
 		Rank: q.route.Rank(), Route: q.route.Name(), Worth: worth(q.route.Rank()),
 		AtMostOnce: q.route.Runs() == types.AtMostOnce, Config: q.config,
+		CustomerRank: q.customerRank(),
 	}
 }
 
@@ -78,5 +88,6 @@
 		Class: types.NewClass(false, runs), Kind: head.Route, PromptOnly: head.Prompt,
 		Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
 		Goal:     now.Add(time.Duration(head.GoalMs) * time.Millisecond), Worth: head.Worth,
+		Customer: types.CustomerName(head.Customer), CustomerRank: head.CustomerRank,
 	})
 }
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -28,6 +28,8 @@
 	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
 	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
 	Customer    string       `cbor:"17,keyasint,omitempty"` // customer whose API key the request had, "" if none
+	// CustomerRank is the priority of that customer, 0 the highest.
+	CustomerRank int `cbor:"18,keyasint,omitempty"`
 	// Memory is that of the body at a server, until the call is answered.
 	Memory *httpw.Holding `cbor:"-"`
 }
