core/admit, io/agent: tests of calls with customers

The model test of the gate had no calls with customers, and no test passed a customer's rank from the entry to the gate. The model runs with and without customers now, and one test follows the rank through the message.

--- a/core/admit/customers_test.go
+++ b/core/admit/customers_test.go
@@ -123,6 +123,18 @@
 	return shareOf(sorted[:len(sorted)/10])
 }
 
+// callOf returns c as a call of a customer.
+func callOf(c types.Call, name types.CustomerName, rank int) types.Call {
+	c, err := types.NewCall(types.CallSpec{
+		ID: c.ID(), Service: c.Service(), Class: c.Class(), Deadline: c.Deadline(), Worth: c.Worth(),
+		Customer: name, CustomerRank: rank,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
 // Guards against a customer that sends 7.5 times its usual load and takes the slots of the
 // others, at 130 % of the capacity. 72 customers with the usual load of the others would use
 // 119 %, so that 0.84 of their calls can be served.
--- a/core/admit/model_test.go
+++ b/core/admit/model_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"trefoilthread/core/admit"
+	"trefoilthread/core/types"
 )
 
 // model is the test oracle. It tracks only the tickets and their states.
@@ -20,6 +21,7 @@
 	waiting           map[admit.Ticket]bool
 	running           map[admit.Ticket]bool
 	draining          bool
+	customers         bool // calls have customers
 	urgentStreak      int
 	grantsSinceNormal int // grants since the last one to a normal call
 }
@@ -83,6 +85,10 @@
 	urgent := rapid.SampledFrom([]bool{true, true, true, false}).Draw(t, "urgent")
 	ttl := time.Duration(rapid.SampledFrom([]int{-5, 10, 1000, 30_000, 30_000}).Draw(t, "ttl"))
 	c := newCall(urgent, m.now.Add(ttl*time.Millisecond).Sub(start), rapid.Float64Range(0, 9).Draw(t, "worth"))
+	if m.customers {
+		n := rapid.IntRange(0, 4).Draw(t, "customer")
+		c = callOf(c, []types.CustomerName{"", "a", "b", "c", "d"}[n], n/2)
+	}
 	ticket, v := m.gate.Offer(m.now, c)
 	if _, ok := m.urgent[ticket]; ok {
 		t.Fatalf("ticket %v used twice", ticket)
@@ -149,76 +155,81 @@
 // Guards, in arbitrary sequences of operations, against more running calls than
 // slots, calls with two results or none, refused calls that run, calls that start
 // during a drain, and starvation of urgent or normal calls.
-func TestGateModel(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := &model{now: start, grantsSinceNormal: 8, opts: options(t)}
-		m.urgent, m.waiting, m.running = map[admit.Ticket]bool{}, map[admit.Ticket]bool{}, map[admit.Ticket]bool{}
-		m.gate = admit.New(m.opts)
-		actions := map[string]func(*rapid.T){
-			"offer": func(t *rapid.T) {
-				for range 8 {
-					m.offer(t)
-				}
-			},
-			"done": func(t *rapid.T) {
-				for range 4 {
-					m.done(t)
-				}
-			},
-			"stale": func(t *rapid.T) {
-				ticket, ok := m.pick(t, nil)
-				if !ok || m.running[ticket] {
-					return
-				}
-				m.apply(t, m.gate.Done(m.now, ticket, time.Hour, false))
-				if !m.waiting[ticket] {
-					m.apply(t, m.gate.Cancel(m.now, ticket))
-				}
-			},
-			"options": func(t *rapid.T) {
-				m.opts = options(t)
-				m.gate.SetOptions(m.opts)
-				m.apply(t, m.gate.Pending())
-			},
-			"cancel": func(t *rapid.T) {
-				set := rapid.SampledFrom([]map[admit.Ticket]bool{m.waiting, m.running}).Draw(t, "set")
-				if ticket, ok := m.pick(t, set); ok {
-					delete(m.waiting, ticket)
-					m.apply(t, m.gate.Cancel(m.now, ticket))
-				}
-			},
-			"tick": func(t *rapid.T) {
-				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "step")) * time.Millisecond)
-				m.apply(t, m.gate.Tick(m.now))
-			},
-			"drain": func(t *rapid.T) {
-				m.draining = true
-				m.apply(t, m.gate.Drain(m.now))
-			},
-			"resume": func(*rapid.T) {
-				m.draining = false
-				m.gate.Resume()
-			},
-		}
-		// rapid's Repeat prefers short sequences, in which the queue never fills.
-		names := []string{
-			"offer", "offer", "offer", "done", "done", "done", "done", "done", "done",
-			"tick", "cancel", "cancel", "stale", "options", "drain", "resume", "resume",
-		}
-		for range 100 {
-			actions[rapid.SampledFrom(names).Draw(t, "action")](t)
-			m.check(t)
-		}
-		// Each remaining call must get its result.
-		m.draining = false
-		m.gate.Resume()
-		m.apply(t, m.gate.Tick(m.now))
-		for len(m.running) > 0 {
-			m.done(t)
-		}
+func TestGateModel(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkGate(t, false) }) }
+
+// Guards against the same with calls of customers.
+func TestGateModelWithCustomers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkGate(t, true) })
+}
+
+func checkGate(t *rapid.T, customers bool) {
+	m := &model{now: start, grantsSinceNormal: 8, opts: options(t), customers: customers}
+	m.urgent, m.waiting, m.running = map[admit.Ticket]bool{}, map[admit.Ticket]bool{}, map[admit.Ticket]bool{}
+	m.gate = admit.New(m.opts)
+	actions := map[string]func(*rapid.T){
+		"offer": func(t *rapid.T) {
+			for range 8 {
+				m.offer(t)
+			}
+		},
+		"done": func(t *rapid.T) {
+			for range 4 {
+				m.done(t)
+			}
+		},
+		"stale": func(t *rapid.T) {
+			ticket, ok := m.pick(t, nil)
+			if !ok || m.running[ticket] {
+				return
+			}
+			m.apply(t, m.gate.Done(m.now, ticket, time.Hour, false))
+			if !m.waiting[ticket] {
+				m.apply(t, m.gate.Cancel(m.now, ticket))
+			}
+		},
+		"options": func(t *rapid.T) {
+			m.opts = options(t)
+			m.gate.SetOptions(m.opts)
+			m.apply(t, m.gate.Pending())
+		},
+		"cancel": func(t *rapid.T) {
+			set := rapid.SampledFrom([]map[admit.Ticket]bool{m.waiting, m.running}).Draw(t, "set")
+			if ticket, ok := m.pick(t, set); ok {
+				delete(m.waiting, ticket)
+				m.apply(t, m.gate.Cancel(m.now, ticket))
+			}
+		},
+		"tick": func(t *rapid.T) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "step")) * time.Millisecond)
+			m.apply(t, m.gate.Tick(m.now))
+		},
+		"drain": func(t *rapid.T) {
+			m.draining = true
+			m.apply(t, m.gate.Drain(m.now))
+		},
+		"resume": func(*rapid.T) {
+			m.draining = false
+			m.gate.Resume()
+		},
+	}
+	// rapid's Repeat prefers short sequences, in which the queue never fills.
+	names := []string{
+		"offer", "offer", "offer", "done", "done", "done", "done", "done", "done",
+		"tick", "cancel", "cancel", "stale", "options", "drain", "resume", "resume",
+	}
+	for range 100 {
+		actions[rapid.SampledFrom(names).Draw(t, "action")](t)
 		m.check(t)
-		if !m.gate.Idle() {
-			t.Fatalf("gate is not idle, %d calls still wait for a result", len(m.waiting))
-		}
-	})
+	}
+	// Each remaining call must get its result.
+	m.draining = false
+	m.gate.Resume()
+	m.apply(t, m.gate.Tick(m.now))
+	for len(m.running) > 0 {
+		m.done(t)
+	}
+	m.check(t)
+	if !m.gate.Idle() {
+		t.Fatalf("gate is not idle, %d calls still wait for a result", len(m.waiting))
+	}
 }
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -14,6 +14,7 @@
 	"trefoilthread/core/tries"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
+	"trefoilthread/io/httpw"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
@@ -196,3 +197,23 @@
 	_, err := a.client.Call(ctx, addr, new(mesh.CallHead))
 	return err
 }
+
+// CallOfCustomer returns the call that the gate beside the target gets for a request of a
+// customer, after it was encoded and decoded.
+func CallOfCustomer(now time.Time, c *vhost.Customer, r *vhost.Route) (types.Call, error) {
+	q := newRequest(now, RequestInfo{ID: "a"}, &httpw.Request{}, &vhost.Table{}, r, 0)
+	q.customer = c
+	head := q.callHead(now, types.Target{}, "")
+	if c != nil {
+		head.Customer = string(c.Name())
+	}
+	b, err := cbor.Marshal(head)
+	if err != nil {
+		return types.Call{}, err
+	}
+	head = &mesh.CallHead{}
+	if err := cbor.Unmarshal(b, head); err != nil {
+		return types.Call{}, err
+	}
+	return callOf(now, head)
+}
