core/retry: limit hedges by a setting, hold them back under load

Hedges were bounded by a fixed share per route, and sent also when the whole service was slow or the second target no faster than the first.

The setting hedgeShare limits them per service (default 0.1 as before, 0 for none). A hedge is held back, and counted by reason, if the service uses over 0.8 of its known slots, no other target has a better score, the target is cold (a function field, not connected yet), the limit or the retry budget is used up, or the agent stops. Its target is the one with the best score, and the gate refuses it rather than queue it beyond its goal. Metrics count hedges sent, won, canceled and held.

--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -29,6 +29,15 @@
 // with too few samples in both, nothing is hedged. The caller cancels the
 // attempt that has not answered first.
 //
+// # Hedge limit
+//
+// A HedgeLimit bounds the hedged requests of a service at a daemon by a share that
+// operators set. It also holds them back while the service is near its saturation,
+// if no other target is likely to be faster, if the other target is cold, or if the
+// daemon stops. What is used isn't returned when an attempt is canceled, because the
+// cancellation may be lost. A HedgeLimit is used in place of the share of a Hedger,
+// which then measures the delay only.
+//
 // None of the types is safe for concurrent use; the caller must lock.
 //
 // # Usage
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -38,6 +38,8 @@
 	local     []types.Target // the target on this VM, if any
 	services  map[types.ServiceName]*serviceState
 	maxAgents int // largest number of agents known at a time
+	// isCold reports whether a target is cold, nil if that isn't known of any.
+	isCold func(types.TargetID) bool
 	// unlisted holds the addresses, by name, of agents that have opened connections but
 	// have no known record.
 	unlisted map[string]string
@@ -48,13 +50,14 @@
 	picker       *route.Picker
 	budget       *retry.Budget
 	budgetAgents int // number of agents the budget is for
+	hedges       *retry.HedgeLimit
 	// hedgers estimate the usual latency of each route.
 	hedgers map[string]*retry.Hedger
 }
 
-// hedgeOptions allow a second attempt for the slowest requests of a route, at most a
-// share of them.
-var hedgeOptions = retry.HedgerOptions{Quantile: 0.9, Share: 0.1}
+// hedgeOptions allow a second attempt for the slowest requests of a route. Settings.HedgeShare
+// limits their number.
+var hedgeOptions = retry.HedgerOptions{Quantile: 0.9}
 
 // maxHedgers bounds the routes of a service with a hedger. All of them are dropped when
 // it is reached.
@@ -99,7 +102,7 @@
 		s = &serviceState{picker: route.New(route.Options{
 			Self: types.TargetID(b.settings.Node), DataCentre: b.settings.DataCentre, Subset: subsetSize,
 			Distance: b.distance, Seed: b.seed, Link: b.settings.Link,
-		})}
+		}), hedges: retry.NewHedgeLimit(b.settings.HedgeShare)}
 		b.services[name] = s
 		s.picker.Update(b.clock.Now(), b.targets(name))
 	}
@@ -159,29 +162,24 @@
 }
 
 // countRequest counts a request of a caller, which adds to the retry and hedge budgets.
-func (b *balancer) countRequest(name types.ServiceName, route string) {
+func (b *balancer) countRequest(name types.ServiceName) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(name)
 	s.budget.RecordCall(b.clock.Now())
-	s.hedger(route).RecordCall()
+	s.hedges.RecordCall()
 }
 
 // hedgeDelay returns after which time a hedge of a request may be sent; false if it is
-// not known yet.
+// not known yet or nothing is hedged.
 func (b *balancer) hedgeDelay(name types.ServiceName, route string) (time.Duration, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.service(name).hedger(route).Delay(b.clock.Now())
-}
-
-// takeHedge takes one hedge from the hedge and the retry budget, and reports whether
-// both allowed it.
-func (b *balancer) takeHedge(name types.ServiceName, route string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(name)
-	return s.hedger(route).Available() && s.budget.Take(b.clock.Now()) && s.hedger(route).Take()
+	if s.hedges.IsOff() {
+		return 0, false
+	}
+	return s.hedger(route).Delay(b.clock.Now())
 }
 
 // recordLatency records the latency of a request that got a response.
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -30,8 +30,15 @@
 
 // result is the end of one attempt.
 type result struct {
-	ans *mesh.Answer
-	err error
+	ans     *mesh.Answer
+	err     error
+	isHedge bool
+}
+
+// attempt describes how the request is sent to a target.
+type attempt struct {
+	isPrompt bool // the gate refuses it rather than queue it beyond its goal
+	isHedge  bool
 }
 
 // maxPendingResults is the capacity for results that nobody reads any more: those of
@@ -65,6 +72,7 @@
 		case res := <-d.results:
 			d.inFlight--
 			if resp := d.handleResult(ctx, res); resp != nil {
+				d.recordHedge(res.isHedge)
 				return resp
 			}
 			if d.inFlight > 0 {
@@ -102,20 +110,25 @@
 	if !ok {
 		return false
 	}
+	d.send(ctx, t, tok, attempt{isPrompt: d.tries.PromptOnly(others)})
+	return true
+}
+
+// send sends the request to a target, whose call has been counted as started.
+func (d *dispatch) send(ctx context.Context, t types.Target, tok route.Token, a attempt) {
 	d.tried = append(d.tried, t.ID())
 	d.inFlight++
 	sent := d.entry.clock.Now()
 	head := d.request.callHead(sent, t, d.entry.callerService())
-	head.Prompt = d.tries.PromptOnly(others)
+	head.Prompt = a.isPrompt
 	go func() {
 		ans, err := d.entry.send(ctx, t, head)
 		d.entry.balancer.finishCall(d.request.service, tok, routeResult(ctx, ans, err, d.entry.clock.Since(sent)))
 		if ans != nil {
 			d.entry.observeVersion(ans.Config)
 		}
-		d.results <- result{ans: ans, err: err}
+		d.results <- result{ans: ans, err: err, isHedge: a.isHedge}
 	}()
-	return true
 }
 
 // hedgeTimer returns a channel that fires when the first attempt has taken longer than
@@ -131,14 +144,6 @@
 	return d.entry.clock.After(delay)
 }
 
-// hedge sends the request to a second target while the first attempt is in flight, if
-// the budgets allow it.
-func (d *dispatch) hedge(ctx context.Context) {
-	if d.tries.MayHedge(d.inFlight) && d.entry.balancer.takeHedge(d.request.service, d.request.route.Name()) {
-		d.hedged = d.startAttempt(ctx)
-	}
-}
-
 // handleResult records the result of an attempt and returns the response if it is final,
 // else nil.
 func (d *dispatch) handleResult(ctx context.Context, res result) *httpw.Response {
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -71,7 +71,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	e.balancer.countRequest(q.service, r.Name())
+	e.balancer.countRequest(q.service)
 	d := newDispatch(e, q, e.suspects.isOnTrial(fp))
 	resp := d.do(ctx)
 	if resp.Status < http.StatusInternalServerError {
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"trefoilthread/core/beat"
+	"trefoilthread/core/grace"
 	"trefoilthread/core/relay"
 	"trefoilthread/core/roster"
 	"trefoilthread/core/tries"
@@ -90,7 +91,7 @@
 }
 
 // CountRequest counts a request for a service, which starts the statistics of it.
-func CountRequest(a *Agent, name types.ServiceName) { a.balancer.countRequest(name, "lookup") }
+func CountRequest(a *Agent, name types.ServiceName) { a.balancer.countRequest(name) }
 
 // Record returns the key and value of an agent's record.
 func Record(node string, service types.ServiceName) (key string, value []byte) {
@@ -217,3 +218,40 @@
 	}
 	return callOf(now, head)
 }
+
+// Dispatch sends a request on a route by way of send, which gets the names of the targets, and
+// returns its status. The first 30 requests of the route were answered in a millisecond. A
+// stopping agent has begun its stop.
+func Dispatch(a *Agent, r *vhost.Route, stopping bool, send func(ctx context.Context, target string) (*mesh.Answer, error)) int {
+	for range 30 {
+		a.balancer.countRequest("bookings")
+		a.balancer.recordLatency("bookings", r.Name(), time.Millisecond)
+	}
+	e := &entry{
+		wire: a.opts.Wire, clock: a.clock, metrics: a.metrics, balancer: a.balancer,
+		callerService:  func() types.ServiceName { return "" },
+		observeVersion: func(int64) {},
+		stop: func() *grace.Stop {
+			if stopping {
+				return grace.New(a.clock.Now(), grace.Options{})
+			}
+			return nil
+		},
+		send: func(ctx context.Context, t types.Target, _ *mesh.CallHead) (*mesh.Answer, error) {
+			return send(ctx, string(t.ID()))
+		},
+	}
+	now := a.clock.Now()
+	q := newRequest(now, RequestInfo{ID: "a"}, &httpw.Request{}, &vhost.Table{}, r, 0)
+	ctx, cancel := context.WithDeadline(context.Background(), q.deadline)
+	defer cancel()
+	return newDispatch(e, q, false).do(ctx).Status
+}
+
+// CountCalls returns the number of calls that run or wait at the target of a.
+func CountCalls(a *Agent) int {
+	a.target.mu.Lock()
+	defer a.target.mu.Unlock()
+	r := a.target.gate.Report()
+	return r.InFlight + r.Queued
+}
--- /dev/null
+++ b/io/agent/hedge.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"context"
+
+	"trefoilthread/core/retry"
+	"trefoilthread/core/route"
+	"trefoilthread/core/types"
+)
+
+// takeHedge decides about a second attempt of a request with a body of n bytes, and chooses
+// its target. If it isn't held, the call counts as started.
+func (b *balancer) takeHedge(name types.ServiceName, tried []types.TargetID, n int, isStopping bool) (types.Target, route.Token, retry.Hold) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, now := b.service(name), b.clock.Now()
+	t, isFaster := s.picker.PickFaster(now, tried, n)
+	hold := s.hedges.Take(now, retry.HedgeView{
+		IsStopping: isStopping, Load: s.picker.Load(now), IsFaster: isFaster,
+		IsCold: isFaster && b.isCold != nil && b.isCold(t.ID()),
+	}, s.budget)
+	if hold != retry.NotHeld {
+		return types.Target{}, route.Token{}, hold
+	}
+	return t, s.picker.Start(now, t.ID()), hold
+}
+
+// hedge sends the request to a second target while the first attempt is in flight, if the
+// limits allow it. It is refused there rather than answered after its goal.
+func (d *dispatch) hedge(ctx context.Context) {
+	if !d.tries.MayHedge(d.inFlight) {
+		return
+	}
+	e := d.entry
+	t, tok, hold := e.balancer.takeHedge(d.request.service, d.tried, len(d.request.req.Body), e.stop() != nil)
+	if hold != retry.NotHeld {
+		e.metrics.countHold(hold)
+		return
+	}
+	e.metrics.countEvent("hedges_sent")
+	d.hedged = true
+	d.send(ctx, t, tok, attempt{isPrompt: true, isHedge: true})
+}
+
+// recordHedge counts whether the hedge of an answered request, if there was one, gave the
+// response, and whether the other attempt is canceled.
+func (d *dispatch) recordHedge(isHedge bool) {
+	if isHedge {
+		d.entry.metrics.countEvent("hedges_won")
+	}
+	if d.hedged && d.inFlight > 0 {
+		d.entry.metrics.countEvent("hedges_canceled")
+	}
+}
+
+// countHold counts a hedge that wasn't sent, by the reason.
+func (m *metrics) countHold(h retry.Hold) {
+	m.scope.Tagged(map[string]string{"reason": h.String()}).Counter("hedges_held").Inc(1)
+}
--- a/io/agent/settings.go
+++ b/io/agent/settings.go
@@ -27,6 +27,7 @@
 	RetryShare  float64       // retries of all agents per request of a service
 	RetryExtra  int           // retries beyond the share in RetryWindow, all agents together
 	RetryWindow time.Duration
+	HedgeShare  float64 // hedges per request of a service at each agent, 0 for none
 	// ProbesPerSecond bounds the health checks of the own target.
 	ProbesPerSecond int
 	// KeyRevocation is the time after which a request may not run any more with an API key
--- a/io/prefs/keys.go
+++ b/io/prefs/keys.go
@@ -49,6 +49,8 @@
 	{"bounds", "retryExtra", "0", false, "0 to 1000000", "retries beyond the share in each retryWindow, all agents together", integer(0, 1_000_000, func(p *Prefs) *int { return &p.agent.RetryExtra })},
 	{"bounds", "retryWindow", "10s", false, "1s to 10m", "time over which retries are counted", duration(time.Second, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.RetryWindow })},
 
+	{"bounds", "hedgeShare", "0.1", false, "0 to 1", "second attempts of slow idempotent requests per request of a service, while the first is open; 0: none", number(0, 1, func(p *Prefs) *float64 { return &p.agent.HedgeShare })},
+
 	{"bounds", "probesPerSecond", "1", false, "0 to 1000", "health checks of the target in a second at most; they tell the pace of its host", integer(0, 1000, func(p *Prefs) *int { return &p.agent.ProbesPerSecond })},
 
 	{"bounds", "keyRevocation", "0s", false, "0s to 10m", "time after which no request runs any more with a removed API key, also at agents that have lost the store; 0s: only agents that reach it are bound", duration(0, 10*time.Minute, func(p *Prefs) *time.Duration { return &p.agent.KeyRevocation })},
