--- a/core/admit/customers.go
+++ b/core/admit/customers.go
@@ -4,12 +4,12 @@
 
 const (
 	// minServedRatio is the ratio of the share of a customer's calls that are served to that
-	// of all customers' calls below which its next call takes precedence. No customer may be
+	// of all calls below which its next call takes precedence. No customer may be
 	// served less than a quarter as often as all; the rest is a margin for the noise of the
 	// averages.
 	minServedRatio = 0.35
 	// customerAlpha and allAlpha are the weights of a new call in the shares of a customer and
-	// of all. They count calls and not time, because a gate may get few calls of a customer.
+	// of all calls. They count calls and not time, because a gate may get few calls of a customer.
 	customerAlpha = 1.0 / 8
 	allAlpha      = 1.0 / 256
 	// maxCustomers bounds the known customers. All of them are forgotten when it is reached,
@@ -20,7 +20,7 @@
 // customers holds how the calls of each customer were served at a gate.
 type customers struct {
 	byName   map[types.CustomerName]*customer
-	served   float64 // average share of served calls of all customers
+	served   float64 // average share of all calls that were served, since the first customer
 	lastTurn uint64
 	lastScan uint64
 	owedLast bool // the last start was that of a customer with precedence
@@ -59,23 +59,25 @@
 // recordStart counts a call that starts as served.
 func (s *customers) recordStart(c *customer) {
 	s.owedLast = s.isOwed(c)
-	if c == nil {
-		return
+	if c != nil {
+		s.lastTurn++
+		c.turn = s.lastTurn
 	}
-	s.lastTurn++
-	c.turn = s.lastTurn
 	s.observe(c, 1)
 }
 
 // recordRefusal counts a call that was refused for another reason than a drain.
 func (s *customers) recordRefusal(c *customer, r reason) {
-	if c != nil && r != reasonDraining {
+	if r != reasonDraining {
 		s.observe(c, 0)
 	}
 }
 
+// observe adds a call of a customer, nil for one without, that was served (1) or refused (0).
 func (s *customers) observe(c *customer, x float64) {
-	c.served += customerAlpha * (x - c.served)
+	if c != nil {
+		c.served += customerAlpha * (x - c.served)
+	}
 	s.served += allAlpha * (x - s.served)
 }
 
--- a/core/admit/customers_test.go
+++ b/core/admit/customers_test.go
@@ -17,6 +17,7 @@
 type sender struct {
 	weight float64 // of all calls
 	rank   int
+	public bool // calls without a customer
 
 	offered, prompt int // calls, and those answered within their goal
 }
@@ -77,7 +78,7 @@
 				ID: "a", Service: "bookings", Worth: 1, Kind: "lookup",
 				Goal: now.Add(500 * time.Millisecond), Deadline: now.Add(2 * time.Second),
 			}
-			if named {
+			if named && !s.public {
 				spec.Customer, spec.CustomerRank = types.CustomerName(fmt.Sprint(i)), s.rank
 			}
 			c, err := types.NewCall(spec)
@@ -176,6 +177,22 @@
 	}
 }
 
+// Guards against customers that starve because of calls without one, which have the highest
+// rank: at three times the capacity, two in three calls are such.
+func TestPublicCallsStarveNobody(t *testing.T) {
+	is := is.New(t)
+	list := newSenders(21, func(i int, s *sender) {
+		if s.rank = 1; i == 0 {
+			s.weight, s.public = 40, true
+		}
+	})
+	simulateSenders(list, 3, true)
+	t.Logf("public calls %.3f, customers %.3f, all %.3f", list[0].share(), shareOf(list[1:]), shareOf(list))
+	for _, s := range list[1:] {
+		is.True(s.share() > shareOf(list)/4)
+	}
+}
+
 // Guards against large customers that starve because each customer gets the same: two of 40
 // send 30 times as much as the others, as usual.
 func TestLargeCustomersAreServed(t *testing.T) {
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -46,8 +46,8 @@
 // be refused for its goal, a customer that holds more than its even share of the
 // waiting calls of its rank loses its newest one for a call of a customer that
 // holds less. If the served share of a customer's calls is below 0.35 of that of
-// all customers, every second start goes to its oldest waiting call. Without
-// customers, none of this has an effect.
+// all calls, every second start goes to its oldest waiting call. Without customers,
+// none of this has an effect.
 //
 // # Goals
 //
