--- a/core/admit/customers_test.go
+++ b/core/admit/customers_test.go
@@ -238,3 +238,24 @@
 	}
 	is.Equal(fmt.Sprint(order), "[d1 c5 c2 a9 b9 a9 a9]")
 }
+
+// BenchmarkOfferDoneCustomers measures a gate whose slots are taken and whose queue is full of
+// calls of 40 customers.
+func BenchmarkOfferDoneCustomers(b *testing.B) {
+	g := admit.New(admit.Options{Slots: 9, Queue: 27, UrgentShare: -1})
+	var calls []types.Call
+	for i := range 40 {
+		calls = append(calls, callOf(newCall(false, time.Hour, 1), types.CustomerName(fmt.Sprint(i)), i%3))
+	}
+	running := make([]admit.Ticket, 0, 9)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if t, v := g.Offer(start, calls[i%len(calls)]); v == admit.Run {
+			running = append(running, t)
+		}
+		if i > 36 {
+			events := g.Done(start, running[i%9], time.Millisecond, false)
+			running[i%9] = events[len(events)-1].Ticket
+		}
+	}
+}
