--- a/core/admit/reason.go
+++ b/core/admit/reason.go
@@ -13,6 +13,7 @@
 	reasonGoal
 	reasonCold
 	reasonDrained
+	reasonShare
 )
 
 const (
@@ -40,6 +41,8 @@
 		return ReasonCold
 	case reasonDrained:
 		return ReasonDrained
+	case reasonShare:
+		return "customer holds more than its share of the waiting calls"
 	}
 	return ""
 }
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -25,7 +25,7 @@
 // startsBefore returns the estimated number of calls that start before e if it joined
 // its queue now.
 func (g *Gate) startsBefore(e *entry) int {
-	n := g.queueOf(e).countAhead(e) + g.expecting
+	n := g.countAhead(e) + g.expecting
 	if e.urgent {
 		return n + min(g.normal.Len(), (n+1)/g.urgentStreakLimit())
 	}
@@ -63,13 +63,13 @@
 	e.worthRate *= lateWorthShare
 }
 
-// hasPromptBacklog reports whether so many waiting normal calls can meet their
-// goal that a demoted call would hardly ever run, because calls that arrive later
-// run before it.
-func (g *Gate) hasPromptBacklog() bool {
+// hasPromptBacklog reports whether so many waiting normal calls of its rank and
+// higher ones can meet their goal that e would hardly ever run if it were demoted,
+// because calls that arrive later run before it.
+func (g *Gate) hasPromptBacklog(e *entry) bool {
 	prompt := 0
-	for _, e := range g.normal.items {
-		if !e.demoted {
+	for _, o := range g.normal.items {
+		if !o.demoted && o.customerRank <= e.customerRank {
 			prompt++
 		}
 	}
@@ -80,7 +80,7 @@
 // behind those that can meet theirs, or refuses it if there are so many of them
 // that it would only wait.
 func (g *Gate) demoteOrDrop(e *entry) {
-	if g.hasPromptBacklog() {
+	if g.hasPromptBacklog(e) {
 		g.drop(e, reasonGoal)
 		return
 	}
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -85,7 +85,7 @@
 	if resp := e.refuseByQuota(q, verdict); resp != nil {
 		return resp
 	}
-	e.balancer.countRequest(q.service, r.Name())
+	e.balancer.countRequest(q.service)
 	d := newDispatch(e, q, e.suspects.isOnTrial(fp))
 	resp := d.do(ctx)
 	e.settleToken(verdict, d)
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -10,11 +10,13 @@
 	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/core/beat"
+	"trefoilthread/core/grace"
 	"trefoilthread/core/relay"
 	"trefoilthread/core/roster"
 	"trefoilthread/core/tries"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
+	"trefoilthread/io/httpw"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
@@ -90,7 +92,7 @@
 }
 
 // CountRequest counts a request for a service, which starts the statistics of it.
-func CountRequest(a *Agent, name types.ServiceName) { a.balancer.countRequest(name, "lookup") }
+func CountRequest(a *Agent, name types.ServiceName) { a.balancer.countRequest(name) }
 
 // Record returns the key and value of an agent's record.
 func Record(node string, service types.ServiceName) (key string, value []byte) {
@@ -233,6 +235,55 @@
 	return err
 }
 
+// CallOfCustomer returns the call that the gate beside the target gets for a request of a
+// customer, after it was encoded and decoded.
+func CallOfCustomer(now time.Time, c *vhost.Customer, r *vhost.Route) (types.Call, error) {
+	q := newRequest(now, RequestInfo{ID: "a"}, &httpw.Request{}, &vhost.Table{}, r, 0)
+	q.identity.customer = c
+	head := q.callHead(now, types.Target{}, "")
+	if c != nil {
+		head.Customer = string(c.Name())
+	}
+	b, err := cbor.Marshal(head)
+	if err != nil {
+		return types.Call{}, err
+	}
+	head = &mesh.CallHead{}
+	if err := cbor.Unmarshal(b, head); err != nil {
+		return types.Call{}, err
+	}
+	return callOf(now, head)
+}
+
+// Dispatch sends a request on a route by way of send, which gets the names of the targets, and
+// returns its status. The first 30 requests of the route were answered in a millisecond. A
+// stopping agent has begun its stop.
+func Dispatch(a *Agent, r *vhost.Route, stopping bool, send func(ctx context.Context, target string) (*mesh.Answer, error)) int {
+	for range 30 {
+		a.balancer.countRequest("bookings")
+		a.balancer.recordLatency("bookings", r.Name(), time.Millisecond)
+	}
+	e := &entry{
+		wire: a.opts.Wire, clock: a.clock, metrics: a.metrics, balancer: a.balancer, fresh: a.fresh,
+		callerService:  func() types.ServiceName { return "" },
+		observeVersion: func(int64) {},
+		stop: func() *grace.Stop {
+			if stopping {
+				return grace.New(a.clock.Now(), grace.Options{})
+			}
+			return nil
+		},
+		send: func(ctx context.Context, t types.Target, _ *mesh.CallHead) (*mesh.Answer, error) {
+			return send(ctx, string(t.ID()))
+		},
+	}
+	now := a.clock.Now()
+	q := newRequest(now, RequestInfo{ID: "a"}, &httpw.Request{}, &vhost.Table{}, r, 0)
+	ctx, cancel := context.WithDeadline(context.Background(), q.deadline)
+	defer cancel()
+	return newDispatch(e, q, false).do(ctx).Status
+}
+
 // CallsAtTarget returns the number of calls that run or wait at the target of a.
 func CallsAtTarget(a *Agent) int {
 	a.target.mu.Lock()
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -11,25 +11,26 @@
 
 // CallHead is a call with the whole request.
 type CallHead struct {
-	ID          string       `cbor:"1,keyasint,omitempty"` // request id
-	Service     string       `cbor:"2,keyasint,omitempty"` // service that is to run it
-	Target      string       `cbor:"3,keyasint,omitempty"` // target that is to run it
-	Caller      string       `cbor:"4,keyasint,omitempty"` // service beside which the request came in
-	Method      string       `cbor:"5,keyasint,omitempty"`
-	Path        string       `cbor:"6,keyasint,omitempty"` // path and query as the caller sent them
-	Header      httpw.Header `cbor:"7,keyasint,omitempty"`
-	Body        []byte       `cbor:"8,keyasint,omitempty"`
-	RemainingMs int64        `cbor:"9,keyasint,omitempty"`  // time left until the call's deadline
-	GoalMs      int64        `cbor:"10,keyasint,omitempty"` // time left in which the answer has its full worth
-	Rank        int          `cbor:"11,keyasint,omitempty"` // 0 is the most urgent
-	Route       string       `cbor:"12,keyasint,omitempty"` // calls of one route take about the same time
-	Prompt      bool         `cbor:"13,keyasint,omitempty"` // refuse it rather than answer after the goal
-	Worth       float64      `cbor:"14,keyasint,omitempty"` // value of the answer
-	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
-	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
-	Customer    string       `cbor:"17,keyasint,omitempty"` // customer whose API key the request had, "" if none
-	StartMs     int64        `cbor:"24,keyasint,omitempty"` // time left in which a call with a customer may start, 0 for no bound
-	BodyLen     int          `cbor:"30,keyasint,omitempty"` // of an offered call: length of the body, which is sent after a grant
+	ID           string       `cbor:"1,keyasint,omitempty"` // request id
+	Service      string       `cbor:"2,keyasint,omitempty"` // service that is to run it
+	Target       string       `cbor:"3,keyasint,omitempty"` // target that is to run it
+	Caller       string       `cbor:"4,keyasint,omitempty"` // service beside which the request came in
+	Method       string       `cbor:"5,keyasint,omitempty"`
+	Path         string       `cbor:"6,keyasint,omitempty"` // path and query as the caller sent them
+	Header       httpw.Header `cbor:"7,keyasint,omitempty"`
+	Body         []byte       `cbor:"8,keyasint,omitempty"`
+	RemainingMs  int64        `cbor:"9,keyasint,omitempty"`  // time left until the call's deadline
+	GoalMs       int64        `cbor:"10,keyasint,omitempty"` // time left in which the answer has its full worth
+	Rank         int          `cbor:"11,keyasint,omitempty"` // 0 is the most urgent
+	Route        string       `cbor:"12,keyasint,omitempty"` // calls of one route take about the same time
+	Prompt       bool         `cbor:"13,keyasint,omitempty"` // refuse it rather than answer after the goal
+	Worth        float64      `cbor:"14,keyasint,omitempty"` // value of the answer
+	AtMostOnce   bool         `cbor:"15,keyasint,omitempty"`
+	Config       int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
+	Customer     string       `cbor:"17,keyasint,omitempty"` // customer whose API key the request had, "" if none
+	CustomerRank int          `cbor:"18,keyasint,omitempty"` // priority of that customer, 0 the highest
+	StartMs      int64        `cbor:"24,keyasint,omitempty"` // time left in which a call with a customer may start, 0 for no bound
+	BodyLen      int          `cbor:"30,keyasint,omitempty"` // of an offered call: length of the body, which is sent after a grant
 	// PeerLink is the speed of the link of the called daemon's VM in Mbit/s, 0 if unknown.
 	PeerLink float64 `cbor:"-"`
 	// Offer is the way to the body at a server, nil if the body has come with the call.
