--- a/io/agent/quota_test.go
+++ b/io/agent/quota_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"trefoilthread/core/relay"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/agent"
@@ -273,3 +274,30 @@
 		})
 	}
 }
+
+// Guards against agents that don't learn from the store who owns a customer, or don't ask it
+// over the mesh.
+func TestTokensComeOverTheMesh(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	node := func(name, addr string, perSecond float64) *agent.Agent {
+		a := agent.New(agent.Options{
+			Settings: agent.Settings{Node: name, DataCentre: "kl", Mesh: addr, Regions: map[types.DataCentre]string{"kl": "my"}},
+			Log:      logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
+		})
+		agent.SetCustomer(a, quotaTable(1, perSecond), "acme")
+		agent.ApplyItems(a, []relay.Item{agent.RecordAt("owner", ln.Addr().String())})
+		return a
+	}
+	owner := node("owner", ln.Addr().String(), 0) // without a quota it grants at once
+	go func() { _ = agent.ServeMesh(owner, ln) }()
+	c, _ := quotaTable(1, 100).Customer("acme")
+	q := agent.QuotasOf(node("asker", "10.0.0.1:7000", 100))
+	for end := time.Now().Add(patience); q.Take(t.Context(), c).Result() != agent.WithinQuota; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no tokens")
+		}
+	}
+}
--- a/io/agent/quotaexport_test.go
+++ b/io/agent/quotaexport_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
+	"trefoilthread/core/relay"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/logs"
@@ -85,3 +87,12 @@
 	}
 	return n
 }
+
+// RecordAt returns the record in the store of an agent at an address.
+func RecordAt(node, addr string) relay.Item {
+	value, err := cbor.Marshal(storedRecord{Boot: 1, Address: addr, DataCentre: "kl", State: uint8(types.Down)})
+	if err != nil {
+		panic(err)
+	}
+	return relay.Item{Key: nodeKey(node), Value: value, Revision: 1}
+}
