--- a/io/agent/quota_test.go
+++ b/io/agent/quota_test.go
@@ -289,7 +289,7 @@
 			Settings: agent.Settings{Node: name, DataCentre: "kl", Mesh: addr, Regions: map[types.DataCentre]string{"kl": "my"}},
 			Log:      logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
 		})
-		agent.SetCustomer(a, quotaTable(1, perSecond), "acme")
+		agent.SetTable(a, quotaTable(1, perSecond))
 		agent.ApplyItems(a, []relay.Item{agent.RecordAt("owner", ln.Addr().String())})
 		return a
 	}
