core/admit: name the share as the reason, tests of evictions

The waiting call that a customer beyond its share lost in a full queue was refused as displaced by value.

--- a/core/admit/customers_test.go
+++ b/core/admit/customers_test.go
@@ -202,27 +202,36 @@
 	}
 }
 
+// offerFor offers a call of a customer whose kind is its worth, with a goal after a time, 0 for
+// none.
+func offerFor(g *admit.Gate, name types.CustomerName, rank int, worth float64, goal time.Duration) (admit.Ticket, admit.Verdict) {
+	spec := types.CallSpec{
+		ID: "a", Service: "bookings", Kind: fmt.Sprint(worth), Worth: worth,
+		Customer: name, CustomerRank: rank, Deadline: start.Add(time.Hour),
+	}
+	if goal > 0 {
+		spec.Goal = start.Add(goal)
+	}
+	c, err := types.NewCall(spec)
+	if err != nil {
+		panic(err)
+	}
+	return g.Offer(start, c)
+}
+
 // Guards against an order by worth or arrival before the rank of the customer, and against a
 // customer that gets two turns while another one waits.
 func TestOrderByCustomer(t *testing.T) {
 	is := is.New(t)
 	g := admit.New(admit.Options{Slots: 1})
 	names := make(map[admit.Ticket]string)
-	var running admit.Ticket
+	running, _ := offerFor(g, "", 0, 1, 0)
 	for _, c := range []struct {
 		customer types.CustomerName
 		rank     int
 		worth    float64
-	}{{"", 0, 1}, {"a", 2, 9}, {"a", 2, 9}, {"a", 2, 9}, {"b", 2, 9}, {"c", 1, 2}, {"c", 1, 5}, {"d", 0, 1}} {
-		call, err := types.NewCall(types.CallSpec{
-			ID: "a", Service: "bookings", Kind: fmt.Sprint(c.worth), Worth: c.worth,
-			Customer: c.customer, CustomerRank: c.rank, Deadline: start.Add(time.Hour),
-		})
-		is.NoErr(err)
-		ticket, v := g.Offer(start, call)
-		if v == admit.Run {
-			running = ticket
-		}
+	}{{"a", 2, 9}, {"a", 2, 9}, {"a", 2, 9}, {"b", 2, 9}, {"c", 1, 2}, {"c", 1, 5}, {"d", 0, 1}} {
+		ticket, _ := offerFor(g, c.customer, c.rank, c.worth, 0)
 		names[ticket] = fmt.Sprint(c.customer, c.worth)
 	}
 	var order []string
@@ -232,3 +241,47 @@
 	}
 	is.Equal(fmt.Sprint(order), "[d1 c5 c2 a9 b9 a9 a9]")
 }
+
+// Guards against a full queue in which a customer holds more than its share while others are
+// refused, or takes it back by calls of more worth, and against shares across ranks.
+func TestFullQueueIsShared(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1, Queue: 4, UrgentShare: -1})
+	offerFor(g, "", 0, 1, 0)
+	var newest admit.Ticket
+	for range 4 {
+		newest, _ = offerFor(g, "hot", 1, 5, 0)
+	}
+	_, v := offerFor(g, "low", 2, 9, 0)
+	is.Equal(v, admit.Refuse)
+	cold, v := offerFor(g, "cold", 1, 1, 0)
+	is.Equal(v, admit.Wait)
+	is.Equal(g.Pending(), []admit.Event{{Ticket: newest, Reason: "customer holds more than its share of the waiting calls"}})
+	_, v = offerFor(g, "hot", 1, 9, 0)
+	is.Equal(v, admit.Wait)
+	events := g.Pending()
+	is.Equal(len(events), 1)
+	is.True(events[0].Ticket != cold)
+}
+
+// Guards against a call that is refused for its goal because of a customer beyond its share,
+// and against one that takes a place without meeting its goal in it.
+func TestRoomForAGoal(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1, Queue: 9, UrgentShare: -1})
+	for _, worth := range []float64{1, 9} {
+		ticket, _ := offerFor(g, "", 0, worth, 0)
+		g.Done(start, ticket, 100*time.Millisecond, false)
+	}
+	offerFor(g, "", 0, 9, 0)
+	var newest admit.Ticket
+	for range 3 {
+		newest, _ = offerFor(g, "hot", 0, 9, 0)
+	}
+	_, v := offerFor(g, "cold", 0, 1, 350*time.Millisecond) // needs 500 ms, 400 in place of one call
+	is.Equal(v, admit.Refuse)
+	is.Equal(len(g.Pending()), 0)
+	_, v = offerFor(g, "cold", 0, 1, 450*time.Millisecond)
+	is.Equal(v, admit.Wait)
+	is.Equal(g.Pending()[0].Ticket, newest)
+}
--- a/core/admit/displace.go
+++ b/core/admit/displace.go
@@ -48,11 +48,11 @@
 		g.drop(g.urgent.leastValuable(), reasonDisplaced)
 		return true
 	}
-	victim := g.victimOf(e)
+	victim, r := g.victimOf(e)
 	if victim == nil {
 		return false
 	}
-	g.drop(victim, reasonDisplaced)
+	g.drop(victim, r)
 	return true
 }
 
--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -107,26 +107,26 @@
 	return victim, true
 }
 
-// victimOf returns the waiting call that a full queue gives up for e, nil if there is none of
-// less value.
-func (g *Gate) victimOf(e *entry) *entry {
+// victimOf returns the waiting call that a full queue gives up for e, with the reason; nil if
+// there is none of less value.
+func (g *Gate) victimOf(e *entry) (*entry, reason) {
 	q := g.queueOf(e)
 	if !g.customers.known() {
 		if v := q.leastValuable(); v != nil && v.worthRate < e.worthRate {
-			return v
+			return v, reasonDisplaced
 		}
-		return nil
+		return nil, reasonNone
 	}
 	victim, isBelow := g.beyondShare(e)
 	if victim != nil {
-		return victim
+		return victim, reasonShare
 	}
 	for _, o := range q.items {
 		if g.mayDisplace(e, o, isBelow) && (victim == nil || byWorthRate(victim, o)) {
 			victim = o
 		}
 	}
-	return victim
+	return victim, reasonDisplaced
 }
 
 // mayDisplace reports whether e has more value than a waiting call o. A customer that holds
