--- a/core/admit/customers_test.go
+++ b/core/admit/customers_test.go
@@ -159,53 +159,64 @@
 	is.True(hot > others/4)
 }
 
-// Guards against a rank that is not put first, and against one that starves lower ranks for
-// good: at twice and four times the capacity, no customer may be served less than a quarter as
-// often as all.
-func TestRanksAreFirstAndStarveNobody(t *testing.T) {
-	for _, load := range []float64{1.3, 2, 4} {
-		t.Run(fmt.Sprint(load), func(t *testing.T) {
+// Guards against ranks, calls without a customer, which have the highest rank, and equal turns
+// of small customers that starve others for good, and against ranks without effect: no customer
+// may be served less than a quarter as often as all.
+func TestNobodyStarves(t *testing.T) {
+	ranks := func(i int, s *sender) { s.rank = i / 10 }
+	large := func(i int, s *sender) {
+		if i < 2 {
+			s.weight = 30
+		}
+	}
+	public := func(i int, s *sender) {
+		if s.rank = 1; i == 0 {
+			s.weight, s.rank, s.public = 40, 0, true
+		}
+	}
+	for _, tc := range []struct {
+		name   string
+		load   float64
+		n      int
+		change func(i int, s *sender)
+	}{
+		{"ranks", 1.3, 30, ranks}, {"ranks", 2, 30, ranks}, {"ranks", 4, 30, ranks},
+		{"two large customers", 2.5, 40, large}, {"public calls", 3, 21, public},
+	} {
+		t.Run(fmt.Sprint(tc.name, tc.load), func(t *testing.T) {
 			is := is.New(t)
-			list := newSenders(30, func(i int, s *sender) { s.rank = i / 10 })
-			simulateSenders(list, load, true)
-			t.Logf("ranks %.3f, %.3f, %.3f, all %.3f", shareOf(list[:10]), shareOf(list[10:20]), shareOf(list[20:]), shareOf(list))
-			is.True(shareOf(list[:10]) > shareOf(list[20:]))
-			for _, s := range list {
-				is.True(s.share() > shareOf(list)/4)
+			list := newSenders(tc.n, tc.change)
+			simulateSenders(list, tc.load, true)
+			var shares []float64 // of equal customers
+			for i := 0; i < tc.n; {
+				first := i
+				for i < tc.n && list[i].rank == list[first].rank && list[i].weight == list[first].weight {
+					is.True(list[i].share() > shareOf(list)/4)
+					i++
+				}
+				shares = append(shares, shareOf(list[first:i]))
 			}
+			t.Logf("%.3f, all %.3f", shares, shareOf(list))
+			is.True(list[0].rank == list[tc.n-1].rank || shares[0] > shares[len(shares)-1])
 		})
 	}
 }
 
-// Guards against customers that starve because of calls without one, which have the highest
-// rank: at three times the capacity, two in three calls are such.
-func TestPublicCallsStarveNobody(t *testing.T) {
-	is := is.New(t)
-	list := newSenders(21, func(i int, s *sender) {
-		if s.rank = 1; i == 0 {
-			s.weight, s.public = 40, true
-		}
-	})
-	simulateSenders(list, 3, true)
-	t.Logf("public calls %.3f, customers %.3f, all %.3f", list[0].share(), shareOf(list[1:]), shareOf(list))
-	for _, s := range list[1:] {
-		is.True(s.share() > shareOf(list)/4)
+// offerFor offers a call of a customer whose kind is its worth, with a goal after a time, 0 for
+// none.
+func offerFor(g *admit.Gate, name types.CustomerName, rank int, worth float64, goal time.Duration) (admit.Ticket, admit.Verdict) {
+	spec := types.CallSpec{
+		ID: "a", Service: "bookings", Kind: fmt.Sprint(worth), Worth: worth,
+		Customer: name, CustomerRank: rank, Deadline: start.Add(time.Hour),
 	}
-}
-
-// Guards against large customers that starve because each customer gets the same: two of 40
-// send 30 times as much as the others, as usual.
-func TestLargeCustomersAreServed(t *testing.T) {
-	is := is.New(t)
-	list := newSenders(40, func(i int, s *sender) {
-		if i < 2 {
-			s.weight = 30
-		}
-	})
-	simulateSenders(list, 2.5, true)
-	t.Logf("large ones %.3f, others %.3f, all %.3f", shareOf(list[:2]), shareOf(list[2:]), shareOf(list))
-	is.True(list[0].share() > shareOf(list)/4)
-	is.True(list[1].share() > shareOf(list)/4)
+	if goal > 0 {
+		spec.Goal = start.Add(goal)
+	}
+	c, err := types.NewCall(spec)
+	if err != nil {
+		panic(err)
+	}
+	return g.Offer(start, c)
 }
 
 // Guards against an order by worth or arrival before the rank of the customer, and against a
@@ -214,21 +225,13 @@
 	is := is.New(t)
 	g := admit.New(admit.Options{Slots: 1})
 	names := make(map[admit.Ticket]string)
-	var running admit.Ticket
+	running, _ := offerFor(g, "", 0, 1, 0)
 	for _, c := range []struct {
 		customer types.CustomerName
 		rank     int
 		worth    float64
-	}{{"", 0, 1}, {"a", 2, 9}, {"a", 2, 9}, {"a", 2, 9}, {"b", 2, 9}, {"c", 1, 2}, {"c", 1, 5}, {"d", 0, 1}} {
-		call, err := types.NewCall(types.CallSpec{
-			ID: "a", Service: "bookings", Kind: fmt.Sprint(c.worth), Worth: c.worth,
-			Customer: c.customer, CustomerRank: c.rank, Deadline: start.Add(time.Hour),
-		})
-		is.NoErr(err)
-		ticket, v := g.Offer(start, call)
-		if v == admit.Run {
-			running = ticket
-		}
+	}{{"a", 2, 9}, {"a", 2, 9}, {"a", 2, 9}, {"b", 2, 9}, {"c", 1, 2}, {"c", 1, 5}, {"d", 0, 1}} {
+		ticket, _ := offerFor(g, c.customer, c.rank, c.worth, 0)
 		names[ticket] = fmt.Sprint(c.customer, c.worth)
 	}
 	var order []string
@@ -239,23 +242,46 @@
 	is.Equal(fmt.Sprint(order), "[d1 c5 c2 a9 b9 a9 a9]")
 }
 
-// BenchmarkOfferDoneCustomers measures a gate whose slots are taken and whose queue is full of
-// calls of 40 customers.
-func BenchmarkOfferDoneCustomers(b *testing.B) {
-	g := admit.New(admit.Options{Slots: 9, Queue: 27, UrgentShare: -1})
-	var calls []types.Call
-	for i := range 40 {
-		calls = append(calls, callOf(newCall(false, time.Hour, 1), types.CustomerName(fmt.Sprint(i)), i%3))
+// Guards against a full queue in which a customer holds more than its share while others are
+// refused, or takes it back by calls of more worth, and against shares across ranks.
+func TestFullQueueIsShared(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1, Queue: 4, UrgentShare: -1})
+	offerFor(g, "", 0, 1, 0)
+	var newest admit.Ticket
+	for range 4 {
+		newest, _ = offerFor(g, "hot", 1, 5, 0)
 	}
-	running := make([]admit.Ticket, 0, 9)
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		if t, v := g.Offer(start, calls[i%len(calls)]); v == admit.Run {
-			running = append(running, t)
-		}
-		if i > 36 {
-			events := g.Done(start, running[i%9], time.Millisecond, false)
-			running[i%9] = events[len(events)-1].Ticket
-		}
+	_, v := offerFor(g, "low", 2, 9, 0)
+	is.Equal(v, admit.Refuse)
+	cold, v := offerFor(g, "cold", 1, 1, 0)
+	is.Equal(v, admit.Wait)
+	is.Equal(g.Pending(), []admit.Event{{Ticket: newest, Reason: "customer holds more than its share of the waiting calls"}})
+	_, v = offerFor(g, "hot", 1, 9, 0)
+	is.Equal(v, admit.Wait)
+	events := g.Pending()
+	is.Equal(len(events), 1)
+	is.True(events[0].Ticket != cold)
+}
+
+// Guards against a call that is refused for its goal because of a customer beyond its share,
+// and against one that takes a place without meeting its goal in it.
+func TestRoomForAGoal(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Options{Slots: 1, Queue: 9, UrgentShare: -1})
+	for _, worth := range []float64{1, 9} {
+		ticket, _ := offerFor(g, "", 0, worth, 0)
+		g.Done(start, ticket, 100*time.Millisecond, false)
+	}
+	offerFor(g, "", 0, 9, 0)
+	var newest admit.Ticket
+	for range 3 {
+		newest, _ = offerFor(g, "hot", 0, 9, 0)
 	}
+	_, v := offerFor(g, "cold", 0, 1, 350*time.Millisecond) // needs 500 ms, 400 in place of one call
+	is.Equal(v, admit.Refuse)
+	is.Equal(len(g.Pending()), 0)
+	_, v = offerFor(g, "cold", 0, 1, 450*time.Millisecond)
+	is.Equal(v, admit.Wait)
+	is.Equal(g.Pending()[0].Ticket, newest)
 }
