--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -103,6 +103,11 @@
 // drains after that, it refuses the next call as not run, and the report that
 // comes with the refusal renews the 30 s.
 //
+// # Explanations
+//
+// Explain lists the targets as the next decision would see them, with what excludes them, and
+// changes nothing.
+//
 // # Usage
 //
 //	p := route.New(route.Options{Self: self, DataCentre: dc, Distance: distance, Seed: seed})
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -74,6 +74,11 @@
 	return p.subset[i].target, true
 }
 
+// isUntried reports whether m takes calls and hasn't been tried for the present one.
+func (p *Picker) isUntried(now time.Duration, m *member) bool {
+	return m.isUsable(now) && (len(p.tried) == 0 || !slices.Contains(p.tried, m.target.ID()))
+}
+
 // CountUsable returns the number of targets in the subset that take calls, those
 // excluded that are suspended or weren't reached a moment ago.
 func (p *Picker) CountUsable(now time.Time) int {
--- a/core/route/suspend.go
+++ b/core/route/suspend.go
@@ -79,19 +79,24 @@
 	if now < m.unreachedUntil {
 		return true
 	}
-	if !m.suspended && m.oldestSinceResume != noCall && p.calls.oldestAge(now, m) > p.stragglerAge(m) {
+	if !m.suspended && p.isStraggler(now, m) {
 		p.suspend(now, m)
 	}
-	return m.suspended && p.suspendedCount*2 <= len(p.subset)
+	return m.suspended && p.suspensionsApply(p.suspendedCount)
 }
 
+// isStraggler reports whether the oldest call to m is too old.
+func (p *Picker) isStraggler(now time.Duration, m *member) bool {
+	return m.oldestSinceResume != noCall && p.calls.oldestAge(now, m) > p.stragglerAge(m)
+}
+
+// suspensionsApply reports whether n suspended targets of the subset are few enough.
+func (p *Picker) suspensionsApply(n int) bool { return n*2 <= len(p.subset) }
+
 // takeTrial reports whether the suspended m gets a trial call now. It moves
 // the next trial, so that a second decision before Start doesn't add another.
 func (p *Picker) takeTrial(now time.Duration, m *member) bool {
-	if len(p.tried) > 0 || m.trials > 0 || now < m.nextTrial || now < m.unreachedUntil {
-		return false
-	}
-	if p.picks-p.lastTrialPick < picksPerTrial && now-p.lastTrialAt < maxBackoff {
+	if !p.isTrialDue(now, m, p.picks) {
 		return false
 	}
 	p.lastTrialAt, p.lastTrialPick = now, p.picks
@@ -99,6 +104,15 @@
 	return true
 }
 
+// isTrialDue reports whether the suspended m gets a trial call in a decision, the given
+// number of which were made with it.
+func (p *Picker) isTrialDue(now time.Duration, m *member, picks uint64) bool {
+	if len(p.tried) > 0 || m.trials > 0 || now < m.nextTrial || now < m.unreachedUntil {
+		return false
+	}
+	return picks-p.lastTrialPick >= picksPerTrial || now-p.lastTrialAt >= maxBackoff
+}
+
 // finishTrial resumes m after a trial call that succeeded fast enough. Otherwise
 // it schedules the next one, after twice the pause if the call was slow, failed or
 // ended early.
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"trefoilthread/core/types"
@@ -34,8 +33,7 @@
 // Usable reports whether target i takes calls and hasn't been tried for the
 // present one.
 func (v View) Usable(i int) bool {
-	m := v.p.subset[i]
-	return m.isUsable(v.now) && (len(v.p.tried) == 0 || !slices.Contains(v.p.tried, m.target.ID()))
+	return v.p.isUntried(v.now, v.p.subset[i])
 }
 
 // Target returns target i.
