--- a/core/quota/owner_test.go
+++ b/core/quota/owner_test.go
@@ -150,3 +150,24 @@
 	_, ok = a.Take(in(0))
 	is.True(!ok) // came too late
 }
+
+// Guards against a forecast that differs from what a request meets, and against one that
+// takes a token.
+func TestMayServeIsWhatARequestMeets(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, silent, owners := quota.NewAsker(), quota.NewSilent(), []string{"n1"}
+	is.True(!a.MayServe(now, nil, silent))   // no owner
+	is.True(a.MayServe(now, owners, silent)) // it may be asked
+	a.Granted(now, now, "n1", quota.Grant{Entitled: true, Wait: quota.MaxHint})
+	is.True(!a.MayServe(now, owners, silent)) // out of tokens
+	is.True(a.IsUsedUp(now, owners))
+	a.Granted(now, now, "n1", quota.Grant{Entitled: true, Count: 1, Wait: quota.MaxHint})
+	for range 3 {
+		is.True(a.MayServe(now, owners, silent)) // a token is here
+	}
+	_, ok := a.Take(now)
+	is.True(ok && !a.MayServe(now, owners, silent))
+	silent.Note(now, "n1")
+	is.True(!a.MayServe(now.Add(quota.MaxHint), owners, silent)) // the owner doesn't answer
+}
--- a/core/vhost/route.go
+++ b/core/vhost/route.go
@@ -62,6 +62,9 @@
 // IsPublic reports whether requests need no API key.
 func (r *Route) IsPublic() bool { return r.spec.Public }
 
+// Services returns the traffic split.
+func (r *Route) Services() []WeightedService { return slices.Clone(r.spec.Services) }
+
 // Service returns the service for a request whose id hashes to h. The result
 // depends on h alone. Over uniformly distributed hashes each service gets a
 // share of the requests in proportion to its weight.
