io/agent: explain where a request would go

Operators had to put together from log lines of several daemons where a request goes and why.

POST /explain at the metrics address returns route, customer, age of the knowledge, services, targets with scores and what excludes them, the forecast of the own gate, whether a body is offered, when a hedge would be sent, and the refusal. It asks the functions of the real path: identify, refuseByQuota and missingTarget are split into the decision and its effects.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -68,7 +68,8 @@
 	fresh        *freshness
 	quotas       *quotas
 	since        atomic.Int64 // since when the store has a record of this agent, in Unix milliseconds
-	startQuotas  func()       // called when there are customers
+	explainer    *explainer
+	startQuotas  func() // called when there are customers
 	client       *mesh.Client
 	server       *mesh.Server
 	front        *front.Server
@@ -152,6 +153,7 @@
 		callerService: func() types.ServiceName { return *a.service.Load() }, send: a.send, observeVersion: a.observeVersion,
 		suspects: a.suspects, stop: a.stop.Load, fresh: a.fresh, staleLines: newStaleLines(), quotas: a.quotas,
 	}
+	a.explainer = &explainer{entry: e, target: a.target}
 	a.front = front.New(front.Options{
 		Handle: e.handle, Bounds: a.bounds, Clock: o.Clock,
 		Refuse: e.refuse, Held: e.recordHold,
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -99,12 +99,8 @@
 func (b *balancer) service(name types.ServiceName) *serviceState {
 	s := b.services[name]
 	if s == nil {
-		s = &serviceState{picker: route.New(route.Options{
-			Self: types.TargetID(b.settings.Node), DataCentre: b.settings.DataCentre, Subset: subsetSize,
-			Distance: b.distance, Seed: b.seed, Link: b.settings.Link,
-		})}
+		s = &serviceState{picker: b.newPicker(name)}
 		b.services[name] = s
-		s.picker.Update(b.clock.Now(), b.targets(name))
 	}
 	switch {
 	case s.budget == nil:
@@ -116,6 +112,16 @@
 	return s
 }
 
+// newPicker returns a picker of the present targets of a service, with the lock held.
+func (b *balancer) newPicker(name types.ServiceName) *route.Picker {
+	p := route.New(route.Options{
+		Self: types.TargetID(b.settings.Node), DataCentre: b.settings.DataCentre, Subset: subsetSize,
+		Distance: b.distance, Seed: b.seed, Link: b.settings.Link,
+	})
+	p.Update(b.clock.Now(), b.targets(name))
+	return p
+}
+
 // retryOptions returns this agent's part of the retries that n agents may make together.
 func (b *balancer) retryOptions(n int) retry.BudgetOptions {
 	return retry.FleetLimit{
--- a/io/agent/customer.go
+++ b/io/agent/customer.go
@@ -20,6 +20,7 @@
 	staleLinesPerSecond = 1
 
 	reasonStale = "configuration not known well enough for API keys"
+	reasonNoKey = "no API key, or more than one"
 )
 
 // identity is who sends a request.
@@ -31,20 +32,34 @@
 // identify returns the customer of a request, or the response to a request that may not
 // run. k is the knowledge from before t was taken.
 func (e *entry) identify(info RequestInfo, t *vhost.Table, r *vhost.Route, k knowledge) (identity, *httpw.Response) {
-	if !t.HasCustomers() || r.IsPublic() {
+	if !needsKey(t, r) {
 		return identity{}, nil
 	}
-	if info.Key == "" {
-		return identity{}, e.rejectKey(info, "no API key, or more than one")
+	c, isKnown := t.CustomerOf(info.Key)
+	switch reason := keyRefusal(info.Key != "", isKnown, k); reason {
+	case "":
+		return identity{customer: c, until: k.until}, nil
+	case reasonStale:
+		return identity{}, e.refuseStale(info)
+	default:
+		return identity{}, e.rejectKey(info, reason)
 	}
-	c, ok := t.CustomerOf(info.Key)
+}
+
+// needsKey reports whether requests of a route need an API key.
+func needsKey(t *vhost.Table, r *vhost.Route) bool { return t.HasCustomers() && !r.IsPublic() }
+
+// keyRefusal returns why a request whose route needs an API key may not run, "" if it may.
+func keyRefusal(hasKey, isKnown bool, k knowledge) string {
 	switch {
-	case !k.isRecent, !ok && k.mayLack:
-		return identity{}, e.refuseStale(info)
-	case !ok:
-		return identity{}, e.rejectKey(info, "unknown API key")
+	case !hasKey:
+		return reasonNoKey
+	case !k.isRecent, !isKnown && k.mayLack:
+		return reasonStale
+	case !isKnown:
+		return "unknown API key"
 	}
-	return identity{customer: c, until: k.until}, nil
+	return ""
 }
 
 // rejectKey returns the response to a request without a valid key.
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -15,6 +15,11 @@
 	"trefoilthread/io/mesh"
 )
 
+const (
+	reasonNoTarget   = "no target known"
+	reasonAllDrained = "all data centres of the service are drained"
+)
+
 // dispatch sends one request to one target after another until it has a final response.
 type dispatch struct {
 	entry    *entry
@@ -122,10 +127,10 @@
 // missingTarget returns why there is no target for the first attempt.
 func (d *dispatch) missingTarget() string {
 	if !d.entry.balancer.isDrained(d.request.service) {
-		return "no target known"
+		return reasonNoTarget
 	}
 	d.entry.metrics.countEvent("requests_drained")
-	return "all data centres of the service are drained"
+	return reasonAllDrained
 }
 
 // hedgeTimer returns a channel that fires when the first attempt has taken longer than
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -23,6 +23,8 @@
 // the time of a request.
 const memoryRetryDelay = 500 * time.Millisecond
 
+const reasonNoID = "request lacks an id or has an unreadable deadline"
+
 // entry handles the requests of callers: it finds the route, chooses targets and returns
 // the response.
 type entry struct {
@@ -50,8 +52,8 @@
 	now := e.clock.Now()
 	info, ok := e.wire.ReadRequestInfo(req)
 	if !ok {
-		e.logRejected(info, "", http.StatusBadRequest, "request lacks an id or has an unreadable deadline")
-		return plain(http.StatusBadRequest, "request lacks an id or has an unreadable deadline")
+		e.logRejected(info, "", http.StatusBadRequest, reasonNoID)
+		return plain(http.StatusBadRequest, reasonNoID)
 	}
 	k := e.fresh.now() // before the table is taken, which may be replaced by a later one
 	t := e.table.get()
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -240,3 +240,6 @@
 	r := a.target.gate.Report()
 	return r.InFlight + r.Queued
 }
+
+// Explain exposes the explanation of a request.
+func Explain(a *Agent, r *ExplainRequest) (*Explanation, int, string) { return a.explainer.explain(r) }
--- a/io/agent/listen.go
+++ b/io/agent/listen.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 )
 
 const (
@@ -30,7 +31,7 @@
 	go a.runServer("callers", func() error { return a.front.Serve(callers) })
 	go a.runServer("mesh", func() error { return a.server.Serve(links) })
 	for addr, h := range map[string]http.Handler{
-		set.Ready: a.opts.ReadyHandler(a), set.Control: a.opts.ControlHandler(a), set.Metrics: a.opts.Metrics,
+		set.Ready: a.opts.ReadyHandler(a), set.Control: a.opts.ControlHandler(a), set.Metrics: a.metricsHandler(),
 	} {
 		if addr == "" {
 			continue
@@ -42,6 +43,17 @@
 	return nil
 }
 
+// metricsHandler serves Settings.Metrics, an address for operators: the metrics, and
+// explanations.
+func (a *Agent) metricsHandler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle(ExplainPath, a.explainer).Methods(http.MethodPost)
+	if a.opts.Metrics != nil {
+		r.PathPrefix("/").Handler(a.opts.Metrics)
+	}
+	return r
+}
+
 // listenAt opens one address of the settings.
 func (a *Agent) listenAt(addr string) (net.Listener, error) {
 	if a.opts.Listen != nil {
--- a/io/agent/quotaentry.go
+++ b/io/agent/quotaentry.go
@@ -16,16 +16,13 @@
 // refuseByQuota returns the response to a request without a token, nil if it may be
 // dispatched. The request has not run and never will.
 func (e *entry) refuseByQuota(q *request, v quotaVerdict) *httpw.Response {
-	var reason string
-	respond := e.wire.Refusal
-	status := http.StatusServiceUnavailable
-	switch v.result {
-	case withinQuota:
+	reason, status := v.result.refusal()
+	if reason == "" {
 		return nil
-	case overQuota:
-		reason, respond, status = "over the customer's quota", e.wire.TooMany, http.StatusTooManyRequests
-	default:
-		reason = "quota of the customer unknown"
+	}
+	respond := e.wire.Refusal
+	if status == http.StatusTooManyRequests {
+		respond = e.wire.TooMany
 	}
 	// A customer far over its quota would use up the log rate needed for failures.
 	if e.metrics.mayLogRoutine(e.clock.Now()) {
--- a/io/agent/quotatake.go
+++ b/io/agent/quotatake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 
 	"trefoilthread/core/quota"
@@ -20,6 +21,18 @@
 	noQuotaOwner
 )
 
+// refusal returns why a request with the result is refused and with which status, "" if it
+// isn't.
+func (r quotaResult) refusal() (reason string, status int) {
+	switch r {
+	case withinQuota:
+		return "", 0
+	case overQuota:
+		return "over the customer's quota", http.StatusTooManyRequests
+	}
+	return "quota of the customer unknown", http.StatusServiceUnavailable
+}
+
 // quotaVerdict is the decision on a request.
 type quotaVerdict struct {
 	result   quotaResult
