cmd/trefoild: explain asks a daemon where a request would go

The command refuses headers with keys before it sends anything, and prints text or JSON. Errors: unknown host or customer, a daemon that isn't reached, has no configuration or is of an older version. The sessions ask daemons that run in the test's process with the stand-in of the store.

--- a/cmd/trefoild/main.go
+++ b/cmd/trefoild/main.go
@@ -5,6 +5,8 @@
 //	trefoild run [FILE]      run the daemon; FILE or $TREFOILTHREAD_NODE_FILE is its settings
 //	trefoild check FILE      check a settings file
 //	trefoild reference       print the settings as Markdown
+//	trefoild explain --at IP:PORT --host HOST --path PATH
+//	                         ask the daemon with this metrics address where a request would go now
 package main
 
 import (
@@ -20,6 +22,7 @@
 	Run       runCmd       `cmd:"" help:"Run the daemon beside a target."`
 	Check     checkCmd     `cmd:"" help:"Check a settings file."`
 	Reference referenceCmd `cmd:"" help:"Print the settings as Markdown."`
+	Explain   explainCmd   `cmd:"" help:"Ask a daemon where a request would go now, without sending it."`
 }
 
 type checkCmd struct {
--- a/cmd/trefoild/main_test.go
+++ b/cmd/trefoild/main_test.go
@@ -34,12 +34,14 @@
 }
 
 // Guards against accepting settings with an error, and against reporting the errors of a
-// file one at a time.
+// file one at a time; against an explanation that sends or prints a key, or lacks a reason.
 func TestSessions(t *testing.T) {
+	setAddresses := explainEnv(t)
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", filepath.Dir(binary)+string(os.PathListSeparator)+env.Getenv("PATH"))
+			setAddresses(env)
 			return nil
 		},
 	})
