--- a/cmd/trefoild/explain_test.go
+++ b/cmd/trefoild/explain_test.go
@@ -1,8 +1,8 @@
 package main_test
 
 import (
-	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -65,27 +65,40 @@
 	}
 	t.Cleanup(a.Stop)
 	if doc != "" {
-		announce(t, a, "http://"+set.Control+"/trefoilthread/Instances.Heartbeat/i-1", set.TargetAddr)
+		announce(t, set)
 	}
 	return set.Metrics
 }
 
-// announce announces the target until the daemon takes it and is ready.
-func announce(t *testing.T, a *agent.Agent, url, target string) {
+// announce announces the target until the daemon would serve a request with a key: it knows
+// its target then, and the owner of the customer's quota.
+func announce(t *testing.T, set agent.Settings) {
 	t.Helper()
-	beat := fmt.Sprintf(`{"address":%q,"born":1,"instanceInfo":{"service":"bookings","version":"v1","zone":"kl","slots":4},
-		"status":{"state":"ready","seq":1}}`, target)
+	heartbeat := fmt.Sprintf(`{"address":%q,"born":1,"instanceInfo":{"service":"bookings","version":"v1","zone":"kl","slots":4},
+		"status":{"state":"ready","seq":1}}`, set.TargetAddr)
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		resp, err := http.Post(url, "application/json", bytes.NewReader([]byte(beat)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK && a.IsReady() {
+		post(t, "http://"+set.Control+"/trefoilthread/Instances.Heartbeat/i-1", heartbeat)
+		x := post(t, "http://"+set.Metrics+agent.ExplainPath, `{"host":"a.example","path":"/look/","customer":"north"}`)
+		if strings.Contains(x, `"target":"i-1"`) && !strings.Contains(x, "refusal") {
 			return
 		}
 	}
-	t.Fatal("daemon isn't ready")
+	t.Fatal("daemon would serve no request")
+}
+
+// post returns the body of the response.
+func post(t *testing.T, url, body string) string {
+	t.Helper()
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
 }
 
 // explainEnv starts the daemons that the sessions ask, and returns their addresses.
