--- a/core/route/explain_test.go
+++ b/core/route/explain_test.go
@@ -11,35 +11,27 @@
 	"trefoilthread/core/types"
 )
 
-// script is a random history of a picker, which is replayed for a second one.
+// script is a random history of a picker, which is replayed for a second one. A step has
+// numbers for its kind, target, pause and state.
 type script struct {
 	dcs   []types.DataCentre // of the targets
 	opts  route.Options
-	steps []step
-}
-
-type step struct {
-	kind, target int
-	pause        time.Duration
-	state        types.TargetState
+	steps [][4]uint8
+	open  int           // targets that get a call after the steps
+	idle  time.Duration // after that, which makes stragglers and lets trial calls be due
 }
 
 func drawScript(t *rapid.T) script {
-	s := script{opts: route.Options{Seed: rapid.Uint64().Draw(t, "seed"), DataCentre: "a", Subset: rapid.IntRange(1, 8).Draw(t, "subset")}}
-	s.opts.Distance = func(from, to types.DataCentre) time.Duration {
-		return time.Duration(from[0]^to[0]) * ms(3)
-	}
-	for range rapid.IntRange(1, 9).Draw(t, "targets") {
-		s.dcs = append(s.dcs, rapid.SampledFrom([]types.DataCentre{"a", "b", "p"}).Draw(t, "dc"))
-	}
-	for range rapid.IntRange(0, 60).Draw(t, "steps") {
-		s.steps = append(s.steps, step{
-			rapid.IntRange(0, 8).Draw(t, "kind"), rapid.IntRange(0, len(s.dcs)-1).Draw(t, "target"),
-			ms(rapid.SampledFrom([]int{0, 1, 60, 700, 6000}).Draw(t, "pause")),
-			rapid.SampledFrom([]types.TargetState{types.Up, types.Draining, types.Down}).Draw(t, "state"),
-		})
+	return script{
+		dcs: rapid.SliceOfN(rapid.SampledFrom([]types.DataCentre{"a", "b", "p"}), 1, 9).Draw(t, "dcs"),
+		opts: route.Options{
+			Seed: rapid.Uint64().Draw(t, "seed"), DataCentre: "a", Subset: rapid.IntRange(1, 8).Draw(t, "subset"),
+			Distance: func(from, to types.DataCentre) time.Duration { return time.Duration(from[0]^to[0]) * ms(3) },
+		},
+		steps: rapid.SliceOfN(rapid.Make[[4]uint8](), 0, 60).Draw(t, "steps"),
+		open:  rapid.IntRange(0, 9).Draw(t, "open"),
+		idle:  ms(rapid.SampledFrom([]int{0, 700, 6000}).Draw(t, "idle")),
 	}
-	return s
 }
 
 // replay returns a picker with the history of s and the time after it. each is called before
@@ -53,9 +45,9 @@
 	var open []route.Token
 	for _, st := range s.steps {
 		each(p, now)
-		now = now.Add(st.pause)
-		id := list[st.target].ID()
-		switch st.kind {
+		now = now.Add(ms([]int{0, 1, 60, 700, 6000}[st[2]%5]))
+		x := &list[int(st[1])%len(list)]
+		switch id := x.ID(); st[0] % 8 {
 		case 0: // a call that stays open, which may make a straggler
 			open = append(open, p.Start(now, id))
 		case 1:
@@ -65,7 +57,7 @@
 		case 2:
 			p.Finish(now, p.Start(now, id), route.Result{Unreached: true, Outcome: types.NotRun})
 		case 3:
-			list[st.target] = list[st.target].WithState(st.state)
+			*x = x.WithState(types.TargetState(st[3] % 3))
 			p.Update(now, list)
 		case 4:
 			if len(open) > 0 {
@@ -73,20 +65,19 @@
 				open = open[1:]
 			}
 		case 5:
-			if x, ok := p.Pick(now, nil); ok {
-				open = append(open, p.Start(now, x.ID()))
+			if y, ok := p.Pick(now, nil); ok {
+				open = append(open, p.Start(now, y.ID()))
 			}
 		case 6:
-			completeCall(p, now, id, withReport(types.ReportSpec{InFlight: st.target, Incarnation: 1, Rate: 13, RateLasts: time.Second}))
-		case 7: // open calls at several targets, which may make more than half stragglers
-			for _, x := range list[st.target:] {
-				open = append(open, p.Start(now, x.ID()))
-			}
+			completeCall(p, now, id, withReport(types.ReportSpec{InFlight: int(st[3] % 9), Incarnation: 1, Rate: 13, RateLasts: time.Second}))
 		default:
 			completeCall(p, now, id, route.Result{Latency: ms(5)})
 		}
 	}
-	return p, now
+	for _, x := range list[:min(s.open, len(list))] {
+		p.Start(now, x.ID())
+	}
+	return p, now.Add(s.idle)
 }
 
 func ignore(*route.Picker, time.Time) {}
@@ -95,7 +86,6 @@
 func TestPickChoosesAnEligibleTarget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p, now := drawScript(t).replay(ignore)
-		now = now.Add(ms(rapid.SampledFrom([]int{0, 700}).Draw(t, "idle"))) // makes stragglers
 		var tried []types.TargetID
 		for {
 			n := rapid.SampledFrom([]int{0, 60_000}).Draw(t, "bytes")
@@ -123,9 +113,6 @@
 		s := drawScript(t)
 		s.dcs = []types.DataCentre{"a", "a", "b", "b", "p", "p"}[:min(6, len(s.dcs))]
 		s.opts.Subset = 8
-		for i := range s.steps {
-			s.steps[i].target %= len(s.dcs)
-		}
 		p, now := s.replay(ignore)
 		tried := []types.TargetID{"other"}
 		for range 20 { // suspends all stragglers
