--- a/core/retry/hedgelimit.go
+++ b/core/retry/hedgelimit.go
@@ -44,6 +44,18 @@
 // Take decides about a hedge. If it returns NotHeld, it has used one of the limit and one of
 // the retries.
 func (l *HedgeLimit) Take(now time.Time, v HedgeView, retries *Budget) Hold {
+	if h := l.Check(v); h != NotHeld {
+		return h
+	}
+	if !retries.Take(now) {
+		return HeldByRetries
+	}
+	l.tokens--
+	return NotHeld
+}
+
+// Check is Take without the retry budget. It uses nothing.
+func (l *HedgeLimit) Check(v HedgeView) Hold {
 	switch {
 	case v.IsStopping:
 		return HeldByStop
@@ -55,9 +67,6 @@
 		return HeldByCold
 	case l.tokens < 1:
 		return HeldByShare
-	case !retries.Take(now):
-		return HeldByRetries
 	}
-	l.tokens--
 	return NotHeld
 }
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -100,12 +100,8 @@
 func (b *balancer) service(name types.ServiceName) *serviceState {
 	s := b.services[name]
 	if s == nil {
-		s = &serviceState{picker: route.New(route.Options{
-			Self: types.TargetID(b.settings.Node), DataCentre: b.settings.DataCentre, Subset: subsetSize,
-			Distance: b.distance, Seed: b.seed, Link: b.settings.Link,
-		}), hedges: retry.NewHedgeLimit(b.settings.HedgeShare)}
+		s = b.newState(name)
 		b.services[name] = s
-		s.picker.Update(b.clock.Now(), b.targets(name))
 	}
 	switch {
 	case s.budget == nil:
@@ -117,6 +113,21 @@
 	return s
 }
 
+// newState returns the state of a service that had no call so far.
+func (b *balancer) newState(name types.ServiceName) *serviceState {
+	return &serviceState{picker: b.newPicker(name), hedges: retry.NewHedgeLimit(b.settings.HedgeShare)}
+}
+
+// newPicker returns a picker of the present targets of a service, with the lock held.
+func (b *balancer) newPicker(name types.ServiceName) *route.Picker {
+	p := route.New(route.Options{
+		Self: types.TargetID(b.settings.Node), DataCentre: b.settings.DataCentre, Subset: subsetSize,
+		Distance: b.distance, Seed: b.seed, Link: b.settings.Link,
+	})
+	p.Update(b.clock.Now(), b.targets(name))
+	return p
+}
+
 // retryOptions returns this agent's part of the retries that n agents may make together.
 func (b *balancer) retryOptions(n int) retry.BudgetOptions {
 	return retry.FleetLimit{
