io/agent: end the cold time on health checks only

An announcement was taken to be 50 ms old. One that came later than that and said that the target is warm ended a cold time that had begun since, and counted as information for a second; one that named a shorter cold time took the place of what a health check had said. Announcements now only prolong the cold time. They show that a target is warm only where the service has no health path.

--- a/core/cold/tracker.go
+++ b/core/cold/tracker.go
@@ -38,10 +38,7 @@
 // message was sent at the earliest at sent. Information that was sent before the last event
 // or before other information can only prolong the cold time.
 func (t *Tracker) Hear(sent, arrived time.Time, remaining time.Duration) {
-	until := arrived.Add(remaining)
-	if remaining > 0 && until.After(t.until) {
-		t.until = until
-	}
+	t.Prolong(arrived, remaining)
 	if sent.Before(t.sentAt) || !sent.After(t.presumedAt) {
 		return
 	}
@@ -50,7 +47,16 @@
 		t.until, t.warmAt = time.Time{}, sent
 		return
 	}
-	t.until = until
+	t.until = arrived.Add(remaining)
+}
+
+// Prolong records that the target has said how much longer it is cold, in a message of which it
+// is unknown when it was sent. It doesn't show that the target is warm, or warm earlier than it
+// has said before.
+func (t *Tracker) Prolong(arrived time.Time, remaining time.Duration) {
+	if until := arrived.Add(remaining); remaining > 0 && until.After(t.until) {
+		t.until = until
+	}
 }
 
 // isConfirmed reports whether information was sent after the last event.
--- a/core/cold/tracker_test.go
+++ b/core/cold/tracker_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+// Guards against a late message that ends the cold time, shortens it, or takes the place of a
+// health check.
+func TestTrackerProlong(t *testing.T) {
+	is := is.New(t)
+	c := cold.New(begin)
+	c.Prolong(atMs(10), 0)
+	is.Equal(c.Remaining(atMs(10), checked), forMs(2990))
+	is.True(c.NeedsCheck(atMs(10)))
+	c.Hear(atMs(20), atMs(22), forMs(900))
+	c.Prolong(atMs(30), forMs(100))
+	is.Equal(c.Remaining(atMs(30), checked), forMs(892))
+	c.Prolong(atMs(40), forMs(1200))
+	is.Equal(c.Remaining(atMs(40), checked), forMs(1200))
+	c.Hear(atMs(50), atMs(52), 0)
+	is.True(!c.IsCold(atMs(52), checked))
+}
+
 // Guards against calls that go to a target on information older than a tenth of a second, or
 // from before an event, without a health check.
 func TestTrackerNeedsCheck(t *testing.T) {
--- a/io/agent/cold.go
+++ b/io/agent/cold.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// maxAnnouncementDelay is the time that an announcement may have taken to arrive: it
-	// doesn't show that the target was warm after an event that is more recent.
+	// maxAnnouncementDelay is the time that an announcement may have taken to arrive at
+	// targets without health checks: it doesn't show that the target was warm after an event
+	// that is more recent.
 	maxAnnouncementDelay = 50 * time.Millisecond
 	// coldProbeRetryDelay takes the place of probeRetryDelay at targets that may be cold.
 	// During the longer delay a target that turned cold would go unnoticed.
@@ -44,12 +45,17 @@
 	return probeRetryDelay
 }
 
-// hearCold records how much longer the target is cold, as it has said in a message that was
-// sent at the earliest at sent.
-func (t *localTarget) hearCold(sent time.Time, remaining time.Duration) {
+// hearAnnouncement records how much longer the target is cold, as an announcement says that
+// came just now. It may have been under way for seconds, so it can only prolong the cold time;
+// health checks show that it is over. Without them, announcements have to.
+func (t *localTarget) hearAnnouncement(remaining time.Duration) {
 	t.mu.Lock()
 	now := t.clock.Now()
-	t.cold.Hear(sent, now, remaining)
+	if s := t.localService(); s.ColdRate > 0 && s.HealthPath == "" {
+		t.cold.Hear(now.Add(-maxAnnouncementDelay), now, remaining)
+	} else {
+		t.cold.Prolong(now, remaining)
+	}
 	after := t.updateCold(now)
 	t.mu.Unlock()
 	after()
@@ -60,15 +66,18 @@
 // host.
 func (t *localTarget) hearHealth(cur beat.Announcement, sent time.Time, remaining time.Duration) {
 	t.mu.Lock()
-	if now, _ := t.announced.Current(); now.ID != cur.ID || now.Born != cur.Born {
+	if known, _ := t.announced.Current(); known.ID != cur.ID || known.Born != cur.Born {
 		t.mu.Unlock()
 		return // the target has been replaced since
 	}
+	now := t.clock.Now()
 	if remaining > 0 && t.localService().ColdRate > 0 {
-		t.pace.SetWarmup(t.clock.Now(), remaining)
+		t.pace.SetWarmup(now, remaining)
 	}
+	t.cold.Hear(sent, now, remaining)
+	after := t.updateCold(now)
 	t.mu.Unlock()
-	t.hearCold(sent, remaining)
+	after()
 }
 
 // presumeCold records an event after which the target may be cold.
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -98,14 +98,13 @@
 // announce applies an announcement of the target. If the target drains, the gate refuses
 // new calls by the time announce returns.
 func (t *localTarget) announce(a beat.Announcement) beat.Verdict {
-	sent := t.clock.Now().Add(-maxAnnouncementDelay)
 	v := t.apply("announcement", a.ID, func() beat.Verdict { return t.announced.Announce(a) })
 	if v != beat.Stale {
 		t.mu.Lock()
 		t.pace.SetWarmup(t.clock.Now(), a.Cold)
 		t.setGatePace()
 		t.mu.Unlock()
-		t.hearCold(sent, a.Cold)
+		t.hearAnnouncement(a.Cold)
 	}
 	return v
 }
