io/agent: record since when the store has the record, not since the start

Since in a record was the time at which its agent had started. An agent whose target started later, or whose record had been deleted, wrote a time from before its record was in the store. After a restart it then took its record for settled and granted tokens of quotas at once, while the owner before it may grant with knowledge of the store of up to 5 s. A stale listing had the same effect. The time is now that of the write that creates the record, and is kept only from a record that was read or replaced by compare-and-swap.

TestRecordTellsSinceWhenTheStoreHasIt failed before at each of the three places; it also shows that a restart still writes the record once.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -124,7 +124,7 @@
 	})
 	a.registration = newRegistration(registrationOptions{
 		store: o.Store, clock: o.Clock, log: o.Log, key: nodeKey(o.Settings.Node),
-		value: a.currentRecord,
+		value: a.currentRecord, onCreate: a.beginSince,
 	})
 	a.mirror = newMirror(mirrorOptions{
 		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
--- a/io/agent/claim.go
+++ b/io/agent/claim.go
@@ -65,6 +65,9 @@
 		return r.read(ctx)
 	}
 	r.rev, r.isRevKnown = listed.rev, true
+	if listed.rec != nil && listed.rec.Since > 0 {
+		rec.Since = min(rec.Since, listed.rec.Since) // else it would be written again
+	}
 	err := r.put(ctx, rec)
 	switch {
 	case err == nil:
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -104,6 +104,30 @@
 	return nodeKey(node), value
 }
 
+// WriteRecord reads the record of an earlier start if it isn't known yet, and writes that of
+// this one.
+func WriteRecord(ctx context.Context, a *Agent) error {
+	if !a.readRecord(ctx) {
+		return store.ErrUnavailable
+	}
+	return a.registration.write(ctx)
+}
+
+// ClaimRecord replaces the record of an earlier start by that of the announced target.
+func ClaimRecord(ctx context.Context, a *Agent) error {
+	cur, _ := a.target.announcedState()
+	if !a.claimRecord(ctx, cur) {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+// RecordSince returns since when the store has had a record, by its value.
+func RecordSince(key string, value []byte) (time.Time, error) {
+	_, rec, err := decodeRecord(key, value, 1)
+	return time.UnixMilli(rec.Since), err
+}
+
 // Mirror exposes mirror.
 type Mirror = mirror
 
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -46,11 +46,11 @@
 	}
 }
 
-// noteOwnRecord enters this agent as an owner of quotas. The record of an earlier start tells
-// since when the store has had one.
+// noteOwnRecord enters this agent as an owner of quotas. Its record tells since when the store
+// has had one. The first listing may be stale, so that time is kept only from a record that
+// registration has read or replaced.
 func (a *Agent) noteOwnRecord(it relay.Item) {
-	if _, rec, err := decodeRecord(it.Key, it.Value, it.Revision); err == nil && rec.Boot != a.boot {
-		a.keepSince(rec)
+	if _, rec, err := decodeRecord(it.Key, it.Value, it.Revision); err == nil {
 		a.quotas.setRestart(a.clock.Now().UnixMilli()-rec.Since >= quota.SettleTime.Milliseconds() && rec.Since > 0)
 	}
 	a.quotas.setRecord(a.opts.Settings.Node, a.opts.Settings.DataCentre)
@@ -58,7 +58,7 @@
 
 // removeOwnRecord notes that the store has no record of this agent.
 func (a *Agent) removeOwnRecord() {
-	a.since.Store(a.clock.Now().UnixMilli())
+	a.beginSince()
 	a.quotas.setRestart(false)
 }
 
--- a/io/agent/record.go
+++ b/io/agent/record.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// beginSince notes that the store has a record of this agent from now on.
+func (a *Agent) beginSince() int64 {
+	now := a.clock.Now().UnixMilli()
+	a.since.Store(now)
+	return now
+}
+
 // covers reports whether a stored record need not be replaced by rec: it is the same, or
 // says that the target drains while rec says that the same start of it has left. Neither
 // gets calls.
--- a/io/agent/registration.go
+++ b/io/agent/registration.go
@@ -33,6 +33,9 @@
 	key   string
 	// value returns the record that the store should have.
 	value func() storedRecord
+	// onCreate is called before a record is written that the store doesn't have. It returns
+	// the time since when the store has it.
+	onCreate func() (since int64)
 }
 
 // registration keeps this agent's record in the store. The record has no lease: it would
@@ -200,10 +203,6 @@
 func (r *registration) put(ctx context.Context, rec storedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	value, err := cbor.Marshal(rec)
-	if err != nil {
-		return errors.Wrap(err, "encode record")
-	}
 	if !r.isRevKnown {
 		it, err := r.store.Get(ctx, r.key)
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
@@ -211,6 +210,13 @@
 		}
 		r.rev, r.isRevKnown = it.Revision, true
 	}
+	if r.rev == 0 {
+		rec.Since = r.onCreate()
+	}
+	value, err := cbor.Marshal(rec)
+	if err != nil {
+		return errors.Wrap(err, "encode record")
+	}
 	rev, err := r.store.CompareAndSwap(ctx, r.key, r.rev, value, 0)
 	if err != nil {
 		r.isRevKnown = false
