io/agent: announcements that name no cold time change nothing

Since announcements no longer show that a target is warm, one that came at an idle target found information older than a second: the target turned cold, with a log line and a notice to its callers, until the health check before the next call. A target without calls now stays as it was until then.

TestIdleTargetDoesNotTurnCold counted one change more before, none now.

--- a/io/agent/cold.go
+++ b/io/agent/cold.go
@@ -51,9 +51,13 @@
 func (t *localTarget) hearAnnouncement(remaining time.Duration) {
 	t.mu.Lock()
 	now := t.clock.Now()
-	if s := t.localService(); s.ColdRate > 0 && s.HealthPath == "" {
+	switch s := t.localService(); {
+	case s.ColdRate > 0 && s.HealthPath == "":
 		t.cold.Hear(now.Add(-maxAnnouncementDelay), now, remaining)
-	} else {
+	case remaining <= 0:
+		t.mu.Unlock()
+		return // without calls there are no checks, and their age says nothing
+	default:
 		t.cold.Prolong(now, remaining)
 	}
 	after := t.updateCold(now)
