core/relay: forget deletions without lowering the floor of a listing

When a copy forgot its earliest deleted keys, the floor was set to the revision of the last of them, also if a listing had set a later one. A copy from before the listing was then told only the changes since, and kept keys that were deleted before the listing and were never known here: records, or the key of a drain that has ended.

TestForgettingKeepsTheListing failed before.

--- a/core/relay/copy.go
+++ b/core/relay/copy.go
@@ -133,7 +133,7 @@
 	}
 	sortItems(gone)
 	for _, it := range gone[:len(gone)/2] {
-		c.floor = it.Revision
+		c.floor = max(c.floor, it.Revision) // a listing may have set a later one
 		delete(c.items, it.Key)
 		c.deleted--
 	}
--- a/core/relay/copy_test.go
+++ b/core/relay/copy_test.go
@@ -111,3 +111,20 @@
 	items, whole = c.Since(rev - 200)
 	is.True(!whole && len(items) == 100)
 }
+
+// Guards against a copy that tells only changes of after a listing to one from before it, once
+// it has forgotten earlier deletions: that one would keep keys that were deleted before the
+// listing and were never known here.
+func TestForgettingKeepsTheListing(t *testing.T) {
+	is := is.New(t)
+	c := relay.NewCopy()
+	rev := int64(0)
+	for range 512 {
+		rev++
+		c.Apply([]relay.Item{gone(fmt.Sprint("k", rev), rev)}, rev)
+	}
+	c.Replace([]relay.Item{put("a", 1000)}, 2000)
+	c.Apply([]relay.Item{gone("z", 2001)}, 2001) // one too many
+	_, whole := c.Since(1500)
+	is.True(whole)
+}
