io/agent: a call whose time to start is over is refused

A further attempt that was sent after the time in which its request had to start carried 1 ms, and ran at a gate that started it within that. It now says that the time is over, and the gate refuses it as not run, as docs/design/keys.md has it.

TestCallSentTooLateIsRefused failed before: both late calls were run.

--- a/io/agent/customer.go
+++ b/io/agent/customer.go
@@ -83,8 +83,11 @@
 		return
 	}
 	head.Customer = string(q.identity.customer.Name())
-	if q.identity.until > 0 {
-		head.StartMs = max(1, (q.identity.until - elapsed()).Milliseconds())
+	if q.identity.until <= 0 {
+		return
+	}
+	if head.StartMs = (q.identity.until - elapsed()).Milliseconds(); head.StartMs <= 0 {
+		head.StartMs = -1 // 0 would be no bound
 	}
 }
 
@@ -98,7 +101,7 @@
 		return ""
 	}
 	waited := t.fresh.elapsed() - came
-	if !t.fresh.now().isRecent || head.StartMs > 0 && waited > time.Duration(head.StartMs)*time.Millisecond {
+	if !t.fresh.now().isRecent || head.StartMs != 0 && waited > time.Duration(head.StartMs)*time.Millisecond {
 		t.metrics.countEvent("calls_refused_stale")
 		return reasonStale
 	}
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -104,6 +104,14 @@
 	return nodeKey(node), value
 }
 
+// AddCustomer adds the customer with key k1 to a call that has to start before until and is
+// sent at a time of the clock.
+func AddCustomer(head *mesh.CallHead, t *vhost.Table, until, sent time.Duration) {
+	c, _ := t.CustomerOf("k1")
+	q := &request{identity: identity{customer: c, until: until}}
+	q.addCustomer(head, func() time.Duration { return sent })
+}
+
 // WriteRecord reads the record of an earlier start if it isn't known yet, and writes that of
 // this one.
 func WriteRecord(ctx context.Context, a *Agent) error {
--- a/io/agent/freshness_test.go
+++ b/io/agent/freshness_test.go
@@ -132,6 +132,29 @@
 	is.True(agent.MayAcceptKeys(a))
 }
 
+// Guards against a further attempt that starts after the time in which the request had to, as
+// it is sent when that time is over.
+func TestCallSentTooLateIsRefused(t *testing.T) {
+	is := is.New(t)
+	a := agent.New(agent.Options{
+		Settings: agent.Settings{Node: "self", DataCentre: "kl", KeyRevocation: 5 * time.Second, TargetAddr: newFlakyTarget(t, 1).ln.Addr().String()},
+		Wire:     flakyWire(), Log: logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
+		Elapsed: func() time.Duration { return time.Minute }, // no time passes on the way
+	})
+	agent.AnnounceTarget(a, beat.Announcement{ID: "i-1", Service: "bookings", Slots: 4, Born: 1, Sequence: 1})
+	agent.LearnStore(a)
+	serve := func(sent time.Duration) mesh.Result {
+		head := &mesh.CallHead{
+			ID: "r", Service: "bookings", Target: "i-1", Method: "GET", Path: "/", RemainingMs: 5000, GoalMs: 5000, Worth: 1,
+		}
+		agent.AddCustomer(head, quotaTable(1, 0), 30*time.Second, sent)
+		return agent.Serve(t.Context(), a, head).Result
+	}
+	is.True(serve(29*time.Second) != mesh.Refused)
+	is.Equal(serve(30*time.Second), mesh.Refused)
+	is.Equal(serve(31*time.Second), mesh.Refused)
+}
+
 // Guards against a call with a customer that starts although its agent doesn't know the
 // configuration any more, or after the time in which it had to start, as it has waited.
 func TestGateChecksKnowledge(t *testing.T) {
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -28,7 +28,7 @@
 	AtMostOnce  bool         `cbor:"15,keyasint,omitempty"`
 	Config      int64        `cbor:"16,keyasint,omitempty"` // configuration version by which the call was routed
 	Customer    string       `cbor:"17,keyasint,omitempty"` // customer whose API key the request had, "" if none
-	StartMs     int64        `cbor:"24,keyasint,omitempty"` // time left in which a call with a customer may start, 0 for no bound
+	StartMs     int64        `cbor:"24,keyasint,omitempty"` // time left in which a call with a customer may start, 0 for no bound, negative if it is over
 	BodyLen     int          `cbor:"30,keyasint,omitempty"` // of an offered call: length of the body, which is sent after a grant
 	// PeerLink is the speed of the link of the called daemon's VM in Mbit/s, 0 if unknown.
 	PeerLink float64 `cbor:"-"`
