core/link, io/agent: a drain refuses the offered calls that wait

Offered calls that waited for a grant when their data centre was drained went on waiting. Their bodies were granted when a slot became free, came over the link, and were refused then. They are now refused at once, as other waiting calls are, so their callers try another target earlier.

TestOfferIsRefusedByADrain failed before: the offer still waited after the drain was known.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -129,6 +129,16 @@
 	return events
 }
 
+// RefuseWaiting refuses all offers that wait, for a reason. Bodies under way go on.
+func (l *Link) RefuseWaiting(reason string) []Event {
+	var events []Event
+	for _, o := range l.waiting {
+		events = append(events, Event{ID: o.id, Reason: reason})
+	}
+	l.waiting = nil
+	return events
+}
+
 // transferTime returns the time that the body takes on the slower of the two links.
 func (l *Link) transferTime(o *offer) time.Duration {
 	return timeOf(o.Bytes, Slower(l.opts.Mbit, o.SenderMbit))
--- a/io/agent/drained.go
+++ b/io/agent/drained.go
@@ -103,13 +103,14 @@
 }
 
 // setDrained has the gate refuse calls while the data centre of the target is drained. Calls
-// that wait are refused at once, running ones go on.
+// that wait, for a slot or for the grant of their bodies, are refused at once; running ones go on.
 func (t *localTarget) setDrained(drained bool) {
 	t.mu.Lock()
 	t.drained = drained
 	var events []admit.Event
 	if drained {
 		events = t.gate.RefuseWaiting()
+		t.decided(t.link.RefuseWaiting(admit.ReasonDrained))
 	}
 	t.mu.Unlock()
 	t.deliver(events)
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -112,6 +112,13 @@
 	q.addCustomer(head, func() time.Duration { return sent })
 }
 
+// OffersWaiting returns the number of offered calls that wait for a grant.
+func OffersWaiting(a *Agent) int {
+	a.target.mu.Lock()
+	defer a.target.mu.Unlock()
+	return a.target.link.Waiting()
+}
+
 // WriteRecord reads the record of an earlier start if it isn't known yet, and writes that of
 // this one.
 func WriteRecord(ctx context.Context, a *Agent) error {
--- a/io/agent/offer.go
+++ b/io/agent/offer.go
@@ -75,13 +75,18 @@
 // decideOffers grants and refuses offered calls, with the lock held.
 func (t *localTarget) decideOffers(now time.Time) {
 	if t.link.Waiting() > 0 {
-		for _, ev := range t.link.Decide(now, t.gate) {
-			t.offers[ev.ID] <- ev
-		}
+		t.decided(t.link.Decide(now, t.gate))
 	}
 	t.metrics.setLinkBusy(t.link.Busy(now))
 }
 
+// decided passes decisions to the offered calls, with the lock held.
+func (t *localTarget) decided(events []link.Event) {
+	for _, ev := range events {
+		t.offers[ev.ID] <- ev
+	}
+}
+
 // noteBody counts n bytes of a granted body that have come.
 func (t *localTarget) noteBody(id link.ID, n int) {
 	t.mu.Lock()
--- a/io/agent/offer_test.go
+++ b/io/agent/offer_test.go
@@ -13,7 +13,9 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"trefoilthread/core/admit"
 	"trefoilthread/core/beat"
+	"trefoilthread/core/relay"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/agent"
@@ -63,9 +65,11 @@
 	is.NoErr(err)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
+	wire := flakyWire()
+	wire.DrainPrefix = "op/evacuate/"
 	s := &slotAgent{mesh: &countingListener{Listener: ln}, finish: make(chan struct{}, 10)}
 	s.Agent = agent.New(agent.Options{
-		Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000", Link: 11, BodyMemory: 1 << 20}, Wire: flakyWire(),
+		Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000", Link: 11, BodyMemory: 1 << 20}, Wire: wire,
 		Log: logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
 	})
 	agent.AnnounceTarget(s.Agent, beat.Announcement{ID: "t1", Born: 2, Sequence: 1, Service: "bookings", Slots: 1, Address: target.Addr().String()})
@@ -146,6 +150,37 @@
 	}
 }
 
+// Guards against an offered call that waits at a drained data centre until a slot is free, and
+// whose body then comes in vain.
+func TestOfferIsRefusedByADrain(t *testing.T) {
+	is := is.New(t)
+	s := newSlotAgent(t)
+	first, offered := make(chan error, 1), make(chan *mesh.Answer, 1)
+	go func() {
+		_, err := s.call("first", 0, patience)
+		first <- err
+	}()
+	for agent.IsTargetIdle(s.Agent) {
+		time.Sleep(time.Millisecond)
+	}
+	go func() {
+		ans, _ := s.call("waits", 60_000, patience)
+		offered <- ans
+	}()
+	for agent.OffersWaiting(s.Agent) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	agent.ApplyItems(s.Agent, []relay.Item{{Key: "op/evacuate/kl", Revision: 5}})
+	is.Equal(agent.OffersWaiting(s.Agent), 0)
+	s.finish <- struct{}{}
+	is.NoErr(<-first)
+	ans := <-offered
+	is.True(ans != nil)
+	is.Equal(ans.Result, mesh.Refused)
+	is.Equal(ans.Reason, admit.ReasonDrained)
+	is.True(s.mesh.bytes.Load() < 30_000)
+}
+
 // Guards against a request whose body was not sent, and that is reported as one that may have
 // run.
 func TestBodyNotSentIsNotRun(t *testing.T) {
