core/quota: two parts of a quota in each data centre; core/cold: check before a rush

Change: a quota has two parts in each data centre, one if it is small; a hint of an owner may be 125 ms, which keeps the number of token requests. A health check comes earlier if as many calls have started since as the bound has room for.

--- a/core/cold/bound.go
+++ b/core/cold/bound.go
@@ -23,11 +23,16 @@
 	return min(rate, b.calls(rate)-float64(burst)), burst
 }
 
+// Spare returns the number of calls that may start unseen at a target that has turned cold.
+func (b Bound) Spare(rate float64) int {
+	perSecond, burst := b.Limit(rate)
+	return max(0, int(math.Floor(b.calls(rate)-perSecond-float64(burst))))
+}
+
 // Debt returns how many starts a limiter has to make up for if the target turned cold unseen
 // and unseen calls have started since. It is at most what delays the next start by a second:
 // calls that started earlier no longer count.
 func (b Bound) Debt(rate float64, unseen int) int {
-	perSecond, burst := b.Limit(rate)
-	spare := b.calls(rate) - perSecond - float64(burst)
-	return max(0, min(unseen-int(math.Floor(spare)), int(perSecond)-1))
+	perSecond, _ := b.Limit(rate)
+	return max(0, min(unseen-b.Spare(rate), int(perSecond)-1))
 }
--- a/core/cold/doc.go
+++ b/core/cold/doc.go
@@ -11,8 +11,9 @@
 //     or broke off) the target is presumed cold until information that was sent later says
 //     otherwise.
 //   - Without information for a second the target counts as cold. The daemon makes a health
-//     check before the next call if the information is a tenth of a second old, so that
-//     happens only if checks fail or their budget is used up.
+//     check before the next call if the information is a tenth of a second old, or if as many calls
+//     have started since as the bound has room for, so that happens only if checks fail or
+//     their budget is used up.
 //
 // A target without health checks is presumed cold after an event for the configured time.
 //
@@ -23,7 +24,7 @@
 // # Usage
 //
 //	t := cold.New(now)
-//	if t.NeedsCheck(now) {
+//	if t.NeedsCheck(now, bound.Spare(13)) {
 //		t.Hear(sent, arrived, remaining)
 //	}
 //	if o := (cold.Options{Time: 3 * time.Second, HasChecks: true}); t.IsCold(now, o) {
--- a/core/cold/tracker.go
+++ b/core/cold/tracker.go
@@ -62,9 +62,10 @@
 // isConfirmed reports whether information was sent after the last event.
 func (t *Tracker) isConfirmed() bool { return t.sentAt.After(t.presumedAt) }
 
-// NeedsCheck reports whether a health check should come before the next call.
-func (t *Tracker) NeedsCheck(now time.Time) bool {
-	return !t.isConfirmed() || now.Sub(t.sentAt) > checkAge
+// NeedsCheck reports whether a health check should come before the next call: the information is
+// old, or more than spare calls have started since it said that the target isn't cold.
+func (t *Tracker) NeedsCheck(now time.Time, spare int) bool {
+	return !t.isConfirmed() || now.Sub(t.sentAt) > checkAge || !now.Before(t.until) && t.Unseen(now) > spare
 }
 
 // IsCold reports whether the target counts as cold.
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -8,7 +8,7 @@
 const (
 	// MaxHint is the longest time that an owner names until its next token. An asker that
 	// waits longer would leave tokens unused.
-	MaxHint = 100 * time.Millisecond
+	MaxHint = 125 * time.Millisecond
 	// minHint is the shortest such time: askers that wait less cost a message for each token.
 	minHint = 10 * time.Millisecond
 	// epsilon makes up for rounding: 0.1 s at 10 requests/s are one token.
@@ -17,7 +17,9 @@
 
 // bucket is the part of a customer's quota that one daemon may grant.
 type bucket struct {
-	limit    Limit     // of this part
+	whole    Limit     // of the customer
+	parts    int       // that this daemon owns
+	limit    Limit     // of these parts
 	tokens   float64   // as of filled
 	filled   time.Time // no token is added for the time before
 	since    time.Time // this daemon owns the customer since then, zero if it doesn't
--- a/core/quota/directory.go
+++ b/core/quota/directory.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -9,6 +10,13 @@
 	"trefoilthread/core/types"
 )
 
+// partsPerCentre is the number of parts of a quota in each data centre. With two, the loss of
+// a daemon costs half as much, and the parts of few lost daemons rarely meet in one customer.
+const partsPerCentre = 2
+
+// minBucket is the smallest size in tokens of a bucket of more than one part in a data centre.
+const minBucket = 3
+
 // Directory holds the daemons that have records in the store, by data centre. All daemons
 // have the same list of data centres.
 type Directory struct {
@@ -18,8 +26,8 @@
 	changes uint64
 }
 
-// NewDirectory returns a directory without daemons. Without data centres a customer has one
-// owner over all daemons.
+// NewDirectory returns a directory without daemons. Without data centres all daemons count as
+// one.
 func NewDirectory(centres []types.DataCentre) *Directory {
 	list := slices.Clone(centres)
 	slices.Sort(list)
@@ -30,8 +38,18 @@
 	}
 }
 
-// Len returns the number of parts of a quota.
-func (d *Directory) Len() int { return max(1, len(d.centres)) }
+// Parts returns the number of parts of a quota. A small quota has fewer, as its buckets would
+// hold hardly a token.
+func (d *Directory) Parts(l Limit) int { return max(1, len(d.centres)) * d.perCentre(l) }
+
+// perCentre returns the number of parts of a quota in one data centre.
+func (d *Directory) perCentre(l Limit) int {
+	centres := max(1, len(d.centres))
+	if centres*partsPerCentre > MaxOwners || l.Burst+extraBurst < float64(minBucket*centres*partsPerCentre) {
+		return 1
+	}
+	return partsPerCentre
+}
 
 // Changes returns a number that differs after each change.
 func (d *Directory) Changes() uint64 { return d.changes }
@@ -73,50 +91,49 @@
 	return dc
 }
 
-// Owner returns the owner of a customer in a data centre, "" if there is none.
-func (d *Directory) Owner(c types.CustomerName, dc types.DataCentre) string {
-	part := d.part(dc)
-	if len(d.centres) > 0 && !slices.Contains(d.centres, dc) {
-		return ""
+// Owned returns the number of parts of a customer's quota that a daemon owns in its data
+// centre. The parts go to the daemons in the order of their hashes, several to each if there
+// are too few.
+func (d *Directory) Owned(c types.CustomerName, l Limit, dc types.DataCentre, name string) int {
+	owners := d.ownersIn(c, dc)
+	rank := slices.Index(owners, name)
+	if rank < 0 {
+		return 0
+	}
+	n := 0
+	for i := rank; i < d.perCentre(l); i += len(owners) {
+		n++
 	}
-	return best(d.members[part], xxhash.Sum64String(string(c)))
+	return n
 }
 
-// Owners returns the owners of a customer in the order in which a daemon of a data centre
-// asks them: its own first, the others from there on, so that the daemons of different data
-// centres don't all turn to the same one next.
+// Owners returns the possible owners of a customer in the order in which a daemon of a data
+// centre asks them: those there first, the others from there on, so that the daemons of different
+// data centres don't all turn to the same one next.
 func (d *Directory) Owners(c types.CustomerName, from types.DataCentre) []string {
-	hash := xxhash.Sum64String(string(c))
 	if len(d.centres) == 0 {
-		return appendOwner(nil, best(d.members[""], hash))
+		return d.ownersIn(c, "")
 	}
 	first, _ := slices.BinarySearch(d.centres, from)
 	var list []string
 	for i := range d.centres {
-		dc := d.centres[(first+i)%len(d.centres)]
-		list = appendOwner(list, best(d.members[dc], hash))
+		list = append(list, d.ownersIn(c, d.centres[(first+i)%len(d.centres)])...)
 	}
 	return list
 }
 
-func appendOwner(list []string, name string) []string {
-	if name == "" {
-		return list
-	}
-	return append(list, name)
-}
-
-// best returns the member with the highest rendezvous hash, the first one by name of equals.
-func best(members map[string]uint64, customer uint64) string {
-	var name string
-	var top uint64
-	for m, hash := range members {
-		w := mix(hash + mix(customer))
-		if name == "" || w > top || w == top && m < name {
-			name, top = m, w
-		}
+// ownersIn returns the possible owners of a customer in a data centre: the members with the
+// highest rendezvous hashes, in order of the name if they are equal.
+func (d *Directory) ownersIn(c types.CustomerName, dc types.DataCentre) []string {
+	if len(d.centres) > 0 && !slices.Contains(d.centres, dc) {
+		return nil
 	}
-	return name
+	members := d.members[d.part(dc)]
+	customer := mix(xxhash.Sum64String(string(c)))
+	names := slices.SortedFunc(maps.Keys(members), func(a, b string) int {
+		return cmp.Or(cmp.Compare(mix(members[b]+customer), mix(members[a]+customer)), cmp.Compare(a, b))
+	})
+	return names[:min(len(names), partsPerCentre)]
 }
 
 // mix is the finalizer of SplitMix64, which spreads a change of any bit over all bits.
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -1,11 +1,12 @@
 // Package quota decides whether requests of customers are within their quotas over all
 // daemons.
 //
-// The quota of a customer is split evenly over data centres. In each of them one daemon
-// owns the customer's part: the one with the highest rendezvous hash of the daemon and the
-// customer among those with records in the store (Directory). It keeps a token bucket of
-// rate PerSecond/n and size (Burst+10)/n for n owners, which starts empty (Owner). Any
-// daemon that has a request of the customer asks the owners in turn, that of its own data
+// The quota of a customer is split into n equal parts, two for each data centre, or one for
+// small quotas. In each data centre, the daemons with the highest rendezvous hashes of the
+// daemon and the customer own them, among those with records in the store (Directory). An
+// owner keeps a token bucket of rate PerSecond/n and size (Burst+10)/n for each part, which
+// starts empty (Owner). Any
+// daemon that has a request of the customer asks the owners in turn, those of its own data
 // centre first (Asker). Unused parts therefore go where the demand is, and a failed owner
 // costs at most its part.
 //
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -1,6 +1,6 @@
 package quota
 
-// MaxOwners is the number of owners that a customer has at most. Data centres beyond it, in
+// MaxOwners is the number of parts that a quota has at most. Data centres beyond it, in
 // the order of their names, have none; their daemons ask those of the others.
 const MaxOwners = 10
 
@@ -16,8 +16,8 @@
 	Burst     float64
 }
 
-// share returns the part of one of n owners.
-func (l Limit) share(n int) Limit {
-	k := float64(max(n, 1))
-	return Limit{PerSecond: l.PerSecond / k, Burst: (l.Burst + extraBurst) / k}
+// share returns some of n parts.
+func (l Limit) share(parts, n int) Limit {
+	k := float64(parts) / float64(max(n, 1))
+	return Limit{PerSecond: l.PerSecond * k, Burst: (l.Burst + extraBurst) * k}
 }
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -63,16 +63,22 @@
 		}
 	}
 	for name, l := range limits {
-		l = l.share(o.dir.Len())
 		b := o.buckets[name]
+		parts := o.dir.Owned(name, l, o.dc, o.self)
+		whole := l
+		l = l.share(parts, o.dir.Parts(l))
 		switch {
-		case b == nil, (b.limit.PerSecond == 0) != (l.PerSecond == 0):
-			b = &bucket{limit: l, filled: now}
-			if o.dir.Owner(name, o.dc) == o.self {
+		case b == nil, (b.whole.PerSecond == 0) != (whole.PerSecond == 0):
+			b = &bucket{whole: whole, limit: l, parts: parts, filled: now}
+			if parts > 0 {
 				b.since = o.learned // at the earliest
 			}
 			o.buckets[name] = b
-		case b.limit != l:
+		case b.whole != whole:
+			if parts > b.parts { // another daemon may still have the others
+				b.since = o.learned
+			}
+			b.whole, b.parts = whole, parts
 			if start, ok := o.entitledFrom(b); ok && !now.Before(start) {
 				b.fill(now, start)
 			}
@@ -88,12 +94,17 @@
 	}
 	o.changes, o.learned = o.dir.Changes(), now
 	for name, b := range o.buckets {
-		switch isOwner := o.dir.Owner(name, o.dc) == o.self; {
-		case !isOwner:
+		parts := o.dir.Owned(name, b.whole, o.dc, o.self)
+		switch {
+		case parts == 0:
 			b.since = time.Time{}
-		case b.since.IsZero():
+		case parts > b.parts: // another daemon may still have the others
 			b.since = now
 		}
+		if parts != b.parts {
+			b.parts = parts
+			b.setLimit(b.whole.share(parts, o.dir.Parts(b.whole)))
+		}
 	}
 }
 
@@ -154,7 +165,7 @@
 	if b == nil || want <= 0 {
 		return Grant{}
 	}
-	if b.limit.PerSecond == 0 {
+	if b.whole.PerSecond == 0 {
 		return Grant{Entitled: true, Count: want}
 	}
 	start, ok := o.entitledFrom(b)
@@ -169,7 +180,7 @@
 func (o *Owner) Owned() int {
 	n := 0
 	for _, b := range o.buckets {
-		if !b.since.IsZero() && b.limit.PerSecond > 0 {
+		if !b.since.IsZero() && b.whole.PerSecond > 0 {
 			n++
 		}
 	}
--- a/core/quota/silent.go
+++ b/core/quota/silent.go
@@ -9,8 +9,9 @@
 	silentTime = 500 * time.Millisecond
 )
 
-// MaxWait bounds the wait of a request for the answers of n owners.
-func MaxWait(n int) time.Duration { return time.Duration(n) * AnswerTime }
+// MaxWait bounds the wait of a request for the answers of owners. Those that didn't answer
+// aren't asked for the next requests.
+const MaxWait = 4 * AnswerTime
 
 // Silent holds the owners that didn't answer, for all customers of a daemon.
 type Silent struct {
--- a/io/agent/cold.go
+++ b/io/agent/cold.go
@@ -33,7 +33,8 @@
 // needsColdCheck reports whether a health check has to say whether the target is cold, with
 // the lock held.
 func (t *localTarget) needsColdCheck(now time.Time) bool {
-	return t.localService().ColdRate > 0 && t.cold.NeedsCheck(now)
+	rate := t.localService().ColdRate
+	return rate > 0 && t.cold.NeedsCheck(now, t.coldBound.Spare(rate))
 }
 
 // probeRetryPause returns the time without health checks after a failed one, with the lock
--- a/io/agent/quotatake.go
+++ b/io/agent/quotatake.go
@@ -90,7 +90,7 @@
 		}
 		s.asker.Granted(now, now, node, q.grant(s.name, s.asker.Want(now, 1)))
 	}
-	w := &quotaWait{until: now.Add(quota.MaxWait(q.directory.Len())), verdict: make(chan quotaVerdict, 1)}
+	w := &quotaWait{until: now.Add(quota.MaxWait), verdict: make(chan quotaVerdict, 1)}
 	s.waiting = append(s.waiting, w)
 	return quotaVerdict{}, w
 }
