--- a/io/agent/drained_test.go
+++ b/io/agent/drained_test.go
@@ -23,7 +23,7 @@
 	is := is.New(t)
 	scope := tally.NewTestScope("", nil)
 	wire := flakyWire()
-	wire.DrainPrefix = "op/evacuate/"
+	wire.DrainPrefix = "drains/"
 	a := agent.New(agent.Options{
 		Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000"}, Wire: wire,
 		Log: logs.Discard(), Clock: clockwork.NewRealClock(), Scope: scope,
@@ -32,7 +32,7 @@
 		ID: "t1", Born: 1, Service: "bookings", Address: troubledTarget(t, "", true), Slots: 1,
 	})
 	drain := func(dc string, rev int64, deleted bool) float64 {
-		agent.ApplyItems(a, []relay.Item{{Key: "op/evacuate/" + dc, Revision: rev, Deleted: deleted}})
+		agent.ApplyItems(a, []relay.Item{{Key: "drains/" + dc, Revision: rev, Deleted: deleted}})
 		return scope.Snapshot().Gauges()["drained_data_centres+"].Value()
 	}
 	results := make(chan *mesh.Answer, 2)
--- a/io/agent/explain_test.go
+++ b/io/agent/explain_test.go
@@ -30,7 +30,7 @@
 func newExplained(perSecond float64, isRemote bool) explained {
 	x := explained{clock: clockwork.NewFakeClock(), scope: tally.NewTestScope("", nil)}
 	w := flakyWire()
-	w.DrainPrefix = "op/evacuate/"
+	w.DrainPrefix = "drains/"
 	w.WithoutKey = func(hdr httpw.Header) httpw.Header {
 		return hdr.Without(func(name string) bool { return strings.EqualFold(name, "Key") })
 	}
