--- a/io/agent/explain_test.go
+++ b/io/agent/explain_test.go
@@ -119,7 +119,7 @@
 }
 
 func (x explained) drain() {
-	agent.ApplyItems(x.Agent, []relay.Item{{Key: "op/evacuate/kl", Revision: 9}})
+	agent.ApplyItems(x.Agent, []relay.Item{{Key: "drains/kl", Revision: 9}})
 }
 
 // Guards against an explanation that takes a token or counts as a request, or that accepts a
--- a/io/agent/offer_test.go
+++ b/io/agent/offer_test.go
@@ -66,7 +66,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	wire := flakyWire()
-	wire.DrainPrefix = "op/evacuate/"
+	wire.DrainPrefix = "drains/"
 	s := &slotAgent{mesh: &countingListener{Listener: ln}, finish: make(chan struct{}, 10)}
 	s.Agent = agent.New(agent.Options{
 		Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000", Link: 11, BodyMemory: 1 << 20}, Wire: wire,
@@ -170,7 +170,7 @@
 	for agent.OffersWaiting(s.Agent) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	agent.ApplyItems(s.Agent, []relay.Item{{Key: "op/evacuate/kl", Revision: 5}})
+	agent.ApplyItems(s.Agent, []relay.Item{{Key: "drains/kl", Revision: 5}})
 	is.Equal(agent.OffersWaiting(s.Agent), 0)
 	s.finish <- struct{}{}
 	is.NoErr(<-first)
