--- a/core/admit/customers.go
+++ b/core/admit/customers.go
@@ -19,11 +19,11 @@
 
 // customers holds how the calls of each customer were served at a gate.
 type customers struct {
-	byName   map[types.CustomerName]*customer
-	served   float64 // average share of all calls that were served, since the first customer
-	lastTurn uint64
-	lastScan uint64
-	owedLast bool // the last start was that of a customer with precedence
+	byName             map[types.CustomerName]*customer
+	served             float64 // average share of all calls that were served, since the first customer
+	lastTurn           uint64  // turn of the latest start
+	lastScan           uint64  // number of the latest scan by count
+	lastWasUnderserved bool    // the last start was that of a customer with precedence
 }
 
 // customer is one customer of a gate.
@@ -58,7 +58,7 @@
 
 // recordStart counts a call that starts as served.
 func (s *customers) recordStart(c *customer) {
-	s.owedLast = s.isOwed(c)
+	s.lastWasUnderserved = s.isUnderserved(c)
 	if c != nil {
 		s.lastTurn++
 		c.turn = s.lastTurn
@@ -81,9 +81,9 @@
 	s.served += allAlpha * (x - s.served)
 }
 
-// isOwed reports whether so few calls of a customer were served that its next one takes
+// isUnderserved reports whether so few calls of a customer were served that its next one takes
 // precedence.
-func (s *customers) isOwed(c *customer) bool {
+func (s *customers) isUnderserved(c *customer) bool {
 	return c != nil && c.served < minServedRatio*s.served
 }
 
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -17,6 +17,17 @@
 // for. The limit counts in the estimated wait of a call, and in the reported
 // number of slots.
 //
+// # Cold targets
+//
+// SetColdRate limits the starts at a cold target in addition to SetRate. While that limit
+// holds, a call that it would let start only after its goal is refused and doesn't wait.
+//
+// # Offered bodies
+//
+// The body of a call may be sent only when the call has a place. Forecast decides that
+// without changing the gate. Expect counts the call while its body is on its way, Unexpect ends
+// that, and Arrive takes the place of Offer when the body is complete.
+//
 // # Order
 //
 // A call is either urgent or normal, and each of these two groups has a queue.
--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -6,9 +6,9 @@
 	"trefoilthread/core/types"
 )
 
-// isTurnOf reports whether e and o run in turn by their customers: they have the same rank
-// and kind, both are expected to meet their goal or both to miss it, and the bodies of both
-// came with the call or after a Forecast.
+// isTurnOf reports whether e and o are ordered by whose customer's last start is the longest
+// ago: they have the same rank and kind, both are expected to meet their goal or both to miss
+// it, and both came by Offer or both by Arrive.
 func (e *entry) isTurnOf(o *entry) bool {
 	return e.customer != nil && o.customer != nil &&
 		e.customerRank == o.customerRank && e.kind == o.kind && e.demoted == o.demoted && e.arrived == o.arrived
@@ -22,7 +22,7 @@
 	if !g.customers.known() {
 		return first
 	}
-	if e := g.oldestOwed(q); e != nil && !g.customers.owedLast {
+	if e := g.oldestUnderserved(q); e != nil && !g.customers.lastWasUnderserved {
 		return e
 	}
 	best := first
@@ -34,12 +34,12 @@
 	return best
 }
 
-// oldestOwed returns the oldest waiting call of q whose customer has precedence, nil if there
+// oldestUnderserved returns the oldest waiting call of q whose customer has precedence, nil if there
 // is none.
-func (g *Gate) oldestOwed(q *queue) *entry {
+func (g *Gate) oldestUnderserved(q *queue) *entry {
 	var oldest *entry
 	for _, e := range q.items {
-		if g.customers.isOwed(e.customer) && (oldest == nil || e.id < oldest.id) {
+		if g.customers.isUnderserved(e.customer) && (oldest == nil || e.id < oldest.id) {
 			oldest = e
 		}
 	}
@@ -52,8 +52,8 @@
 	if e.customer == nil {
 		return q.countAhead(e)
 	}
-	if g.customers.isOwed(e.customer) {
-		return min(g.countOwed(q)*2+1, q.Len())
+	if g.customers.isUnderserved(e.customer) {
+		return min(g.countUnderserved(q)*2+1, q.Len())
 	}
 	g.customers.count(q, e.customer, e.isTurnOf)
 	rounds := e.customer.waiting + 1
@@ -61,22 +61,22 @@
 	for _, o := range q.items {
 		switch {
 		case !o.isTurnOf(e):
-			if q.before(o, e) || g.customers.isOwed(o.customer) {
+			if q.before(o, e) || g.customers.isUnderserved(o.customer) {
 				n++
 			}
 		case o.customer != e.customer && o.customer.waiting > 0:
 			n += min(o.customer.waiting, rounds)
-			o.customer.waiting = 0 // counted
+			o.customer.waiting = 0 // so that its other calls aren't added again
 		}
 	}
 	return n
 }
 
-// countOwed returns the number of waiting calls of q whose customers have precedence.
-func (g *Gate) countOwed(q *queue) int {
+// countUnderserved returns the number of waiting calls of q whose customers have precedence.
+func (g *Gate) countUnderserved(q *queue) int {
 	n := 0
 	for _, e := range q.items {
-		if g.customers.isOwed(e.customer) {
+		if g.customers.isUnderserved(e.customer) {
 			n++
 		}
 	}
@@ -85,7 +85,8 @@
 
 // beyondShare returns the newest waiting call of the customer that holds most of the waiting
 // calls of the rank of e, if that is more than its even share and the customer of e holds
-// less than its own. Else it returns nil. isBelow tells the latter.
+// less than its own; otherwise nil. isBelow reports whether the customer of e holds less than
+// its share; it is true for a call without a customer.
 func (g *Gate) beyondShare(e *entry) (victim *entry, isBelow bool) {
 	if e.customer == nil {
 		return nil, true
@@ -97,7 +98,7 @@
 		return nil, false
 	}
 	for _, o := range q.items {
-		if o.customer == nil || o.arrived && !e.arrived || o.customerRank != e.customerRank || o.customer.waiting <= share || g.customers.isOwed(o.customer) {
+		if o.customer == nil || o.arrived && !e.arrived || o.customerRank != e.customerRank || o.customer.waiting <= share || g.customers.isUnderserved(o.customer) {
 			continue
 		}
 		if victim == nil || o.customer.waiting > victim.customer.waiting ||
@@ -134,9 +135,9 @@
 // its share of the waiting calls displaces only its own.
 func (g *Gate) mayDisplace(e, o *entry, isBelowShare bool) bool {
 	switch {
-	case o.arrived && !e.arrived, g.customers.isOwed(o.customer):
+	case o.arrived && !e.arrived, g.customers.isUnderserved(o.customer):
 		return false
-	case g.customers.isOwed(e.customer):
+	case g.customers.isUnderserved(e.customer):
 		return true
 	case o.customerRank != e.customerRank:
 		return o.customerRank > e.customerRank
--- a/core/cold/tracker.go
+++ b/core/cold/tracker.go
@@ -21,11 +21,11 @@
 // Tracker holds what is known of the cold times of one target. It isn't safe for concurrent
 // use.
 type Tracker struct {
-	presumedAt time.Time // latest event after which the target may be cold
-	sentAt     time.Time // of the latest information, zero for none
-	until      time.Time // end of the cold time that the target has named
-	warmAt     time.Time // when the latest information that the target isn't cold was sent
-	starts     []time.Time
+	presumedAt time.Time   // latest event after which the target may be cold
+	sentAt     time.Time   // of the latest information, zero for none
+	until      time.Time   // end of the cold time that the target has named
+	warmAt     time.Time   // when the latest information that the target isn't cold was sent
+	starts     []time.Time // of the calls within the window, in order
 }
 
 // New returns a Tracker that presumes that the target is cold.
@@ -34,8 +34,8 @@
 // Presume records an event after which the target may be cold.
 func (t *Tracker) Presume(now time.Time) { t.presumedAt = now }
 
-// Hear records that the target has said how much longer it is cold, 0 if it isn't. The
-// message was sent at the earliest at sent. Information that was sent before the last event
+// Hear records a message of the target that says how much longer it is cold, 0 if it isn't. The
+// message was sent at sent or later. Information that was sent before the last event
 // or before other information can only prolong the cold time.
 func (t *Tracker) Hear(sent, arrived time.Time, remaining time.Duration) {
 	t.Prolong(arrived, remaining)
--- a/core/fresh/clock.go
+++ b/core/fresh/clock.go
@@ -34,7 +34,7 @@
 	if !c.store.isKnown || at > c.store.at {
 		c.store = moment{at: at, isKnown: true}
 	}
-	c.settle()
+	c.updateTable()
 }
 
 // Want notes that the store holds a configuration of a revision. Until it is applied, the
@@ -44,15 +44,16 @@
 // Applied notes that the configuration of a revision was taken over, or isn't valid.
 func (c *Clock) Applied(revision int64) {
 	c.applied = max(c.applied, revision)
-	c.settle()
+	c.updateTable()
 }
 
 // Forget notes that the store has returned from an older copy: nothing is known until all
 // keys were read again.
 func (c *Clock) Forget() { c.store, c.table = moment{}, moment{} }
 
-// settle updates the knowledge of the configuration.
-func (c *Clock) settle() {
+// updateTable makes the knowledge of the configuration that of the store if no later
+// configuration is known to exist.
+func (c *Clock) updateTable() {
 	if c.applied >= c.wanted {
 		c.table = c.store
 	}
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -28,8 +28,8 @@
 	// Lead is the time of the link that is left of the bodies under way when the next one
 	// may be granted, however long it is; default 8 ms, the longest round trip.
 	Lead time.Duration
-	// Quiet is the time without a byte of a body after which it counts no more; default
-	// 100 ms.
+	// Quiet is the time without a byte of a granted body after which Busy and Demand no longer
+	// count it; default 100 ms.
 	Quiet time.Duration
 }
 
@@ -118,7 +118,8 @@
 			events = append(events, Event{ID: o.id, Granted: true, Start: busy})
 			busy += own
 		default:
-			// A later offer could only pass this one by taking its place.
+			// Offers are granted in order: a later body would use the time on the link that
+			// this one waits for.
 			blocked = true
 			kept = append(kept, o)
 		}
--- a/core/link/offer.go
+++ b/core/link/offer.go
@@ -22,7 +22,7 @@
 	Offer
 	id    ID
 	left  int       // bytes that have not come
-	quiet time.Time // from then on it takes no time of the link, unless more comes
+	quiet time.Time // a granted body isn't counted from then on, unless more of it comes
 }
 
 // precedes reports whether o is granted before p.
--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -25,7 +25,7 @@
 
 // reply is what an owner said last.
 type reply struct {
-	due      time.Time // it isn't asked before
+	due      time.Time // the owner isn't asked before it
 	entitled bool
 }
 
@@ -119,7 +119,8 @@
 	}
 }
 
-// forget drops the replies that say nothing any more.
+// forget drops the replies that were due silentTime ago or earlier. They no longer affect Next
+// or IsUsedUp; dropping them bounds the map when owners change.
 func (a *Asker) forget(now time.Time) {
 	for node, r := range a.owners {
 		if now.Sub(r.due) >= silentTime {
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -15,7 +15,7 @@
 	epsilon = 1e-9
 )
 
-// bucket is the part of a customer's quota that one daemon may grant.
+// bucket is the token bucket for the parts of a customer's quota that one daemon owns.
 type bucket struct {
 	whole    Limit     // of the customer
 	parts    int       // that this daemon owns
@@ -54,8 +54,8 @@
 	return g
 }
 
-// hint returns when to ask again. Each asker is told another time, so that not all ask for
-// the same token.
+// hint returns the time until an asker should ask again. Successive askers get increasing
+// times, up to MaxHint, so that they don't all ask for the same token.
 func (b *bucket) hint(now time.Time) time.Duration {
 	each := time.Duration(min(float64(time.Second)/b.limit.PerSecond, float64(MaxHint)))
 	need := time.Duration(min((1-b.tokens)*float64(time.Second)/b.limit.PerSecond, float64(MaxHint)))
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -5,10 +5,12 @@
 // small quotas. In each data centre, the daemons with the highest rendezvous hashes of the
 // daemon and the customer own them, among those with records in the store (Directory). An
 // owner keeps a token bucket of rate PerSecond/n and size (Burst+10)/n for each part, which
-// starts empty (Owner). Any
-// daemon that has a request of the customer asks the owners in turn, those of its own data
+// starts empty (Owner).
+// Any daemon that has a request of the customer asks the owners in turn, those of its own data
 // centre first (Asker). Unused parts therefore go where the demand is, and a failed owner
-// costs at most its part.
+// costs at most its parts. An owner that didn't answer within AnswerTime isn't asked for half
+// a second, for any customer (Silent). Asker.MayServe and Asker.IsUsedUp tell what a request
+// would get without taking a token or asking an owner.
 //
 // # Bound
 //
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -16,7 +16,8 @@
 	Burst     float64
 }
 
-// share returns some of n parts.
+// share returns the rate and the size of a bucket that holds the given number of the n equal
+// parts of the quota. The size includes extraBurst.
 func (l Limit) share(parts, n int) Limit {
 	k := float64(parts) / float64(max(n, 1))
 	return Limit{PerSecond: l.PerSecond * k, Burst: (l.Burst + extraBurst) * k}
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -30,13 +30,13 @@
 	self    string
 	dc      types.DataCentre
 	dir     *Directory
-	changes uint64 // of dir
-	learned time.Time
+	changes uint64    // of dir
+	learned time.Time // when the latest change of dir was taken over
 	buckets map[types.CustomerName]*bucket
 
 	known   time.Time // the state of the store up to then is known, on a clock that counts suspension
-	isFresh bool      // the knowledge was younger than MaxAge at the latest look
-	start   time.Time // no grants before
+	isFresh bool      // the knowledge was younger than MaxAge at the latest Observe
+	start   time.Time // no grants before it, set after a start and after a gap in the knowledge
 
 	isRestart bool // the record of this daemon has been in the store for SettleTime
 }
@@ -136,7 +136,7 @@
 	}
 }
 
-// continueOwned has the customers that this daemon owns count as owned for long enough.
+// continueOwned makes the customers that this daemon owns count as owned for takeoverTime.
 func (o *Owner) continueOwned(now time.Time) {
 	o.learned = now.Add(-takeoverTime)
 	for _, b := range o.buckets {
--- a/core/quota/silent.go
+++ b/core/quota/silent.go
@@ -31,5 +31,5 @@
 	s.until[node] = now.Add(silentTime)
 }
 
-// has reports whether an owner isn't asked.
+// has reports whether an owner isn't asked because it didn't answer.
 func (s *Silent) has(now time.Time, node string) bool { return now.Before(s.until[node]) }
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -48,6 +48,7 @@
 	return p.suspensionsApply(n)
 }
 
+// candidate returns m as a decision would see it. suspends tells whether suspensions apply.
 func (p *Picker) candidate(now time.Duration, m *member, suspends bool) Candidate {
 	c := Candidate{Status: p.status(now, m), startIn: m.starts.delay(now)}
 	if m.starts.isActive(now) {
--- a/core/route/rate.go
+++ b/core/route/rate.go
@@ -9,7 +9,7 @@
 	nextStart time.Duration // the target can start a further call then
 }
 
-// storeRate stores the limit of a report. perSecond is 0 if it has none.
+// store stores the limit of a report. perSecond is 0 if it has none.
 func (l *startLimit) store(now time.Duration, perSecond float64, lasts, startIn time.Duration) {
 	*l = startLimit{}
 	if perSecond > 0 {
