io/mesh: name the reassembly fields, list tokens in the package comment

A reader stumbled on Offer.await, which waits for nothing but sets the progress function, on the field came of the assembler, and on a package comment without the messages about tokens.

--- a/io/mesh/assembler.go
+++ b/io/mesh/assembler.go
@@ -9,7 +9,7 @@
 	"trefoilthread/io/httpw"
 )
 
-// assembler puts the frame together that comes in parts over a connection. A sender sends the
+// assembler reassembles the frames that come in parts over a connection. A sender sends the
 // parts of one frame after the other; the first part of the next one ends a frame that was
 // given up.
 type assembler struct {
@@ -18,9 +18,9 @@
 	// nil.
 	wantsBody func(call uint64, n int) bool
 
-	frame *frame // being put together, nil if there is none
-	want  int    // length of its payload
-	came  int    // bytes of the payload that have come
+	frame    *frame // being put together, nil if there is none
+	want     int    // length of its payload
+	received int    // bytes of the payload that have come
 }
 
 // add takes a part and returns the frame once it is complete.
@@ -35,11 +35,11 @@
 		return frame{}, false, nil // the rest of a frame that was canceled
 	}
 	n := len(p.payload)
-	if a.came += n; a.came > a.want {
-		return frame{}, false, errors.Newf("mesh: frame of %d bytes, %d announced", a.came, a.want)
+	if a.received += n; a.received > a.want {
+		return frame{}, false, errors.Newf("mesh: frame of %d bytes, %d announced", a.received, a.want)
 	}
 	a.keep(p.payload)
-	if a.came < a.want {
+	if a.received < a.want {
 		return frame{}, false, nil
 	}
 	whole, a.frame = *a.frame, nil
@@ -67,7 +67,7 @@
 	if n == 0 || n > maxFrame {
 		return nil, errors.Newf("mesh: frame of %d bytes in parts, allowed %d", n, maxFrame)
 	}
-	a.frame, a.want, a.came = f, n, 0
+	a.frame, a.want, a.received = f, n, 0
 	return p[frameHead:], nil
 }
 
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -40,6 +40,13 @@
 // connections that share an Uplink take turns on it, and none is written much earlier than
 // the slower link has room for it.
 //
+// # Tokens
+//
+// Client.RequestTokens asks another daemon for tokens of a customer's quota (core/quota).
+// ServerOptions.Tokens answers; without it, and if the request can't be decoded, the answer
+// grants nothing. A daemon of a version without this message skips it, so its sender bounds
+// the wait.
+//
 // # Silence
 //
 // A connection that has gone silent is told by a ping: when calls are open and
--- a/io/mesh/frame.go
+++ b/io/mesh/frame.go
@@ -32,7 +32,8 @@
 	lastKind = kindTokens
 )
 
-// The kinds of version 2. Those between are left to other messages.
+// The kinds of version 2. The numbers between lastKind and kindGrant are free for other
+// messages.
 const (
 	kindGrant     kind = iota + 30
 	kindBody           // body of an offered call
--- a/io/mesh/link.go
+++ b/io/mesh/link.go
@@ -190,7 +190,7 @@
 func (l *link) awaitAnswer(ctx context.Context, id uint64, ch chan frame, long *longFrame, out any) (*httpw.Holding, error) {
 	select {
 	case f, ok := <-ch:
-		if ok && f.kind == kindGrant { // a second one
+		if ok && f.kind == kindGrant { // a second grant has no effect
 			return l.awaitAnswer(ctx, id, ch, long, out)
 		}
 		switch unsent := l.out.withdraw(long); {
@@ -199,7 +199,8 @@
 		case !ok:
 			return nil, ErrBroken
 		case unsent:
-			// It is refused; an error means that the connection is gone.
+			// The peer has refused a call of which it has only some parts, and drops them on a
+			// cancel. An error means that the connection is gone.
 			_ = l.out.send(kindCancel, id, nil)
 		}
 		return f.memory, l.decode(f, out)
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -33,7 +33,7 @@
 	BodyLen      int          `cbor:"30,keyasint,omitempty"` // of an offered call: length of the body, which is sent after a grant
 	// PeerLink is the speed of the link of the called daemon's VM in Mbit/s, 0 if unknown.
 	PeerLink float64 `cbor:"-"`
-	// Offer is the way to the body at a server, nil if the body has come with the call.
+	// Offer is set at a server if the call came without its body, which Offer.Receive gets.
 	Offer *Offer `cbor:"-"`
 	// Memory is that of the body at a server, until the call is answered.
 	Memory *httpw.Holding `cbor:"-"`
--- a/io/mesh/offer.go
+++ b/io/mesh/offer.go
@@ -13,7 +13,7 @@
 // ErrUnused means that nothing of a granted body came for some time.
 var ErrUnused = errors.New("mesh: granted body didn't come")
 
-// Offer is the way to the body of a call that was offered without it.
+// Offer is a call that came without its body. Receive has the sender send the body.
 type Offer struct {
 	p    *inbound
 	id   uint64
@@ -38,8 +38,8 @@
 	}
 	o.head.Memory = memory
 	clock := o.p.s.opts.Clock
-	o.await(progress, clock.Now().Add(start))
-	defer o.await(nil, time.Time{})
+	o.setProgress(progress, clock.Now().Add(start))
+	defer o.setProgress(nil, time.Time{})
 	if err := o.p.out.send(kindGrant, o.id, &Grant{StartUs: start.Microseconds()}); err != nil {
 		return err
 	}
@@ -64,12 +64,12 @@
 // SenderLink returns the speed of the link of the sender's VM in Mbit/s, 0 if unknown.
 func (o *Offer) SenderLink() float64 { return o.link }
 
-// await sets what is told of the parts that come. now is the time from which on they are
-// expected.
-func (o *Offer) await(progress func(n int), now time.Time) {
+// setProgress sets the function that is called for each part of the body, nil if the body isn't
+// awaited. The time without a part counts from expected on.
+func (o *Offer) setProgress(progress func(n int), expected time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.progress, o.latest = progress, now
+	o.progress, o.latest = progress, expected
 }
 
 func (o *Offer) latestPart() time.Time {
@@ -153,7 +153,7 @@
 	}
 	select {
 	case o.body <- f.payload:
-	default: // a second one
+	default: // a second body for the same call is dropped
 	}
 }
 
--- a/io/mesh/parts.go
+++ b/io/mesh/parts.go
@@ -20,11 +20,11 @@
 	memory  *httpw.Holding
 	started bool // the first part was written
 
-	reserved bool      // the link has a place for the next part
-	at       time.Time // of that place
+	reserved bool      // the pacers have counted the next part
+	at       time.Time // the next part may be written from then on
 }
 
-// part is what is written at a time of a longFrame.
+// part is a piece of a longFrame that is written at once, as a frame of its own.
 type part struct {
 	head, bytes []byte
 	memory      *httpw.Holding // of the last part
