--- a/cmd/trefoild/explaintext.go
+++ b/cmd/trefoild/explaintext.go
@@ -32,6 +32,7 @@
 	return no
 }
 
+// age returns an age in milliseconds as text; a negative one is unknown.
 func age(ms int64) string {
 	if ms < 0 {
 		return "an unknown time"
@@ -67,9 +68,9 @@
 	w := tabwriter.NewWriter(&rows, 0, 0, 2, ' ', 0)
 	for i := range s.Targets {
 		t := &s.Targets[i]
-		_, _ = fmt.Fprintf(w, "  %s\t%s\t%.3f ms\t%s\n", t.Target, t.DataCentre, t.Score, targetText(t)) // memory takes all
+		_, _ = fmt.Fprintf(w, "  %s\t%s\t%.3f ms\t%s\n", t.Target, t.DataCentre, t.Score, targetText(t)) // a strings.Builder doesn't fail
 	}
-	_ = w.Flush() // memory takes all
+	_ = w.Flush() // a strings.Builder doesn't fail
 	for line := range strings.Lines(rows.String()) {
 		b.WriteString(strings.TrimRight(line, " \n") + "\n")
 	}
--- a/io/agent/customer.go
+++ b/io/agent/customer.go
@@ -30,7 +30,8 @@
 }
 
 // identify returns the customer of a request, or the response to a request that may not
-// run. k is the knowledge from before t was taken.
+// run. k must have been read before t: a later one might not
+// hold for an older table.
 func (e *entry) identify(info RequestInfo, t *vhost.Table, r *vhost.Route, k knowledge) (identity, *httpw.Response) {
 	if !needsKey(t, r) {
 		return identity{}, nil
--- a/io/agent/drained.go
+++ b/io/agent/drained.go
@@ -18,8 +18,8 @@
 // without knowing the drains.
 const maxCopyWait = 600 * time.Millisecond
 
-// noteCopied is called when keys of the store were read. The calls that wait for the state
-// of the store go on once all keys are known.
+// noteCopied ends the wait of awaitCopy once all keys of the store are known. It is called each
+// time keys were read.
 func (a *Agent) noteCopied() {
 	if a.mirror.isCopied() && a.isCopied.CompareAndSwap(false, true) {
 		close(a.copied)
@@ -110,7 +110,7 @@
 	var events []admit.Event
 	if drained {
 		events = t.gate.RefuseWaiting()
-		t.decided(t.link.RefuseWaiting(admit.ReasonDrained))
+		t.deliverDecisions(t.link.RefuseWaiting(admit.ReasonDrained))
 	}
 	t.mu.Unlock()
 	t.deliver(events)
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -90,7 +90,7 @@
 	e.balancer.countRequest(q.service)
 	d := newDispatch(e, q, e.suspects.isOnTrial(fp))
 	resp := d.do(ctx)
-	e.settleToken(verdict, d)
+	e.returnUnusedToken(verdict, d)
 	if resp.Status < http.StatusInternalServerError {
 		e.balancer.recordLatency(q.service, r.Name(), e.clock.Since(now))
 	}
--- a/io/agent/explain.go
+++ b/io/agent/explain.go
@@ -39,10 +39,11 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
+// writeJSON writes a response. An error isn't reported: the client has disconnected.
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v) // the reader has left
+	_ = json.NewEncoder(w).Encode(v)
 }
 
 // explain returns the explanation, or the status and reason why there is none. It follows
@@ -97,6 +98,7 @@
 	return req, len(wire.WithoutKey(req.Header)) == len(req.Header)
 }
 
+// storeAgeMs returns Explanation.StoreAgeMs.
 func (x *explainer) storeAgeMs() int64 {
 	if age := x.entry.fresh.storeAge(); age < unknownAge {
 		return age.Milliseconds()
@@ -104,6 +106,7 @@
 	return -1
 }
 
+// customer explains the customer of a request, and returns what its quota would decide.
 func (x *explainer) customer(c *vhost.Customer) (*ExplainedCustomer, quotaResult) {
 	usage, usedUp := x.entry.quotas.forecast(c)
 	return &ExplainedCustomer{
--- a/io/agent/explainservice.go
+++ b/io/agent/explainservice.go
@@ -23,6 +23,8 @@
 	return list
 }
 
+// service explains one service of a route. chosen marks the one that the request's id selects.
+// The gate is known of this agent's own target only.
 func (x *explainer) service(q *request, part vhost.WeightedService, bodyBytes int, chosen bool) ExplainedService {
 	known := x.entry.balancer.explain(q, bodyBytes)
 	out := ExplainedService{Name: string(part.Service), Weight: part.Weight, Chosen: chosen, Targets: []ExplainedTarget{}}
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -106,14 +106,14 @@
 	return t
 }
 
-// accepts reports whether the copy may hold a value of a key: other agents, which may have
-// started since, are told the latest valid configuration.
+// accepts reports whether the copy may hold a value of a key. An invalid configuration is left
+// out, so that other agents, which may have started since, are told the latest valid one.
 func (a *Agent) accepts(key string, value []byte) bool {
 	return key != a.opts.Wire.TableKey || a.decodeTable(value) != nil
 }
 
-// holdTable makes the copy have a valid document that is about to be applied. Until then the
-// knowledge of the configuration must not be taken for that of the copy.
+// holdTable puts a valid document that is about to be applied into the copy of the store. Until
+// it is applied, the knowledge of the configuration is older than that of the store.
 func (a *Agent) holdTable(it store.Item) {
 	if a.accepts(it.Key, it.Value) {
 		a.fresh.want(it.Revision)
--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -90,14 +90,14 @@
 	return ageOf(f.clock.StoreAge(f.elapsed()))
 }
 
-// report sets the gauge.
+// report sets the gauge to the age of the knowledge of the configuration.
 func (f *freshness) report() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.gauge.Update(ageOf(f.clock.TableAge(f.elapsed())).Seconds())
 }
 
-// ageOf returns an age that may be unknown.
+// ageOf returns age, at most unknownAge, or unknownAge if ok is false.
 func ageOf(age time.Duration, ok bool) time.Duration {
 	if !ok {
 		return unknownAge
--- a/io/agent/hedge.go
+++ b/io/agent/hedge.go
@@ -26,7 +26,8 @@
 }
 
 // hedge sends the request to a second target while the first attempt is in flight, if the
-// limits allow it. It is refused there rather than answered after its goal.
+// limits allow it. The attempt is prompt: the second target refuses it if the answer would
+// miss its goal.
 func (d *dispatch) hedge(ctx context.Context) {
 	if !d.tries.MayHedge(d.inFlight) {
 		return
--- a/io/agent/mirror.go
+++ b/io/agent/mirror.go
@@ -26,8 +26,8 @@
 	fresh *freshness
 	// wants reports whether the agent needs a key.
 	wants func(key string) bool
-	// accepts reports whether a value of a key may be known. The copy keeps the value before
-	// one that is refused, and other agents are told that.
+	// accepts reports whether the copy may take over a value of a key. Otherwise it keeps the
+	// value before, which other agents are told as well.
 	accepts func(key string, value []byte) bool
 	// sendQuery sends a query to another agent.
 	sendQuery func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
@@ -100,7 +100,7 @@
 // changed it, and returns the pause until the next step. whole means that the items are
 // all keys.
 func (m *mirror) apply(from relay.Source, age time.Duration, items []relay.Item, rev int64, whole bool) time.Duration {
-	values := make(map[state][]byte, len(items))
+	values := make(map[keyRevision][]byte, len(items))
 	kept := items[:0]
 	var refused []string
 	for _, it := range items {
@@ -112,7 +112,7 @@
 			refused = append(refused, it.Key)
 			continue
 		}
-		values[state{it.Key, it.Revision}] = value
+		values[keyRevision{it.Key, it.Revision}] = value
 		kept = append(kept, it)
 	}
 	m.mu.Lock()
@@ -131,7 +131,7 @@
 	m.logSourceChange(from)
 	for i := range news {
 		it := &news[i]
-		if value := values[state{it.Key, it.Revision}]; value != nil {
+		if value := values[keyRevision{it.Key, it.Revision}]; value != nil {
 			it.Value, it.Packed, it.Omitted = value, false, false
 		}
 	}
@@ -144,8 +144,8 @@
 	return pause
 }
 
-// state is a state of a key. One answer may hold several of a key.
-type state struct {
+// keyRevision identifies a value of a key. One answer may hold several values of a key.
+type keyRevision struct {
 	key      string
 	revision int64
 }
--- a/io/agent/offer.go
+++ b/io/agent/offer.go
@@ -75,13 +75,13 @@
 // decideOffers grants and refuses offered calls, with the lock held.
 func (t *localTarget) decideOffers(now time.Time) {
 	if t.link.Waiting() > 0 {
-		t.decided(t.link.Decide(now, t.gate))
+		t.deliverDecisions(t.link.Decide(now, t.gate))
 	}
 	t.metrics.setLinkBusy(t.link.Busy(now))
 }
 
-// decided passes decisions to the offered calls, with the lock held.
-func (t *localTarget) decided(events []link.Event) {
+// deliverDecisions passes decisions to the offered calls, with the lock held.
+func (t *localTarget) deliverDecisions(events []link.Event) {
 	for _, ev := range events {
 		t.offers[ev.ID] <- ev
 	}
--- a/io/agent/quota.go
+++ b/io/agent/quota.go
@@ -64,8 +64,8 @@
 }
 
 const (
-	// quotaCheckInterval is the time between two looks at the age of the knowledge of the
-	// store, and at the configuration.
+	// quotaCheckInterval is the time between two checks of the age of the knowledge of the
+	// store and of the configuration.
 	quotaCheckInterval = 200 * time.Millisecond
 	// noOwnerLinesPerSecond limits the log lines on owners that don't answer.
 	noOwnerLinesPerSecond = 1
--- a/io/agent/quotaentry.go
+++ b/io/agent/quotaentry.go
@@ -38,9 +38,9 @@
 	return e.quotas.take(ctx, q.identity.customer)
 }
 
-// settleToken returns the token of a request that no target got.
-func (e *entry) settleToken(v quotaVerdict, d *dispatch) {
+// returnUnusedToken returns the token of a request that no target got.
+func (e *entry) returnUnusedToken(v quotaVerdict, d *dispatch) {
 	if d.tries.Reached() == 0 && d.inFlight == 0 && d.reason != "" {
-		e.quotas.giveBack(v)
+		e.quotas.returnToken(v)
 	}
 }
--- a/io/agent/quotaexport_test.go
+++ b/io/agent/quotaexport_test.go
@@ -53,8 +53,8 @@
 // Take exposes take.
 func (q *quotas) Take(ctx context.Context, c *vhost.Customer) QuotaVerdict { return q.take(ctx, c) }
 
-// GiveBack exposes giveBack.
-func (q *quotas) GiveBack(v QuotaVerdict) { q.giveBack(v) }
+// GiveBack exposes returnToken.
+func (q *quotas) GiveBack(v QuotaVerdict) { q.returnToken(v) }
 
 // ServeTokens exposes serveTokens.
 func (q *quotas) ServeTokens(r *mesh.TokenRequest) *mesh.Tokens {
--- a/io/agent/quotatake.go
+++ b/io/agent/quotatake.go
@@ -139,8 +139,8 @@
 	return quotaVerdict{result: noQuotaOwner}
 }
 
-// giveBack returns the token of a request that no target got.
-func (q *quotas) giveBack(v quotaVerdict) {
+// returnToken returns the token of a request that no target got.
+func (q *quotas) returnToken(v quotaVerdict) {
 	if v.customer == nil {
 		return
 	}
