io/agent: explain counts only eligible targets for a hedge

Cause: with one eligible target and others that are left out, trefoild explain could say that a request would be hedged.

Change: the second target must be eligible.

Result: go test ./io/agent ./cmd/trefoild passes; no test shows the fault.

--- a/io/agent/explainservice.go
+++ b/io/agent/explainservice.go
@@ -130,9 +130,9 @@
 // hedgeHold returns why a second attempt wouldn't be sent now, apart from the retry budget and
 // from whether another target is faster, which shows only after the first attempt.
 func (b *balancer) hedgeHold(now time.Time, s *serviceState, candidates []route.Candidate) retry.Hold {
-	v := retry.HedgeView{Load: s.picker.Load(now), IsFaster: len(candidates) > 1}
-	if v.IsFaster {
-		v.IsCold = s.picker.IsCold(now, candidates[1].Target().ID())
+	v := retry.HedgeView{Load: s.picker.Load(now)}
+	if len(candidates) > 1 && candidates[1].Exclusion() == route.Eligible { // eligible ones come first
+		v.IsFaster, v.IsCold = true, s.picker.IsCold(now, candidates[1].Target().ID())
 	}
 	return s.hedges.Check(v)
 }
