core/probe: grant nothing before the latest drop of a grant

A grant that had been dropped from the window came into it again after the clock stepped back.

Change: dropping a grant moves the time before which nothing is granted.

--- a/core/probe/budget.go
+++ b/core/probe/budget.go
@@ -7,7 +7,7 @@
 type Budget struct {
 	opts    Options
 	started time.Time
-	latest  time.Time // time of the latest grant, or the start
+	latest  time.Time // no grant before: the latest grant, drop of a grant, or the start
 	grants  []grant   // ring of at most opts.Records, oldest first
 	first   int
 	count   int
@@ -92,12 +92,16 @@
 	return t.Add(b.opts.Window + 1)
 }
 
-// expire removes the grants that are outside of the window that ends now.
+// expire removes the grants that are outside of the window that ends now. A clock that steps
+// back could bring them into the window again, so that nothing is granted before now.
 func (b *Budget) expire(now time.Time) {
 	for b.count > 0 && !now.Before(b.expiry(b.at(0).at)) {
 		b.used -= b.at(0).cost
 		b.first = (b.first + 1) % len(b.grants)
 		b.count--
+		if now.After(b.latest) {
+			b.latest = now
+		}
 	}
 }
 
--- a/core/probe/budget_test.go
+++ b/core/probe/budget_test.go
@@ -56,6 +56,20 @@
 	})
 }
 
+// Guards against a grant that was dropped from the window and is in it again after the clock
+// has stepped back.
+func TestClockStepsBack(t *testing.T) {
+	is := is.New(t)
+	begin := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	b := probe.New(begin, probe.Options{Budget: 3 * time.Millisecond, Window: 100 * time.Millisecond, Records: 2})
+	is.True(b.Grant(at(101), time.Millisecond).Granted())
+	is.True(b.Grant(at(105), 2*time.Millisecond).Granted())
+	is.True(!b.Grant(at(202), 2*time.Millisecond).Granted()) // drops the first one
+	is.Equal(b.Grant(at(199), time.Millisecond).Wait(), 3*time.Millisecond)
+	is.True(b.Grant(at(202), time.Millisecond).Granted())
+}
+
 // Guards against a Wait that is too short, which makes callers poll, or too
 // long, which leaves budget unused.
 func TestWaitIsExact(t *testing.T) {
