--- a/cmd/trefoild/explain_test.go
+++ b/cmd/trefoild/explain_test.go
@@ -74,10 +74,11 @@
 // its target then, and the owner of the customer's quota.
 func announce(t *testing.T, set agent.Settings) {
 	t.Helper()
-	heartbeat := fmt.Sprintf(`{"address":%q,"born":1,"instanceInfo":{"service":"bookings","version":"v1","zone":"kl","slots":4},
-		"status":{"state":"ready","seq":1}}`, set.TargetAddr)
+	heartbeat := fake.Heartbeat{ID: "i-1", Address: set.TargetAddr, Service: "bookings", Zone: "kl", State: "ready", Born: 1, Sequence: 1, Slots: 4}
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		post(t, "http://"+set.Control+"/trefoilthread/Instances.Heartbeat/i-1", heartbeat)
+		if _, err := heartbeat.Send(set.Control); err != nil {
+			t.Fatal(err)
+		}
 		x := post(t, "http://"+set.Metrics+agent.ExplainPath, `{"host":"a.example","path":"/look/","customer":"north"}`)
 		if strings.Contains(x, `"target":"i-1"`) && !strings.Contains(x, "refusal") {
 			return
--- a/cmd/trefoild/explaintext.go
+++ b/cmd/trefoild/explaintext.go
@@ -82,8 +82,8 @@
 	if t.Trial {
 		list = append(list, "suspended and due for a trial call")
 	}
-	if t.ColdPerS > 0 {
-		list = append(list, fmt.Sprintf("cold: %g/s, next call in %g ms", t.ColdPerS, t.StartInMs))
+	if t.ColdRate > 0 {
+		list = append(list, fmt.Sprintf("cold: %g/s, next call in %g ms", t.ColdRate, t.StartInMs))
 	}
 	if g := t.Gate; g != nil {
 		list = append(list, "beside this daemon, gate: "+g.Verdict+choose(g.Reason != "", " ("+g.Reason+")", ""))
--- a/io/agent/explainservice.go
+++ b/io/agent/explainservice.go
@@ -69,7 +69,7 @@
 func explainedTarget(c route.Candidate) ExplainedTarget {
 	return ExplainedTarget{
 		Target: string(c.Target().ID()), DataCentre: string(c.Target().DataCentre()), Score: toMs(c.Score()),
-		Excluded: c.Exclusion().String(), Trial: c.Trial(), ColdPerS: c.Rate(), StartInMs: toMs(c.StartIn()),
+		Excluded: c.Exclusion().String(), Trial: c.Trial(), ColdRate: c.Rate(), StartInMs: toMs(c.StartIn()),
 	}
 }
 
--- a/io/agent/explanation.go
+++ b/io/agent/explanation.go
@@ -76,7 +76,7 @@
 	Score      float64        `json:"scoreMs"`            // estimated wait with penalties, the lowest wins
 	Excluded   string         `json:"excluded,omitempty"` // why it isn't chosen
 	Trial      bool           `json:"trial,omitempty"`    // it is suspended, and a trial call is due
-	ColdPerS   float64        `json:"coldPerS,omitempty"` // it is cold and takes so many calls a second
+	ColdRate   float64        `json:"coldRate,omitempty"` // it is cold and takes so many calls a second
 	StartInMs  float64        `json:"startInMs,omitempty"`
 	Gate       *ExplainedGate `json:"gate,omitempty"` // of the target beside the daemon
 }
