--- a/io/agent/suspects_test.go
+++ b/io/agent/suspects_test.go
@@ -6,6 +6,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"trefoilthread/core/types"
 	"trefoilthread/io/agent"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
@@ -41,10 +42,8 @@
 	is.True(a.IsOnTrial(crash))
 }
 
-// Guards against a quarantine that ends while the request still comes at an agent, whose
-// refusals nobody counts.
-func TestRefusalsAreCounted(t *testing.T) {
-	is := is.New(t)
+// newQuarantined returns the suspects of an agent whose target died twice with a request.
+func newQuarantined(is *is.I) (*agent.Suspects, types.Fingerprint, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	s := agent.NewSuspects("a", 1, clock, logs.Discard(), func(*mesh.Notice) {})
 	fp := agent.Fingerprint("bookings", "GET", "/x", nil)
@@ -52,6 +51,14 @@
 		is.True(s.Begin(fp))
 		s.TargetDied()
 	}
+	return s, fp, clock
+}
+
+// Guards against a quarantine that ends while the request still comes at an agent, whose
+// refusals nobody counts.
+func TestRefusalsAreCounted(t *testing.T) {
+	is := is.New(t)
+	s, fp, clock := newQuarantined(is)
 	clock.Advance(agent.SuspectExpiry - 1)
 	wait, ok := s.Refuse(fp)
 	is.True(ok)
@@ -92,13 +99,7 @@
 // target declined it or it didn't reach the target.
 func TestDeclinedTrialIsNoDeath(t *testing.T) {
 	is := is.New(t)
-	clock := clockwork.NewFakeClock()
-	s := agent.NewSuspects("a", 1, clock, logs.Discard(), func(*mesh.Notice) {})
-	fp := agent.Fingerprint("bookings", "GET", "/x", nil)
-	for range 2 {
-		is.True(s.Begin(fp))
-		s.TargetDied()
-	}
+	s, fp, clock := newQuarantined(is)
 	clock.Advance(agent.SuspectExpiry)
 	is.True(s.Begin(fp))
 	agent.End(s, fp, mesh.Refused)
