Simplify parts of admission, quotas and agent records

Change: Gate.Offer stands beside decide; leastValuable makes its order once; Asker.add uses slices.Insert; changes of the agent's own record have one function. Behaviour is the same.

Result: tests of core/admit, core/quota, core/link, core/whole and io/agent pass.

--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -1,10 +1,6 @@
 package admit
 
-import (
-	"time"
-
-	"trefoilthread/core/types"
-)
+import "time"
 
 // isTurnOf reports whether e and o are ordered by whose customer's last start is the longest
 // ago: they have the same rank and kind, both are expected to meet their goal or both to miss
@@ -161,14 +157,3 @@
 	}
 	return !misses
 }
-
-// Offer decides whether a call that has arrived runs, waits or is refused. A
-// refused call has not run, and its ticket has the reason. A waiting call gets
-// its final decision in an Event.
-func (g *Gate) Offer(now time.Time, c types.Call) (Ticket, Verdict) {
-	t, v := g.decide(now, c)
-	if v == Refuse {
-		g.customers.recordRefusal(g.customers.find(c.Customer()), t.reason)
-	}
-	return t, v
-}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -109,6 +109,17 @@
 	return time.Duration(float64(d) * g.runningPaceSum / float64(g.running))
 }
 
+// Offer decides whether a call that has arrived runs, waits or is refused. A
+// refused call has not run, and its ticket has the reason. A waiting call gets
+// its final decision in an Event.
+func (g *Gate) Offer(now time.Time, c types.Call) (Ticket, Verdict) {
+	t, v := g.decide(now, c)
+	if v == Refuse {
+		g.customers.recordRefusal(g.customers.find(c.Customer()), t.reason)
+	}
+	return t, v
+}
+
 // decide is Offer without the count of refusals.
 func (g *Gate) decide(now time.Time, c types.Call) (Ticket, Verdict) {
 	if g.draining {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -80,8 +80,9 @@
 // equal ones that with the latest deadline; nil if none waits.
 func (q *queue) leastValuable() *entry {
 	var least *entry
+	before := arrivedFirst(byWorthRate)
 	for _, e := range q.items {
-		if least == nil || arrivedFirst(byWorthRate)(least, e) {
+		if least == nil || before(least, e) {
 			least = e
 		}
 	}
--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -74,9 +74,7 @@
 	for i > 0 && l.expires.Before(a.lots[i-1].expires) {
 		i--
 	}
-	a.lots = append(a.lots, lot{})
-	copy(a.lots[i+1:], a.lots[i:])
-	a.lots[i] = l
+	a.lots = slices.Insert(a.lots, i, l)
 }
 
 // expire drops the tokens that may not be used any more.
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -17,22 +17,11 @@
 	var missing []string
 	for _, it := range items {
 		name := strings.TrimPrefix(it.Key, nodePrefix)
-		if it.Deleted {
-			a.quotas.removeRecord(name)
-			if name == a.opts.Settings.Node {
-				a.removeOwnRecord()
-			}
-		} else if name == a.opts.Settings.Node {
-			a.noteOwnRecord(it)
-		}
 		switch {
-		case name == a.opts.Settings.Node && !a.isRestored.Load():
-			a.registration.noteListed(it)
-		case it.Deleted && name == a.opts.Settings.Node:
-			a.registration.markMissing(it.Revision)
 		case name == a.opts.Settings.Node:
-			a.registration.noteStored(it)
+			a.applyOwnRecord(it)
 		case it.Deleted:
+			a.quotas.removeRecord(name)
 			missing = append(missing, name)
 		default:
 			records = a.appendRecord(records, it)
@@ -46,6 +35,23 @@
 	}
 }
 
+// applyOwnRecord applies a change of the record of this agent.
+func (a *Agent) applyOwnRecord(it relay.Item) {
+	if it.Deleted {
+		a.removeOwnRecord()
+	} else {
+		a.noteOwnRecord(it)
+	}
+	switch {
+	case !a.isRestored.Load():
+		a.registration.noteListed(it)
+	case it.Deleted:
+		a.registration.markMissing(it.Revision)
+	default:
+		a.registration.noteStored(it)
+	}
+}
+
 // noteOwnRecord enters this agent as an owner of quotas. Its record tells since when the store
 // has had one. The first listing may be stale, so that time is kept only from a record that
 // registration has read or replaced.
@@ -58,6 +64,7 @@
 
 // removeOwnRecord notes that the store has no record of this agent.
 func (a *Agent) removeOwnRecord() {
+	a.quotas.removeRecord(a.opts.Settings.Node)
 	a.beginSince()
 	a.quotas.setRestart(false)
 }
