--- a/core/link/link.go
+++ b/core/link/link.go
@@ -80,7 +80,7 @@
 	var d time.Duration
 	for _, o := range l.transit {
 		if now.Before(o.quiet) {
-			d += timeOf(o.left, l.opts.Mbit)
+			d += TransferTime(o.left, l.opts.Mbit)
 		}
 	}
 	return d
@@ -90,7 +90,7 @@
 func (l *Link) Demand(now time.Time) time.Duration {
 	d := l.Busy(now)
 	for _, o := range l.waiting {
-		d += timeOf(o.Bytes, l.opts.Mbit)
+		d += TransferTime(o.Bytes, l.opts.Mbit)
 	}
 	return d
 }
@@ -106,7 +106,7 @@
 		if v != admit.Refuse && i >= maxWaiting {
 			v, reason = admit.Refuse, "too many bodies wait for the link"
 		}
-		own := timeOf(o.Bytes, l.opts.Mbit)
+		own := TransferTime(o.Bytes, l.opts.Mbit)
 		switch {
 		case v == admit.Refuse:
 			events = append(events, Event{ID: o.id, Reason: reason})
@@ -142,7 +142,7 @@
 
 // transferTime returns the time that the body takes on the slower of the two links.
 func (l *Link) transferTime(o *offer) time.Duration {
-	return timeOf(o.Bytes, Slower(l.opts.Mbit, o.SenderMbit))
+	return TransferTime(o.Bytes, Slower(l.opts.Mbit, o.SenderMbit))
 }
 
 // Progress counts n bytes of a granted body that have come.
--- a/core/link/pacer.go
+++ b/core/link/pacer.go
@@ -33,7 +33,7 @@
 		p.free = now
 	}
 	ahead := p.free.Sub(now)
-	p.free = p.free.Add(timeOf(n, p.mbit*payloadShare))
+	p.free = p.free.Add(TransferTime(n, p.mbit*payloadShare))
 	if ahead <= maxAhead {
 		return 0
 	}
--- a/core/link/speed.go
+++ b/core/link/speed.go
@@ -24,10 +24,10 @@
 }
 
 // IsLong reports whether n bytes take longer than LongTime on a link.
-func IsLong(n int, mbit float64) bool { return timeOf(n, mbit) > LongTime }
+func IsLong(n int, mbit float64) bool { return TransferTime(n, mbit) > LongTime }
 
-// timeOf returns the time that n bytes take on a link, 0 if its speed is unknown.
-func timeOf(n int, mbit float64) time.Duration {
+// TransferTime returns the time that n bytes take on a link, 0 if its speed in Mbit/s is unknown.
+func TransferTime(n int, mbit float64) time.Duration {
 	if mbit <= 0 {
 		return 0
 	}
