core/vhost: an empty list of customers asks for API keys

A configuration whose list of customers was empty counted as one without customers, so requests with removed keys ran as if they needed none. The list now decides by being there; without it, or with null, nothing changes.

--- a/core/vhost/customer.go
+++ b/core/vhost/customer.go
@@ -86,8 +86,10 @@
 	return errors.Join(errs...)
 }
 
-// HasCustomers reports whether requests need an API key, except those on public routes.
-func (t *Table) HasCustomers() bool { return len(t.customers) > 0 }
+// HasCustomers reports whether requests need an API key, except those on public routes. A
+// configuration that has lost its last customer still does: requests with keys that were
+// removed must not run as if they needed none.
+func (t *Table) HasCustomers() bool { return t.hasKeys }
 
 // CustomerOf returns the customer with an API key, and false if no customer has it.
 func (t *Table) CustomerOf(key string) (*Customer, bool) {
--- a/core/vhost/table.go
+++ b/core/vhost/table.go
@@ -64,7 +64,7 @@
 	Version   int64                  // positive
 	Hosts     map[string][]RouteSpec // by host name without a port; names must differ in more than case
 	Services  []ServiceSpec
-	Customers []CustomerSpec // if there are any, requests need an API key
+	Customers []CustomerSpec // if it isn't nil, requests need an API key, even if it is empty
 	Bounds    Bounds
 }
 
@@ -75,6 +75,7 @@
 	hosts     map[string][]*Route // by lower-case host name; longest prefix first
 	services  map[types.ServiceName]ServiceSpec
 	customers map[types.CustomerName]*Customer
+	hasKeys   bool                 // requests need an API key
 	keys      map[string]*Customer // by API key
 	bounds    Bounds
 }
@@ -89,6 +90,7 @@
 		hosts:     make(map[string][]*Route, len(s.Hosts)),
 		services:  make(map[types.ServiceName]ServiceSpec, len(s.Services)),
 		customers: make(map[types.CustomerName]*Customer, len(s.Customers)),
+		hasKeys:   s.Customers != nil,
 		keys:      make(map[string]*Customer),
 		bounds:    s.Bounds,
 	}
