io/agent: an agent with an invalid record owns no quotas

An agent whose record in the store became invalid stayed an owner of quotas for the agents that knew it, while agents that started later never knew it and agreed on another one: two owners of a customer. An invalid record now counts as none, at the other agents and at the agent itself, which writes it again.

TestAgentWithAnInvalidRecordOwnsNothing fails before and passes after.

--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -54,11 +54,14 @@
 
 // noteOwnRecord enters this agent as an owner of quotas. Its record tells since when the store
 // has had one. The first listing may be stale, so that time is kept only from a record that
-// registration has read or replaced.
+// registration has read or replaced. An invalid record counts as none, as at the other agents.
 func (a *Agent) noteOwnRecord(it relay.Item) {
-	if _, rec, err := decodeRecord(it.Key, it.Value, it.Revision); err == nil {
-		a.quotas.setRestart(a.clock.Now().UnixMilli()-rec.Since >= quota.SettleTime.Milliseconds() && rec.Since > 0)
+	_, rec, err := decodeRecord(it.Key, it.Value, it.Revision)
+	if err != nil {
+		a.removeOwnRecord()
+		return
 	}
+	a.quotas.setRestart(a.clock.Now().UnixMilli()-rec.Since >= quota.SettleTime.Milliseconds() && rec.Since > 0)
 	a.quotas.setRecord(a.opts.Settings.Node, a.opts.Settings.DataCentre)
 }
 
@@ -70,11 +73,13 @@
 }
 
 // appendRecord appends the record of another agent. Invalid records and the one of this
-// agent are left out.
+// agent are left out. An agent with an invalid record owns no quotas: agents that start later
+// never know it, and would agree on another owner.
 func (a *Agent) appendRecord(records []roster.Record, it relay.Item) []roster.Record {
 	rec, _, err := decodeRecord(it.Key, it.Value, it.Revision)
 	if err != nil {
 		a.log.WithError(err).WithField("key", it.Key).Warn("invalid agent record ignored")
+		a.quotas.removeRecord(strings.TrimPrefix(it.Key, nodePrefix))
 		return records
 	}
 	if rec.Node == a.opts.Settings.Node {
--- a/io/agent/quota_test.go
+++ b/io/agent/quota_test.go
@@ -304,3 +304,26 @@
 		}
 	}
 }
+
+// Guards against two owners of a customer: an agent whose record became invalid is unknown to
+// agents that start later, so the others must not count it as an owner any longer, nor itself.
+func TestAgentWithAnInvalidRecordOwnsNothing(t *testing.T) {
+	for _, node := range []string{"self", "other"} {
+		t.Run(node, func(t *testing.T) {
+			is := is.New(t)
+			a := agent.New(agent.Options{
+				Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000", Regions: map[types.DataCentre]string{"kl": "my"}},
+				Log:      logs.Discard(), Clock: clockwork.NewFakeClock(), Scope: tally.NoopScope,
+			})
+			owners := func() []string { return agent.QuotasOf(a).Owners("acme") }
+			record := agent.RecordAt(node, "10.0.0.2:7000")
+			agent.ApplyItems(a, []relay.Item{record})
+			is.Equal(owners(), []string{node})
+			agent.ApplyItems(a, []relay.Item{{Key: record.Key, Value: []byte("?"), Revision: 2}})
+			is.Equal(len(owners()), 0)
+			record.Revision = 3
+			agent.ApplyItems(a, []relay.Item{record})
+			is.Equal(owners(), []string{node})
+		})
+	}
+}
--- a/io/agent/quotaexport_test.go
+++ b/io/agent/quotaexport_test.go
@@ -47,6 +47,13 @@
 // SetRecord exposes setRecord.
 func (q *quotas) SetRecord(node string) { q.setRecord(node, q.dc) }
 
+// Owners returns the agents that are asked for tokens of a customer.
+func (q *quotas) Owners(c types.CustomerName) []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.directory.Owners(c, q.dc)
+}
+
 // Check exposes check.
 func (q *quotas) Check() { q.check() }
 
