io/tokens: move the quotas of customers out of io/agent

io/agent has about 70 files in one package, in which a file is found by its name only. Taking and granting tokens of customers' quotas needs little of the agent: the configuration in force, the age of the knowledge of the store, which agents have records, and a way to ask another agent. These are now the options and five methods of tokens.Quotas. What depends on callers' requests and responses stays in io/agent/quotaentry.go, and sending a token request in follow.go.

Metrics, log lines and messages are unchanged. The tests of the package moved with it; those that need a whole agent stay in io/agent/quota_test.go. The 30 assertions are kept. The tests of io/agent no longer replace the age of the knowledge of the store in the quotas: they have the agent learn the store.

Measured: go test -race ./io/tokens ./io/agent passes; build, vet (amd64, arm64), staticcheck and revive are clean. Of ./platform -run 'Customer|Key|Quota|Restored|Store|Whole|Config', TestInvalidAnswersOfTheStore failed in one run; alone it fails in 4 of 100 runs, as it does in 4 of 100 without this change.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -24,6 +24,7 @@
 	"trefoilthread/io/local"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
+	"trefoilthread/io/tokens"
 )
 
 // Options configure an Agent. All fields but Metrics and Listen are required.
@@ -66,7 +67,7 @@
 	registration *registration
 	suspects     *suspects
 	fresh        *freshness
-	quotas       *quotas
+	quotas       *tokens.Quotas
 	since        atomic.Int64 // since when the store has a record of this agent, in Unix milliseconds
 	explainer    *explainer
 	startQuotas  func() // called when there are customers
@@ -134,9 +135,9 @@
 	})
 	uplink := mesh.NewUplink(o.Settings.Link)
 	a.startQuotas = func() {} // until Start
-	a.quotas = newQuotas(quotaOptions{
-		self: o.Settings.Node, dc: o.Settings.DataCentre, centres: slices.Collect(maps.Keys(o.Settings.Regions)),
-		clock: o.Clock, elapsed: a.fresh.time, log: o.Log, metrics: a.metrics, table: a.table.get, age: a.knowledgeAge, ask: a.askAgent,
+	a.quotas = tokens.New(tokens.Options{
+		Self: o.Settings.Node, DataCentre: o.Settings.DataCentre, Centres: slices.Collect(maps.Keys(o.Settings.Regions)),
+		Clock: o.Clock, Elapsed: a.fresh.time, Log: o.Log, Scope: o.Scope, Table: a.table.get, Age: a.knowledgeAge, Ask: a.askForTokens,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress(), Link: o.Settings.Link},
@@ -144,7 +145,7 @@
 		Memory: a.bodies, Undecoded: a.recordUndecoded, Uplink: uplink,
 	})
 	a.server = mesh.NewServer(mesh.ServerOptions{
-		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Tokens: a.quotas.serveTokens, Opened: a.linkOpened,
+		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Tokens: a.quotas.Serve, Opened: a.linkOpened,
 		Failed: a.inboundEnded, Clock: o.Clock, Memory: a.bodies, NoMemory: a.refuseLongCall,
 		Undecoded: a.refuseUndecoded, Uplink: uplink,
 	})
@@ -224,7 +225,7 @@
 	if err := a.listen(); err != nil {
 		return err
 	}
-	a.startQuotas = sync.OnceFunc(func() { go a.quotas.run(ctx) })
+	a.startQuotas = sync.OnceFunc(func() { go a.quotas.Run(ctx) })
 	go a.mirror.run(ctx)
 	go a.runTableReads(ctx)
 	go a.registration.run(ctx)
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -14,6 +14,7 @@
 	"trefoilthread/core/types"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/tokens"
 )
 
 // startRetryDelay is the retry delay that a caller gets while there is no configuration.
@@ -40,7 +41,7 @@
 	// observeVersion is called with the configuration version of an agent that answered.
 	observeVersion func(version int64)
 	suspects       *suspects
-	quotas         *quotas
+	quotas         *tokens.Quotas
 	// stop returns the planned stop of this agent, nil if there is none.
 	stop       func() *grace.Stop
 	fresh      *freshness
--- a/io/agent/explain.go
+++ b/io/agent/explain.go
@@ -7,10 +7,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"trefoilthread/core/quota"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/tokens"
 )
 
 // maxExplainBytes bounds the body of a request for an explanation.
@@ -75,7 +75,7 @@
 			Name: r.Name(), Rank: r.Rank(), Attempts: r.Attempts(), AtMostOnce: r.Runs() == types.AtMostOnce, Public: r.IsPublic(),
 		},
 	}
-	usage := withinQuota
+	usage := tokens.Within
 	if needsKey(t, r) && isKnown {
 		q.identity = identity{customer: c, until: k.until}
 		out.Customer, usage = x.customer(c)
@@ -107,8 +107,8 @@
 }
 
 // customer explains the customer of a request, and returns what its quota would decide.
-func (x *explainer) customer(c *vhost.Customer) (*ExplainedCustomer, quotaResult) {
-	usage, usedUp := x.entry.quotas.forecast(c)
+func (x *explainer) customer(c *vhost.Customer) (*ExplainedCustomer, tokens.Result) {
+	usage, usedUp := x.entry.quotas.Forecast(c)
 	return &ExplainedCustomer{
 		Name: string(c.Name()), Rank: c.Rank(), RequestsPerS: c.PerSecond(), Burst: c.Burst(), UsedUp: usedUp,
 	}, usage
@@ -116,7 +116,7 @@
 
 // refusal returns the refusal of a request that is not passed on to any target, nil if it
 // is. Whether it has crashed targets isn't known without its body.
-func (x *explainer) refusal(q *request, t *vhost.Table, k knowledge, usage quotaResult) *ExplainedRefusal {
+func (x *explainer) refusal(q *request, t *vhost.Table, k knowledge, usage tokens.Result) *ExplainedRefusal {
 	if needsKey(t, q.route) {
 		hasKey := q.identity.customer != nil
 		switch reason := keyRefusal(hasKey, hasKey, k); reason {
@@ -130,7 +130,7 @@
 	if s := x.entry.stop(); s != nil && !q.applyStop(q.start, s) {
 		return x.refused("agent is stopping")
 	}
-	if reason, status := usage.refusal(); reason != "" {
+	if reason, status := quotaRefusal(usage); reason != "" {
 		return &ExplainedRefusal{status, reason}
 	}
 	return nil
@@ -140,26 +140,3 @@
 func (x *explainer) refused(reason string) *ExplainedRefusal {
 	return &ExplainedRefusal{x.entry.wire.Refusal(reason, time.Second).Status, reason}
 }
-
-// forecast returns what a request of a customer would meet, and whether an owner has said
-// that the quota is used up. It takes no token and asks no owner.
-func (q *quotas) forecast(c *vhost.Customer) (res quotaResult, usedUp bool) {
-	if c.PerSecond() == 0 {
-		return withinQuota, false
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now, owners := q.elapsed(), q.directory.Owners(c.Name(), q.dc)
-	asker := quota.NewAsker()
-	if s := q.customers[c.Name()]; s != nil {
-		asker = s.asker
-	}
-	usedUp = asker.IsUsedUp(now, owners)
-	switch {
-	case asker.MayServe(now, owners, q.silent):
-		return withinQuota, usedUp
-	case usedUp:
-		return overQuota, true
-	}
-	return noQuotaOwner, false
-}
--- a/io/agent/explain_test.go
+++ b/io/agent/explain_test.go
@@ -18,6 +18,7 @@
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/tokens"
 )
 
 // explained is an agent with a customer, whose own target is the only one unless isRemote.
@@ -43,7 +44,6 @@
 		Wire: w, Log: logs.Discard(), Clock: x.clock, Scope: x.scope,
 	})
 	agent.SetTable(x.Agent, quotaTable(1, perSecond))
-	agent.SetKnowledgeAge(x.Agent, 0)
 	agent.LearnStore(x.Agent)
 	if isRemote {
 		key, value := agent.Record("n2", "bookings")
@@ -57,8 +57,9 @@
 // own makes the agent the owner of its customer's quota.
 func (x explained) own() {
 	q := agent.QuotasOf(x.Agent)
-	q.SetRecord("self")
+	q.SetRecord("self", "kl")
 	for range 40 {
+		agent.LearnStore(x.Agent)
 		q.Check()
 		x.clock.Advance(200 * time.Millisecond)
 	}
@@ -113,7 +114,7 @@
 // exhaust uses up the quota of the customer.
 func (x explained) exhaust(t *testing.T) {
 	q := agent.QuotasOf(x.Agent)
-	q.ServeTokens(&mesh.TokenRequest{Customer: "acme", Count: 999})
+	q.Serve(mesh.Hello{}, &mesh.TokenRequest{Customer: "acme", Count: 999})
 	c, _ := quotaTable(1, 100).Customer("acme")
 	q.Take(t.Context(), c)
 }
@@ -130,15 +131,15 @@
 	x.own()
 	c, _ := quotaTable(1, 10).Customer("acme")
 	take := func() (n int) {
-		for agent.QuotasOf(x.Agent).Take(t.Context(), c).Result() == agent.WithinQuota {
+		for agent.QuotasOf(x.Agent).Take(t.Context(), c).Result() == tokens.Within {
 			n++
 		}
 		return n
 	}
 	want := take()
 	is.True(want > 0)
-	x.own()                                                                        // tokens of the same time
-	agent.QuotasOf(x.Agent).GiveBack(agent.QuotasOf(x.Agent).Take(t.Context(), c)) // a token is here
+	x.own()                                                                      // tokens of the same time
+	agent.QuotasOf(x.Agent).Return(agent.QuotasOf(x.Agent).Take(t.Context(), c)) // a token is here
 	counted := func() (n int64) {
 		for _, c := range x.scope.Snapshot().Counters() {
 			n += c.Value()
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -20,6 +20,7 @@
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
+	"trefoilthread/io/tokens"
 )
 
 // Names for the tests of package agent_test.
@@ -333,3 +334,18 @@
 
 // Explain exposes the explanation of a request.
 func Explain(a *Agent, r *ExplainRequest) (*Explanation, int, string) { return a.explainer.explain(r) }
+
+// SetTable puts a configuration in force.
+func SetTable(a *Agent, t *vhost.Table) { a.table.replaceIfNewer(t, "test") }
+
+// QuotasOf returns the quotas of an agent.
+func QuotasOf(a *Agent) *tokens.Quotas { return a.quotas }
+
+// RecordAt returns the record in the store of an agent at an address.
+func RecordAt(node, addr string) relay.Item {
+	value, err := cbor.Marshal(storedRecord{Boot: 1, Address: addr, DataCentre: "kl", State: uint8(types.Down)})
+	if err != nil {
+		panic(err)
+	}
+	return relay.Item{Key: nodeKey(node), Value: value, Revision: 1}
+}
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -79,6 +79,15 @@
 	return news, err
 }
 
+// askForTokens asks the agent with a name for tokens of a customer's quota.
+func (a *Agent) askForTokens(ctx context.Context, node string, r *mesh.TokenRequest) (*mesh.Tokens, error) {
+	addr := a.balancer.address(node)
+	if addr == "" {
+		return nil, mesh.ErrUnreachable
+	}
+	return a.client.RequestTokens(ctx, addr, r)
+}
+
 // serveQuery answers a query of another agent, which is a sign of life.
 func (a *Agent) serveQuery(ctx context.Context, from mesh.Hello, q *mesh.Query) *mesh.News {
 	a.recordContact(from.Node)
--- a/io/agent/metrics.go
+++ b/io/agent/metrics.go
@@ -76,9 +76,6 @@
 	m.linkBusy.Update(float64(d) / float64(time.Millisecond))
 }
 
-// setOwned sets the number of customers whose quotas this agent owns.
-func (m *metrics) setOwned(n int) { m.scope.Gauge("quota_customers_owned").Update(float64(n)) }
-
 // countEvent adds one to the counter with a name.
 func (m *metrics) countEvent(name string) { m.scope.Counter(name).Inc(1) }
 
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -21,7 +21,7 @@
 		case name == a.opts.Settings.Node:
 			a.applyOwnRecord(it)
 		case it.Deleted:
-			a.quotas.removeRecord(name)
+			a.quotas.RemoveRecord(name)
 			missing = append(missing, name)
 		default:
 			records = a.appendRecord(records, it)
@@ -61,15 +61,15 @@
 		a.removeOwnRecord()
 		return
 	}
-	a.quotas.setRestart(a.clock.Now().UnixMilli()-rec.Since >= quota.SettleTime.Milliseconds() && rec.Since > 0)
-	a.quotas.setRecord(a.opts.Settings.Node, a.opts.Settings.DataCentre)
+	a.quotas.SetRestart(a.clock.Now().UnixMilli()-rec.Since >= quota.SettleTime.Milliseconds() && rec.Since > 0)
+	a.quotas.SetRecord(a.opts.Settings.Node, a.opts.Settings.DataCentre)
 }
 
 // removeOwnRecord notes that the store has no record of this agent.
 func (a *Agent) removeOwnRecord() {
-	a.quotas.removeRecord(a.opts.Settings.Node)
+	a.quotas.RemoveRecord(a.opts.Settings.Node)
 	a.beginSince()
-	a.quotas.setRestart(false)
+	a.quotas.SetRestart(false)
 }
 
 // appendRecord appends the record of another agent. Invalid records and the one of this
@@ -79,13 +79,13 @@
 	rec, _, err := decodeRecord(it.Key, it.Value, it.Revision)
 	if err != nil {
 		a.log.WithError(err).WithField("key", it.Key).Warn("invalid agent record ignored")
-		a.quotas.removeRecord(strings.TrimPrefix(it.Key, nodePrefix))
+		a.quotas.RemoveRecord(strings.TrimPrefix(it.Key, nodePrefix))
 		return records
 	}
 	if rec.Node == a.opts.Settings.Node {
 		return records
 	}
-	a.quotas.setRecord(rec.Node, rec.DataCentre)
+	a.quotas.SetRecord(rec.Node, rec.DataCentre)
 	return append(records, rec)
 }
 
--- a/io/agent/quotaentry.go
+++ b/io/agent/quotaentry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/tokens"
 )
 
 // quotaRetryDelay is the mean retry delay of a caller whose request was refused for its
@@ -13,10 +14,22 @@
 // over its quota share the next tokens.
 const quotaRetryDelay = 500 * time.Millisecond
 
+// quotaRefusal returns why a request with the result is refused and with which status, "" if it
+// isn't.
+func quotaRefusal(r tokens.Result) (reason string, status int) {
+	switch r {
+	case tokens.Within:
+		return "", 0
+	case tokens.Over:
+		return "over the customer's quota", http.StatusTooManyRequests
+	}
+	return "quota of the customer unknown", http.StatusServiceUnavailable
+}
+
 // refuseByQuota returns the response to a request without a token, nil if it may be
 // dispatched. The request has not run and never will.
-func (e *entry) refuseByQuota(q *request, v quotaVerdict) *httpw.Response {
-	reason, status := v.result.refusal()
+func (e *entry) refuseByQuota(q *request, v tokens.Verdict) *httpw.Response {
+	reason, status := quotaRefusal(v.Result())
 	if reason == "" {
 		return nil
 	}
@@ -34,13 +47,13 @@
 }
 
 // takeToken takes a token for a request of the customer that it names.
-func (e *entry) takeToken(ctx context.Context, q *request) quotaVerdict {
-	return e.quotas.take(ctx, q.identity.customer)
+func (e *entry) takeToken(ctx context.Context, q *request) tokens.Verdict {
+	return e.quotas.Take(ctx, q.identity.customer)
 }
 
 // returnUnusedToken returns the token of a request that no target got.
-func (e *entry) returnUnusedToken(v quotaVerdict, d *dispatch) {
+func (e *entry) returnUnusedToken(v tokens.Verdict, d *dispatch) {
 	if d.tries.Reached() == 0 && d.inFlight == 0 && d.reason != "" {
-		e.quotas.returnToken(v)
+		e.quotas.Return(v)
 	}
 }
--- a/io/agent/quotaask.go
+++ b/io/tokens/ask.go
@@ -1,4 +1,4 @@
-package agent
+package tokens
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 // askOwners asks the owners of a customer until no request waits. Requests that come
 // meanwhile share it.
-func (q *quotas) askOwners(s *customerQuota) {
+func (q *Quotas) askOwners(s *customerState) {
 	for {
 		node, want, ok := q.nextAsk(s)
 		if !ok {
@@ -23,20 +23,20 @@
 
 // nextAsk returns the owner to ask and for how many tokens. It returns false if no request
 // waits any more.
-func (q *quotas) nextAsk(s *customerQuota) (node string, want int, ok bool) {
+func (q *Quotas) nextAsk(s *customerState) (node string, want int, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for {
-		now := q.elapsed()
+		now := q.opts.Elapsed()
 		q.serveWaiting(s)
 		node, ok := s.asker.Next(now, q.owners(s), q.silent)
-		q.refuseWaiting(s, func(w *quotaWait) bool { return !ok || !now.Before(w.until) })
+		q.refuseWaiting(s, func(w *waiter) bool { return !ok || !now.Before(w.until) })
 		if len(s.waiting) == 0 {
 			s.asking = false
 			return "", 0, false
 		}
 		want = s.asker.Want(now, len(s.waiting))
-		if node != q.self {
+		if node != q.opts.Self {
 			return node, want, true
 		}
 		s.asker.Granted(now, now, node, q.grant(s.name, want))
@@ -44,8 +44,8 @@
 }
 
 // refuseWaiting ends the waits for which isOver returns true, with the lock held.
-func (q *quotas) refuseWaiting(s *customerQuota, isOver func(w *quotaWait) bool) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(w *quotaWait) bool {
+func (q *Quotas) refuseWaiting(s *customerState, isOver func(w *waiter) bool) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
 		over := isOver(w)
 		if over {
 			w.verdict <- q.refusal(s)
@@ -55,15 +55,15 @@
 }
 
 // askOwner asks another agent for tokens.
-func (q *quotas) askOwner(s *customerQuota, node string, want int) {
-	sent := q.elapsed()
+func (q *Quotas) askOwner(s *customerState, node string, want int) {
+	sent := q.opts.Elapsed()
 	ctx, cancel := context.WithTimeout(context.Background(), quota.AnswerTime)
 	defer cancel()
-	q.metrics.countEvent("quota_asks")
-	t, err := q.ask(ctx, node, &mesh.TokenRequest{Customer: string(s.name), Count: want})
+	q.count("quota_asks")
+	t, err := q.opts.Ask(ctx, node, &mesh.TokenRequest{Customer: string(s.name), Count: want})
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.elapsed()
+	now := q.opts.Elapsed()
 	if err != nil {
 		q.silent.Note(now, node)
 		return
@@ -75,12 +75,3 @@
 func toGrant(t *mesh.Tokens) quota.Grant {
 	return quota.Grant{Entitled: t.Entitled, Count: max(0, t.Count), Wait: max(0, min(t.Wait(), time.Second))}
 }
-
-// askAgent asks the agent with a name for tokens.
-func (a *Agent) askAgent(ctx context.Context, node string, r *mesh.TokenRequest) (*mesh.Tokens, error) {
-	addr := a.balancer.address(node)
-	if addr == "" {
-		return nil, mesh.ErrUnreachable
-	}
-	return a.client.RequestTokens(ctx, addr, r)
-}
