io/mirror: move the copy of the store's keys out of io/agent

The copy of the store's keys, read from the store or from another agent, was spread over eight files of io/agent beside 60 others. It is now a package with ten methods (Mirror). What the agent does with the keys is passed in as functions, as before.

The age of the knowledge of the store (freshness.go) moved along: most of its calls come from the mirror, and two of its tests need both. The agent reports to it which configuration it has yet to read or has taken over, and asks it whether requests with keys may be accepted. Left out: five functions in Options instead, because the tests would then have needed a copy of Freshness. The configuration is still fetched by io/agent/fetch.go; it decides by the agent's state. Its two timeouts of Mirror.Ask moved there from tell.go.

Metrics, log lines and messages are unchanged.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -23,6 +23,7 @@
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/local"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/mirror"
 	"trefoilthread/io/store"
 	"trefoilthread/io/tokens"
 )
@@ -60,13 +61,13 @@
 	metrics *metrics
 	boot    uint64
 
-	mirror       *mirror
+	mirror       *mirror.Mirror
 	table        *activeTable
 	balancer     *balancer
 	target       *localTarget
 	registration *registration
 	suspects     *suspects
-	fresh        *freshness
+	fresh        *mirror.Freshness
 	quotas       *tokens.Quotas
 	since        atomic.Int64 // since when the store has a record of this agent, in Unix milliseconds
 	explainer    *explainer
@@ -109,7 +110,7 @@
 	a.bodies = httpw.NewBudget(int64(o.Settings.BodyMemory))
 	a.SetService(o.Settings.Service)
 	a.table = &activeTable{log: o.Log}
-	a.fresh = newFreshness(o.Settings.KeyRevocation, o.elapsed(), o.Scope)
+	a.fresh = mirror.NewFreshness(o.Settings.KeyRevocation, o.elapsed(), o.Scope)
 	a.balancer = newBalancer(o.Settings, o.Clock, a.boot)
 	a.suspects = newSuspects(o.Settings.Node, a.boot, o.Clock, o.Log, a.broadcast)
 	a.target = newLocalTarget(localTargetOptions{
@@ -128,16 +129,16 @@
 		store: o.Store, clock: o.Clock, log: o.Log, key: nodeKey(o.Settings.Node),
 		value: a.currentRecord, onCreate: a.beginSince,
 	})
-	a.mirror = newMirror(mirrorOptions{
-		store: o.Store, clock: o.Clock, log: o.Log, self: o.Settings.Node, prefix: nodePrefix, link: o.Settings.Link,
-		fresh: a.fresh, accepts: a.accepts,
-		wants: a.wants, sendQuery: a.queryAgent, onChange: a.applyItems, onDiscovered: a.agentsDiscovered, onListed: a.keysListed,
+	a.mirror = mirror.New(mirror.Options{
+		Store: o.Store, Clock: o.Clock, Log: o.Log, Self: o.Settings.Node, Prefix: nodePrefix, Link: o.Settings.Link,
+		Fresh: a.fresh, Accepts: a.accepts,
+		Wants: a.wants, SendQuery: a.queryAgent, OnChange: a.applyItems, OnDiscovered: a.agentsDiscovered, OnListed: a.keysListed,
 	})
 	uplink := mesh.NewUplink(o.Settings.Link)
 	a.startQuotas = func() {} // until Start
 	a.quotas = tokens.New(tokens.Options{
 		Self: o.Settings.Node, DataCentre: o.Settings.DataCentre, Centres: slices.Collect(maps.Keys(o.Settings.Regions)),
-		Clock: o.Clock, Elapsed: a.fresh.time, Log: o.Log, Scope: o.Scope, Table: a.table.get, Age: a.knowledgeAge, Ask: a.askForTokens,
+		Clock: o.Clock, Elapsed: a.fresh.Time, Log: o.Log, Scope: o.Scope, Table: a.table.get, Age: a.fresh.StoreAge, Ask: a.askForTokens,
 	})
 	a.client = mesh.NewClient(mesh.ClientOptions{
 		Hello: mesh.Hello{Node: o.Settings.Node, Boot: a.boot, Address: o.Settings.advertisedAddress(), Link: o.Settings.Link},
@@ -226,7 +227,7 @@
 		return err
 	}
 	a.startQuotas = sync.OnceFunc(func() { go a.quotas.Run(ctx) })
-	go a.mirror.run(ctx)
+	go a.mirror.Run(ctx)
 	go a.runTableReads(ctx)
 	go a.registration.run(ctx)
 	go newCleaner(a).run(ctx)
--- a/io/agent/cleaner.go
+++ b/io/agent/cleaner.go
@@ -18,7 +18,8 @@
 const (
 	// cleanInterval is the mean time between two checks for agents that are gone.
 	cleanInterval = time.Second
-	// cleanProbeTimeout bounds a probe, which takes queryHoldTime at an agent that is well.
+	// cleanProbeTimeout bounds a probe, which an agent that is well answers after 400 ms
+	// (io/mirror).
 	cleanProbeTimeout = time.Second
 )
 
@@ -47,7 +48,7 @@
 // watched returns the records and latest contacts of the agents that ask this one.
 func (c *cleaner) watched() (map[string]roster.Record, []prune.Contact) {
 	a, now := c.agent, c.agent.clock.Now()
-	if !a.mirror.isReader() {
+	if !a.mirror.IsReader() {
 		return nil, nil
 	}
 	records := make(map[string]roster.Record)
@@ -60,7 +61,7 @@
 		return false
 	})
 	contacts = slices.DeleteFunc(contacts, func(con prune.Contact) bool {
-		return records[con.Name].Sequence == 0 || !a.mirror.serves(now, con.Name)
+		return records[con.Name].Sequence == 0 || !a.mirror.Serves(now, con.Name)
 	})
 	return records, contacts
 }
--- a/io/agent/customer.go
+++ b/io/agent/customer.go
@@ -9,6 +9,7 @@
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/mirror"
 )
 
 const (
@@ -32,14 +33,14 @@
 // identify returns the customer of a request, or the response to a request that may not
 // run. k must have been read before t: a later one might not
 // hold for an older table.
-func (e *entry) identify(info RequestInfo, t *vhost.Table, r *vhost.Route, k knowledge) (identity, *httpw.Response) {
+func (e *entry) identify(info RequestInfo, t *vhost.Table, r *vhost.Route, k mirror.Knowledge) (identity, *httpw.Response) {
 	if !needsKey(t, r) {
 		return identity{}, nil
 	}
 	c, isKnown := t.CustomerOf(info.Key)
 	switch reason := keyRefusal(info.Key != "", isKnown, k); reason {
 	case "":
-		return identity{customer: c, until: k.until}, nil
+		return identity{customer: c, until: k.Until()}, nil
 	case reasonStale:
 		return identity{}, e.refuseStale(info)
 	default:
@@ -51,11 +52,11 @@
 func needsKey(t *vhost.Table, r *vhost.Route) bool { return t.HasCustomers() && !r.IsPublic() }
 
 // keyRefusal returns why a request whose route needs an API key may not run, "" if it may.
-func keyRefusal(hasKey, isKnown bool, k knowledge) string {
+func keyRefusal(hasKey, isKnown bool, k mirror.Knowledge) string {
 	switch {
 	case !hasKey:
 		return reasonNoKey
-	case !k.isRecent, !isKnown && k.mayLack:
+	case !k.IsRecent(), !isKnown && k.MayLackKeys():
 		return reasonStale
 	case !isKnown:
 		return "unknown API key"
@@ -85,7 +86,7 @@
 // withoutKey returns the request as targets may see it. Without customers, now or with
 // settings that expect them, it is unchanged.
 func (e *entry) withoutKey(req *httpw.Request, t *vhost.Table) *httpw.Request {
-	if !t.HasCustomers() && !e.fresh.isBound() {
+	if !t.HasCustomers() && !e.fresh.IsBound() {
 		return req
 	}
 	stripped := *req
@@ -113,11 +114,11 @@
 // staleReason returns why a call with a customer may not start now, "" if it may. came is
 // when the call came to this agent, by its clock that counts suspension.
 func (t *localTarget) staleReason(head *mesh.CallHead, came time.Duration) string {
-	if head.Customer == "" || !t.fresh.isBound() {
+	if head.Customer == "" || !t.fresh.IsBound() {
 		return ""
 	}
-	waited := t.fresh.elapsed() - came
-	if !t.fresh.now().isRecent || head.StartMs != 0 && waited > time.Duration(head.StartMs)*time.Millisecond {
+	waited := t.fresh.Elapsed() - came
+	if !t.fresh.Now().IsRecent() || head.StartMs != 0 && waited > time.Duration(head.StartMs)*time.Millisecond {
 		t.metrics.countEvent("calls_refused_stale")
 		return reasonStale
 	}
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -125,7 +125,7 @@
 	d.inFlight++
 	sent := d.entry.clock.Now()
 	head := d.request.callHead(sent, t, d.entry.callerService())
-	d.request.addCustomer(head, d.entry.fresh.elapsed)
+	d.request.addCustomer(head, d.entry.fresh.Elapsed)
 	head.Prompt = a.isPrompt
 	go func() {
 		ans, err := d.entry.send(ctx, t, head)
--- a/io/agent/drained.go
+++ b/io/agent/drained.go
@@ -21,7 +21,7 @@
 // noteCopied ends the wait of awaitCopy once all keys of the store are known. It is called each
 // time keys were read.
 func (a *Agent) noteCopied() {
-	if a.mirror.isCopied() && a.isCopied.CompareAndSwap(false, true) {
+	if a.mirror.IsCopied() && a.isCopied.CompareAndSwap(false, true) {
 		close(a.copied)
 		a.metrics.scope.Gauge("drained_data_centres").Update(float64(a.balancer.drainedCount()))
 	}
@@ -49,13 +49,6 @@
 	}
 }
 
-// isCopied reports whether all keys of the store are known.
-func (m *mirror) isCopied() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.copy.Revision() > 0
-}
-
 // isDrainKey reports whether a key of the store names a drained data centre.
 func (a *Agent) isDrainKey(key string) bool {
 	p := a.opts.Wire.DrainPrefix
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -14,6 +14,7 @@
 	"trefoilthread/core/types"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/mirror"
 	"trefoilthread/io/tokens"
 )
 
@@ -44,7 +45,7 @@
 	quotas         *tokens.Quotas
 	// stop returns the planned stop of this agent, nil if there is none.
 	stop       func() *grace.Stop
-	fresh      *freshness
+	fresh      *mirror.Freshness
 	staleLines *rate.Limiter
 }
 
@@ -56,7 +57,7 @@
 		e.logRejected(info, "", http.StatusBadRequest, reasonNoID)
 		return plain(http.StatusBadRequest, reasonNoID)
 	}
-	k := e.fresh.now() // before the table is taken, which may be replaced by a later one
+	k := e.fresh.Now() // before the table is taken, which may be replaced by a later one
 	t := e.table.get()
 	if t == nil {
 		e.logRejected(info, "", http.StatusServiceUnavailable, "no configuration yet")
--- a/io/agent/explain.go
+++ b/io/agent/explain.go
@@ -10,6 +10,7 @@
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/mirror"
 	"trefoilthread/io/tokens"
 )
 
@@ -55,7 +56,7 @@
 	}
 	now := x.entry.clock.Now()
 	info, isValid := x.entry.wire.ReadRequestInfo(req)
-	k := x.entry.fresh.now()
+	k := x.entry.fresh.Now()
 	t := x.entry.table.get()
 	if t == nil {
 		return nil, http.StatusServiceUnavailable, "no configuration yet"
@@ -70,14 +71,14 @@
 	}
 	q := newRequest(now, info, req, t, r, xxhash.Sum64String(info.ID))
 	out = &Explanation{
-		Config: t.Version(), StoreAgeMs: x.storeAgeMs(), KeysServed: k.isRecent,
+		Config: t.Version(), StoreAgeMs: x.storeAgeMs(), KeysServed: k.IsRecent(),
 		Route: ExplainedRoute{
 			Name: r.Name(), Rank: r.Rank(), Attempts: r.Attempts(), AtMostOnce: r.Runs() == types.AtMostOnce, Public: r.IsPublic(),
 		},
 	}
 	usage := tokens.Within
 	if needsKey(t, r) && isKnown {
-		q.identity = identity{customer: c, until: k.until}
+		q.identity = identity{customer: c, until: k.Until()}
 		out.Customer, usage = x.customer(c)
 	}
 	if info.ID != "" && !isValid {
@@ -100,7 +101,7 @@
 
 // storeAgeMs returns Explanation.StoreAgeMs.
 func (x *explainer) storeAgeMs() int64 {
-	if age := x.entry.fresh.storeAge(); age < unknownAge {
+	if age := x.entry.fresh.StoreAge(); age < mirror.UnknownAge {
 		return age.Milliseconds()
 	}
 	return -1
@@ -116,7 +117,7 @@
 
 // refusal returns the refusal of a request that is not passed on to any target, nil if it
 // is. Whether it has crashed targets isn't known without its body.
-func (x *explainer) refusal(q *request, t *vhost.Table, k knowledge, usage tokens.Result) *ExplainedRefusal {
+func (x *explainer) refusal(q *request, t *vhost.Table, k mirror.Knowledge, usage tokens.Result) *ExplainedRefusal {
 	if needsKey(t, q.route) {
 		hasKey := q.identity.customer != nil
 		switch reason := keyRefusal(hasKey, hasKey, k); reason {
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/core/beat"
 	"trefoilthread/core/grace"
@@ -17,7 +15,6 @@
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
-	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
 	"trefoilthread/io/tokens"
@@ -27,9 +24,7 @@
 var (
 	NewSuspects = newSuspects
 	Fingerprint = fingerprint
-	Compress    = compress
 	RouteResult = routeResult
-	Decompress  = decompress
 )
 
 // SuspectExpiry exposes suspectExpiry.
@@ -146,89 +141,14 @@
 	return time.UnixMilli(rec.Since), err
 }
 
-// Mirror exposes mirror.
-type Mirror = mirror
-
-// NewMirror returns a mirror of the keys of agent records that knows no other agent.
-func NewMirror(st store.Store, clock clockwork.Clock) *Mirror {
-	return NewMirrorWith(st, clock, func(int64, func(string) bool) {})
-}
-
-// NewMirrorWith returns a mirror as NewMirror does, with onListed.
-func NewMirrorWith(st store.Store, clock clockwork.Clock, onListed func(revision int64, has func(key string) bool)) *Mirror {
-	start := clock.Now()
-	return newMirror(mirrorOptions{
-		store: st, clock: clock, log: logs.Discard(), self: "self", prefix: nodePrefix,
-		fresh:    newFreshness(0, func() time.Duration { return clock.Since(start) }, tally.NoopScope),
-		accepts:  func(string, []byte) bool { return true },
-		wants:    func(string) bool { return true },
-		onChange: func([]relay.Item) {},
-		onListed: onListed,
-	})
-}
-
-// Hold exposes hold.
-func (m *mirror) Hold(it store.Item) { m.hold(it) }
-
-// Age exposes age.
-func (m *mirror) Age() time.Duration { return m.age() }
-
-// KnowledgeAge returns the age of the knowledge of the store.
-func (m *mirror) KnowledgeAge() time.Duration { return m.fresh.storeAge() }
-
-// Suspend makes the clock that counts suspension run on.
-func (m *mirror) Suspend(d time.Duration) {
-	elapsed := m.fresh.elapsed
-	m.fresh.elapsed = func() time.Duration { return elapsed() + d }
-}
-
 // LearnStore notes that a knows the present state of the store.
-func LearnStore(a *Agent) { a.fresh.learn(a.fresh.elapsed()) }
+func LearnStore(a *Agent) { a.fresh.Learn(a.fresh.Elapsed()) }
 
-// KnowledgeAge exposes knowledgeAge.
-func KnowledgeAge(a *Agent) time.Duration { return a.knowledgeAge() }
+// KnowledgeAge returns the age of a's knowledge of the store.
+func KnowledgeAge(a *Agent) time.Duration { return a.fresh.StoreAge() }
 
 // MayAcceptKeys reports whether a knows the configuration well enough for requests with keys.
-func MayAcceptKeys(a *Agent) bool { return a.fresh.now().isRecent }
-
-// Discover exposes discover.
-func (m *mirror) Discover(ctx context.Context) {
-	m.onDiscovered = func(context.Context, bool) {}
-	m.discover(ctx)
-}
-
-// ReadStore exposes readStore, from the revision that is known.
-func (m *mirror) ReadStore(ctx context.Context) {
-	m.mu.Lock()
-	after := m.copy.Revision()
-	m.mu.Unlock()
-	m.readStore(ctx, after)
-}
-
-// QueryAgent exposes queryAgent, with the answer of the other agent.
-func (m *mirror) QueryAgent(ctx context.Context, node string, news *mesh.News) {
-	m.QueryAgentWith(ctx, node, func() *mesh.News { return news })
-}
-
-// QueryAgentWith exposes queryAgent, with what the other agent does to answer.
-func (m *mirror) QueryAgentWith(ctx context.Context, node string, answer func() *mesh.News) {
-	m.sendQuery = func(context.Context, string, *mesh.Query) (*mesh.News, error) { return answer(), nil }
-	m.queryAgent(ctx, relay.Source{Node: node}, m.copy.Revision())
-}
-
-// Ask exposes ask, at an agent that is to ask another one, with the answer of that.
-func Ask(ctx context.Context, clock clockwork.Clock, answer func() (*mesh.News, error)) error {
-	m := NewMirror(store.Store{}, clock)
-	m.setNodes([]relay.Peer{{Name: "a", Link: 1}, {Name: "b", Link: 1}})
-	m.sendQuery = func(context.Context, string, *mesh.Query) (*mesh.News, error) { return answer() }
-	_, err := m.ask(ctx, "key", 0, time.Second)
-	return err
-}
-
-// ServeQuery exposes serveQuery.
-func (m *mirror) ServeQuery(ctx context.Context, q *mesh.Query) *mesh.News {
-	return m.serveQuery(ctx, q)
-}
+func MayAcceptKeys(a *Agent) bool { return a.fresh.Now().IsRecent() }
 
 // Serve runs a call at the target of a, as for another agent.
 func Serve(ctx context.Context, a *Agent, head *mesh.CallHead) *mesh.Answer {
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -32,6 +32,14 @@
 // configuration, by one that has found an invalid one in the store at its start.
 const validRetryDelay = time.Second
 
+// tellTimeout bounds the time in which another agent tells a long configuration. At the start
+// of all VMs together it starts and reads the configuration itself meanwhile.
+const tellTimeout = 900 * time.Millisecond
+
+// heardTimeout takes the place of tellTimeout for a configuration that another agent has
+// already; the store has to be read in time if the one that is asked is behind as well.
+const heardTimeout = 450 * time.Millisecond
+
 // initialReadSpread is the time for each agent over which the first reads of all agents are
 // spread while they ask others. It is what a configuration of 370 KB takes on a link of
 // 1,000 Mbit/s, the store's.
@@ -48,7 +56,7 @@
 		if isTold {
 			return
 		}
-	case <-a.clock.After(rand.N(time.Duration(a.mirror.nodeCount()) * initialReadSpread)):
+	case <-a.clock.After(rand.N(time.Duration(a.mirror.NodeCount()) * initialReadSpread)):
 	}
 	it, err := a.listTable(ctx)
 	if err != nil {
@@ -68,7 +76,7 @@
 	if revision > a.tableApplied.Load() {
 		a.tableApplied.Store(revision) // a stale read may end after a later change
 	}
-	defer a.fresh.applied(revision) // an invalid one doesn't make the one in force old
+	defer a.fresh.Applied(revision) // an invalid one doesn't make the one in force old
 	a.isTableLong.Store(len(value) > longTableBytes)
 	t := a.decodeTable(value)
 	if t == nil {
@@ -116,8 +124,8 @@
 // it is applied, the knowledge of the configuration is older than that of the store.
 func (a *Agent) holdTable(it store.Item) {
 	if a.accepts(it.Key, it.Value) {
-		a.fresh.want(it.Revision)
-		a.mirror.hold(it)
+		a.fresh.Want(it.Revision)
+		a.mirror.Hold(it)
 	}
 }
 
@@ -158,7 +166,7 @@
 // askTable asks another agent for a configuration later than a revision, and reports
 // whether it was told.
 func (a *Agent) askTable(ctx context.Context, after int64, timeout time.Duration) bool {
-	it, err := a.mirror.ask(ctx, a.opts.Wire.TableKey, after, timeout)
+	it, err := a.mirror.Ask(ctx, a.opts.Wire.TableKey, after, timeout)
 	if err != nil {
 		return false
 	}
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -22,10 +22,10 @@
 		case a.isDrainKey(it.Key):
 			drains = append(drains, it)
 		case it.Deleted:
-			a.fresh.applied(it.Revision) // the configuration in force is kept
+			a.fresh.Applied(it.Revision) // the configuration in force is kept
 		case it.Omitted:
 			a.isTableLong.Store(true)
-			a.fresh.want(it.Revision)
+			a.fresh.Want(it.Revision)
 			a.isTableInvalid.Store(false)
 			a.requestTableRead(it.Revision)
 		default:
@@ -91,7 +91,7 @@
 // serveQuery answers a query of another agent, which is a sign of life.
 func (a *Agent) serveQuery(ctx context.Context, from mesh.Hello, q *mesh.Query) *mesh.News {
 	a.recordContact(from.Node)
-	return a.mirror.serveQuery(ctx, q)
+	return a.mirror.Serve(ctx, q)
 }
 
 // linkOpened records the address of an agent that has opened a connection. An agent that
@@ -103,4 +103,4 @@
 }
 
 // refreshSources passes the known agents to the mirror as sources.
-func (a *Agent) refreshSources() { a.mirror.setNodes(a.balancer.peers()) }
+func (a *Agent) refreshSources() { a.mirror.SetNodes(a.balancer.peers()) }
--- a/io/agent/freshness_test.go
+++ b/io/agent/freshness_test.go
@@ -1,7 +1,6 @@
 package agent_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -18,84 +17,6 @@
 	"trefoilthread/io/store"
 )
 
-const (
-	callTime = 300 * time.Millisecond // of each call of the store or query
-	slack    = 2 * time.Millisecond   // ages are rounded between agents
-)
-
-// slowStore is a store whose calls take callTime; err is that of calls for changes.
-func slowStore(clock *clockwork.FakeClock, err *error) store.Store {
-	return store.Store{
-		List: func(context.Context, string, bool) ([]store.Item, int64, error) {
-			clock.Advance(callTime)
-			return nil, 5, nil
-		},
-		Changes: func(_ context.Context, _ string, after int64, _ time.Duration) ([]store.Event, int64, error) {
-			clock.Advance(callTime)
-			return nil, after, *err
-		},
-	}
-}
-
-// Guards against knowledge that seems younger than it is: by answers that waited on their
-// way, by time in which the machine was suspended, or by stale reads and failures.
-func TestKnowledgeIsAsOldAsItsCall(t *testing.T) {
-	is := is.New(t)
-	clock := clockwork.NewFakeClock()
-	var failure error
-	m := agent.NewMirror(slowStore(clock, &failure), clock)
-	is.Equal(m.KnowledgeAge(), time.Hour)
-	m.Discover(t.Context())
-	is.Equal(m.KnowledgeAge(), time.Hour) // a stale read
-	m.ReadStore(t.Context())              // lists
-	is.Equal(m.KnowledgeAge(), callTime)
-	m.ReadStore(t.Context()) // the call could wait for changes
-	is.Equal(m.KnowledgeAge(), callTime)
-	failure = store.ErrUnavailable
-	m.ReadStore(t.Context())
-	is.Equal(m.KnowledgeAge(), 2*callTime)
-	m.Suspend(7 * time.Second) // the clock of the mirror stands still meanwhile
-	is.Equal(m.KnowledgeAge(), 2*callTime+7*time.Second)
-	failure = store.ErrRestored
-	m.ReadStore(t.Context())
-	is.Equal(m.KnowledgeAge(), time.Hour)
-	m.ReadStore(t.Context()) // lists again
-	is.Equal(m.KnowledgeAge(), callTime)
-}
-
-// Guards against an agent that takes the news of another one for younger than that knows them
-// to be, and against ages that grow by the time for which the other one held the query.
-func TestKnowledgeOfOtherAgents(t *testing.T) {
-	is := is.New(t)
-	clock := clockwork.NewFakeClock()
-	var failure error
-	other := agent.NewMirror(slowStore(clock, &failure), clock)
-	m := agent.NewMirror(store.Store{}, clock)
-	ended, cancel := context.WithCancel(t.Context())
-	cancel()
-	query := func(held time.Duration) {
-		m.QueryAgentWith(t.Context(), "other", func() *mesh.News {
-			clock.Advance(callTime) // on its way
-			news := other.ServeQuery(ended, new(mesh.Query))
-			news.HeldMs = held.Milliseconds()
-			clock.Advance(held)
-			return news
-		})
-	}
-	query(0)
-	is.Equal(m.KnowledgeAge(), time.Hour) // the other one knows nothing
-	other.ReadStore(t.Context())
-	clock.Advance(time.Second)
-	query(0)
-	is.True(m.KnowledgeAge() >= other.KnowledgeAge())
-	is.True(m.KnowledgeAge() <= other.KnowledgeAge()+callTime+slack)
-	other.Suspend(4 * time.Second)
-	other.ReadStore(t.Context())
-	query(400 * time.Millisecond)
-	is.True(m.KnowledgeAge() >= callTime)
-	is.True(m.KnowledgeAge() <= 2*callTime+400*time.Millisecond+slack)
-}
-
 // Guards against a removed key that is accepted because the knowledge of the store is recent,
 // while the configuration that it shows is still to be read, and against an invalid
 // configuration that counts as one to be read.
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -19,6 +19,7 @@
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/local"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/mirror"
 )
 
 const (
@@ -43,7 +44,7 @@
 	// last one reported.
 	onPaceChange func(cur beat.Announcement, l mesh.Load)
 	suspects     *suspects
-	fresh        *freshness
+	fresh        *mirror.Freshness
 	// service returns the configuration of a service, the zero value if unknown.
 	service func(name types.ServiceName) vhost.ServiceSpec
 	// presence describes the target together with this agent.
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -33,7 +33,7 @@
 // admitAndRun runs a call at the target, or refuses it. It returns the error of the target's
 // response as well, nil if there is none.
 func (t *localTarget) admitAndRun(ctx context.Context, head *mesh.CallHead) (ans *mesh.Answer, broken error) {
-	came := t.fresh.elapsed()
+	came := t.fresh.Elapsed()
 	t.awaitCopy(ctx)
 	t.measurePace(ctx)
 	now := t.clock.Now()
--- a/io/agent/compress.go
+++ b/io/mirror/compress.go
@@ -1,4 +1,4 @@
-package agent
+package mirror
 
 import (
 	"bytes"
--- a/io/agent/compress_test.go
+++ b/io/mirror/compress_test.go
@@ -1,4 +1,4 @@
-package agent_test
+package mirror_test
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"trefoilthread/io/agent"
+	"trefoilthread/io/mirror"
 )
 
 // Guards against accepting a compressed value of another agent that is truncated,
@@ -15,18 +15,18 @@
 func TestPackedValues(t *testing.T) {
 	is := is.New(t)
 	value := []byte(strings.Repeat(`{"name":"route"},`, 2000))
-	packed, err := agent.Compress(value)
+	packed, err := mirror.Compress(value)
 	is.NoErr(err)
 	is.True(len(packed) < len(value)/10)
-	got, err := agent.Decompress(packed)
+	got, err := mirror.Decompress(packed)
 	is.NoErr(err)
 	is.True(bytes.Equal(got, value))
-	_, err = agent.Decompress(packed[:len(packed)/2])
+	_, err = mirror.Decompress(packed[:len(packed)/2])
 	is.True(err != nil)
-	_, err = agent.Decompress([]byte("no compressed value"))
+	_, err = mirror.Decompress([]byte("no compressed value"))
 	is.True(err != nil)
-	bomb, err := agent.Compress(make([]byte, 17<<20))
+	bomb, err := mirror.Compress(make([]byte, 17<<20))
 	is.NoErr(err)
-	_, err = agent.Decompress(bomb)
+	_, err = mirror.Decompress(bomb)
 	is.True(err != nil)
 }
--- a/io/agent/mirror.go
+++ b/io/mirror/mirror.go
@@ -1,4 +1,4 @@
-package agent
+package mirror
 
 import (
 	"context"
@@ -13,75 +13,76 @@
 	"trefoilthread/io/store"
 )
 
-// mirrorOptions configure a mirror. All fields are required.
-type mirrorOptions struct {
-	store store.Store
-	clock clockwork.Clock
-	log   log.Interface
-	self  string
-	// prefix is the prefix of the keys of agent records.
-	prefix string
-	link   float64 // of this VM, Mbit/s, 0 if unknown
-	// fresh is told which knowledge of the store has been applied.
-	fresh *freshness
-	// wants reports whether the agent needs a key.
-	wants func(key string) bool
-	// accepts reports whether the copy may take over a value of a key. Otherwise it keeps the
+// Options configure a Mirror. All fields are required.
+type Options struct {
+	Store store.Store
+	Clock clockwork.Clock
+	Log   log.Interface
+	Self  string // name of this agent
+	// Prefix is the prefix of the keys of agent records.
+	Prefix string
+	Link   float64 // of this VM, Mbit/s, 0 if unknown
+	// Fresh is told which knowledge of the store has been applied.
+	Fresh *Freshness
+	// Wants reports whether the agent needs a key.
+	Wants func(key string) bool
+	// Accepts reports whether the copy may take over a value of a key. Otherwise it keeps the
 	// value before, which other agents are told as well.
-	accepts func(key string, value []byte) bool
-	// sendQuery sends a query to another agent.
-	sendQuery func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
-	// onChange is called with changes in order of revision.
-	onChange func(items []relay.Item)
-	// onDiscovered is called at the start when the other agents are known; isAlone means
+	Accepts func(key string, value []byte) bool
+	// SendQuery sends a query to another agent.
+	SendQuery func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
+	// OnChange is called with changes in order of revision.
+	OnChange func(items []relay.Item)
+	// OnDiscovered is called at the start when the other agents are known; isAlone means
 	// that there are none.
-	onDiscovered func(ctx context.Context, isAlone bool)
-	// onListed is called each time that all keys have been read, and at the start when
+	OnDiscovered func(ctx context.Context, isAlone bool)
+	// OnListed is called each time that all keys have been read, and at the start when
 	// the keys of the agents have been read.
-	onListed func(revision int64, has func(key string) bool)
+	OnListed func(revision int64, has func(key string) bool)
 }
 
-// mirror keeps this agent's copy of the store's keys up to date, and answers the
-// queries of others.
-type mirror struct {
-	mirrorOptions
+// Mirror keeps this agent's copy of the store's keys up to date, and answers the
+// queries of others. It is safe for concurrent use.
+type Mirror struct {
+	opts Options
 
 	mu      sync.Mutex
 	copy    *relay.Copy
 	sources *relay.Sources
 	changed chan struct{} // closed at the next change, or when the store is lost
 
-	// The fields below belong to run.
+	// The fields below belong to Run.
 	needsList   bool      // all keys have to be read again
 	isStoreLost bool      // the latest call to the store failed
 	answeredAt  time.Time // latest answer of the store
 	source      string
 }
 
-func newMirror(o mirrorOptions) *mirror {
-	return &mirror{
-		mirrorOptions: o, copy: relay.NewCopy(), sources: relay.NewSources(relay.Options{Self: o.self, Link: o.link}),
+// New returns a mirror with an empty copy. Run fills it and keeps it up to date.
+func New(o Options) *Mirror {
+	return &Mirror{
+		opts: o, copy: relay.NewCopy(), sources: relay.NewSources(relay.Options{Self: o.Self, Link: o.Link}),
 		changed: make(chan struct{}), needsList: true,
 	}
 }
 
-// setNodes sets the other agents as possible sources.
-func (m *mirror) setNodes(peers []relay.Peer) {
+// SetNodes sets the other agents as possible sources.
+func (m *Mirror) SetNodes(peers []relay.Peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sources.SetNodes(peers)
 }
 
-// run keeps the copy up to date until ctx ends.
-func (m *mirror) run(ctx context.Context) {
+// Run keeps the copy up to date until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
 	if pause := m.discover(ctx); pause > 0 {
-		sleep(ctx, m.clock, pause)
+		m.sleep(ctx, pause)
 		m.discover(ctx) // other agents may have started meanwhile
 	}
 	for ctx.Err() == nil {
-		m.fresh.report()
+		m.opts.Fresh.report()
 		m.mu.Lock()
-		next, after := m.sources.Next(m.clock.Now()), m.copy.Revision()
+		next, after := m.sources.Next(m.opts.Clock.Now()), m.copy.Revision()
 		m.mu.Unlock()
 		var pause time.Duration
 		switch {
@@ -92,23 +93,23 @@
 		default:
 			pause = next.Wait
 		}
-		sleep(ctx, m.clock, pause)
+		m.sleep(ctx, pause)
 	}
 }
 
-// apply updates the copy with items as of revision rev, calls onChange with those that
+// apply updates the copy with items as of revision rev, calls OnChange with those that
 // changed it, and returns the pause until the next step. whole means that the items are
 // all keys.
-func (m *mirror) apply(from relay.Source, age time.Duration, items []relay.Item, rev int64, whole bool) time.Duration {
+func (m *Mirror) apply(from relay.Source, age time.Duration, items []relay.Item, rev int64, whole bool) time.Duration {
 	values := make(map[keyRevision][]byte, len(items))
 	kept := items[:0]
 	var refused []string
 	for _, it := range items {
-		if !m.wants(it.Key) {
+		if !m.opts.Wants(it.Key) {
 			continue
 		}
 		it, value := m.prepareItem(it)
-		if value != nil && !m.accepts(it.Key, value) {
+		if value != nil && !m.opts.Accepts(it.Key, value) {
 			refused = append(refused, it.Key)
 			continue
 		}
@@ -126,7 +127,7 @@
 	if len(news) > 0 {
 		m.wakeQueries()
 	}
-	pause := m.sources.Learned(m.clock.Now(), from, age, len(items))
+	pause := m.sources.Learned(m.opts.Clock.Now(), from, age, len(items))
 	m.mu.Unlock()
 	m.logSourceChange(from)
 	for i := range news {
@@ -136,10 +137,10 @@
 		}
 	}
 	if len(news) > 0 {
-		m.onChange(news)
+		m.opts.OnChange(news)
 	}
 	if whole {
-		m.onListed(rev, m.has)
+		m.opts.OnListed(rev, m.has)
 	}
 	return pause
 }
@@ -152,7 +153,7 @@
 
 // appendKnown appends the known items of keys, with the lock held: a whole listing would
 // delete them if it lacked them.
-func (m *mirror) appendKnown(items []relay.Item, keys []string) []relay.Item {
+func (m *Mirror) appendKnown(items []relay.Item, keys []string) []relay.Item {
 	for _, key := range keys {
 		if it, ok := m.copy.Get(key); ok && !it.Deleted {
 			items = append(items, it)
@@ -162,7 +163,7 @@
 }
 
 // has reports whether a key is known to exist.
-func (m *mirror) has(key string) bool {
+func (m *Mirror) has(key string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.copy.Has(key)
@@ -171,7 +172,7 @@
 // prepareItem returns an item as the copy holds it, with a long value compressed, and
 // the value as the store has it. Only tellers keep long values that they have read, as
 // only they are asked for them.
-func (m *mirror) prepareItem(it relay.Item) (kept relay.Item, value []byte) {
+func (m *Mirror) prepareItem(it relay.Item) (kept relay.Item, value []byte) {
 	var err error
 	switch {
 	case it.Packed:
@@ -188,33 +189,44 @@
 		}
 	}
 	if err != nil {
-		m.log.WithError(err).WithField("key", it.Key).WithField("revision", it.Revision).Warn("value has to be read from the store")
+		m.opts.Log.WithError(err).WithField("key", it.Key).WithField("revision", it.Revision).Warn("value has to be read from the store")
 		it.Value, it.Packed, it.Omitted = nil, false, true
 	}
 	return it, value
 }
 
 // wakeQueries has the queries that wait look at the copy again, with the lock held.
-func (m *mirror) wakeQueries() {
+func (m *Mirror) wakeQueries() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
 // logSourceChange logs when the changes come from another source than before.
-func (m *mirror) logSourceChange(from relay.Source) {
+func (m *Mirror) logSourceChange(from relay.Source) {
 	name := from.Node
 	if name == "" {
 		name = "store"
 	}
 	if name != m.source {
-		m.log.WithField("source", name).WithField("before", m.source).Info("learning the store's changes")
+		m.opts.Log.WithField("source", name).WithField("before", m.source).Info("learning the store's changes")
 	}
 	m.source = name
 }
 
 // age returns the age of the copy.
-func (m *mirror) age() time.Duration {
+func (m *Mirror) age() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.sources.Age(m.clock.Now())
+	return m.sources.Age(m.opts.Clock.Now())
+}
+
+// sleep returns after d or when ctx ends.
+func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-m.opts.Clock.After(d):
+	}
 }
--- a/io/agent/query.go
+++ b/io/mirror/serve.go
@@ -1,4 +1,4 @@
-package agent
+package mirror
 
 import (
 	"context"
@@ -8,17 +8,17 @@
 	"trefoilthread/io/mesh"
 )
 
-// queryHoldTime is how long a query of another agent waits for changes.
-const queryHoldTime = 400 * time.Millisecond
+// holdTime is how long a query of another agent waits for changes.
+const holdTime = 400 * time.Millisecond
 
-// serveQuery answers a query of another agent, at once if there are changes or this agent
-// has lost the store, else after queryHoldTime.
-func (m *mirror) serveQuery(ctx context.Context, q *mesh.Query) *mesh.News {
-	ctx, cancel := context.WithTimeout(ctx, queryHoldTime)
+// Serve answers a query of another agent, at once if there are changes or this agent
+// has lost the store, else after holdTime.
+func (m *Mirror) Serve(ctx context.Context, q *mesh.Query) *mesh.News {
+	ctx, cancel := context.WithTimeout(ctx, holdTime)
 	defer cancel()
-	came := m.fresh.elapsed()
+	came := m.opts.Fresh.elapsed()
 	for {
-		held := m.fresh.elapsed() - came
+		held := m.opts.Fresh.elapsed() - came
 		m.mu.Lock()
 		news := m.answer(q)
 		changed := m.changed
@@ -35,7 +35,7 @@
 }
 
 // answer returns what the copy has for a query, with the lock held.
-func (m *mirror) answer(q *mesh.Query) *mesh.News {
+func (m *Mirror) answer(q *mesh.Query) *mesh.News {
 	if q.Key == "" {
 		return m.newsSince(q.Revision)
 	}
@@ -54,15 +54,15 @@
 }
 
 // newsSince returns the changes in the copy after a revision, with the lock held.
-func (m *mirror) newsSince(after int64) *mesh.News {
-	now := m.clock.Now()
+func (m *Mirror) newsSince(after int64) *mesh.News {
+	now := m.opts.Clock.Now()
 	news := &mesh.News{
-		Revision: m.copy.Revision(), AgeMs: min(m.sources.Age(now), unknownAge).Milliseconds(), Lost: m.sources.IsStoreLost(now),
+		Revision: m.copy.Revision(), AgeMs: min(m.sources.Age(now), UnknownAge).Milliseconds(), Lost: m.sources.IsStoreLost(now),
 	}
 	if news.Revision == 0 {
 		return news // the copy is empty
 	}
-	news.KnownMs = m.fresh.known()
+	news.KnownMs = m.opts.Fresh.known()
 	items, whole := m.copy.Since(after)
 	news.Whole = whole
 	limit := m.sources.TellLimit()
--- a/io/agent/tell.go
+++ b/io/mirror/tell.go
@@ -1,4 +1,4 @@
-package agent
+package mirror
 
 import (
 	"context"
@@ -11,22 +11,14 @@
 	"trefoilthread/io/store"
 )
 
-const (
-	// tellTimeout bounds the time in which another agent tells a long value. At the start
-	// of all VMs together it starts and reads the value itself meanwhile.
-	tellTimeout = 900 * time.Millisecond
-	// heardTimeout takes its place for a value that another agent has already; the store
-	// has to be read in time if the one that is asked is behind as well.
-	heardTimeout = 450 * time.Millisecond
-	// tellRetryDelay is the delay before an agent is asked again.
-	tellRetryDelay = 100 * time.Millisecond
-)
+// tellRetryDelay is the delay before an agent is asked again.
+const tellRetryDelay = 100 * time.Millisecond
 
 // errNotTold means that the agent that was asked for a value does not have it.
 var errNotTold = errors.New("agent has no such value")
 
-// hold makes the copy have an item that was read from the store, so that it can be told.
-func (m *mirror) hold(it store.Item) {
+// Hold makes the copy have an item that was read from the store, so that it can be told.
+func (m *Mirror) Hold(it store.Item) {
 	kept, _ := m.prepareItem(relay.Item{Key: it.Key, Value: it.Value, Revision: it.Revision})
 	if kept.Omitted {
 		return // nobody asks this agent for it
@@ -41,12 +33,12 @@
 	m.wakeQueries()
 }
 
-// ask asks another agent for the state of a key later than a revision. It fails if this
+// Ask asks another agent for the state of a key later than a revision. It fails if this
 // agent is to read the store itself, or if the other one refuses the query or does not have
 // the value within the timeout.
-func (m *mirror) ask(ctx context.Context, key string, after int64, timeout time.Duration) (store.Item, error) {
+func (m *Mirror) Ask(ctx context.Context, key string, after int64, timeout time.Duration) (store.Item, error) {
 	m.mu.Lock()
-	now := m.clock.Now()
+	now := m.opts.Clock.Now()
 	node := m.sources.Teller(now)
 	if _, ok := m.copy.Get(key); node == "" && !ok {
 		node = m.sources.OtherTeller(now) // the store may hold a value that isn't accepted
@@ -62,13 +54,13 @@
 		if err == nil || ctx.Err() != nil || errors.Is(err, mesh.ErrRefused) {
 			return it, err
 		}
-		sleep(ctx, m.clock, tellRetryDelay)
+		m.sleep(ctx, tellRetryDelay)
 	}
 }
 
 // askOnce asks an agent for the state of a key later than a revision.
-func (m *mirror) askOnce(ctx context.Context, node, key string, after int64) (store.Item, error) {
-	news, err := m.sendQuery(ctx, node, &mesh.Query{Key: key, Revision: after})
+func (m *Mirror) askOnce(ctx context.Context, node, key string, after int64) (store.Item, error) {
+	news, err := m.opts.SendQuery(ctx, node, &mesh.Query{Key: key, Revision: after})
 	if err != nil {
 		return store.Item{}, err
 	}
