--- a/io/agent/explain.go
+++ b/io/agent/explain.go
@@ -7,10 +7,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"trefoilthread/core/quota"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/mirror"
+	"trefoilthread/io/tokens"
 )
 
 // maxExplainBytes bounds the body of a request for an explanation.
@@ -55,7 +56,7 @@
 	}
 	now := x.entry.clock.Now()
 	info, isValid := x.entry.wire.ReadRequestInfo(req)
-	k := x.entry.fresh.now()
+	k := x.entry.fresh.Now()
 	t := x.entry.table.get()
 	if t == nil {
 		return nil, http.StatusServiceUnavailable, "no configuration yet"
@@ -70,14 +71,14 @@
 	}
 	q := newRequest(now, info, req, t, r, xxhash.Sum64String(info.ID))
 	out = &Explanation{
-		Config: t.Version(), StoreAgeMs: x.storeAgeMs(), KeysServed: k.isRecent,
+		Config: t.Version(), StoreAgeMs: x.storeAgeMs(), KeysServed: k.IsRecent(),
 		Route: ExplainedRoute{
 			Name: r.Name(), Rank: r.Rank(), Attempts: r.Attempts(), AtMostOnce: r.Runs() == types.AtMostOnce, Public: r.IsPublic(),
 		},
 	}
-	usage := withinQuota
+	usage := tokens.Within
 	if needsKey(t, r) && isKnown {
-		q.identity = identity{customer: c, until: k.until}
+		q.identity = identity{customer: c, until: k.Until()}
 		out.Customer, usage = x.customer(c)
 	}
 	if info.ID != "" && !isValid {
@@ -100,15 +101,15 @@
 
 // storeAgeMs returns Explanation.StoreAgeMs.
 func (x *explainer) storeAgeMs() int64 {
-	if age := x.entry.fresh.storeAge(); age < unknownAge {
+	if age := x.entry.fresh.StoreAge(); age < mirror.UnknownAge {
 		return age.Milliseconds()
 	}
 	return -1
 }
 
 // customer explains the customer of a request, and returns what its quota would decide.
-func (x *explainer) customer(c *vhost.Customer) (*ExplainedCustomer, quotaResult) {
-	usage, usedUp := x.entry.quotas.forecast(c)
+func (x *explainer) customer(c *vhost.Customer) (*ExplainedCustomer, tokens.Result) {
+	usage, usedUp := x.entry.quotas.Forecast(c)
 	return &ExplainedCustomer{
 		Name: string(c.Name()), Rank: c.Rank(), RequestsPerS: c.PerSecond(), Burst: c.Burst(), UsedUp: usedUp,
 	}, usage
@@ -116,7 +117,7 @@
 
 // refusal returns the refusal of a request that is not passed on to any target, nil if it
 // is. Whether it has crashed targets isn't known without its body.
-func (x *explainer) refusal(q *request, t *vhost.Table, k knowledge, usage quotaResult) *ExplainedRefusal {
+func (x *explainer) refusal(q *request, t *vhost.Table, k mirror.Knowledge, usage tokens.Result) *ExplainedRefusal {
 	if needsKey(t, q.route) {
 		hasKey := q.identity.customer != nil
 		switch reason := keyRefusal(hasKey, hasKey, k); reason {
@@ -130,7 +131,7 @@
 	if s := x.entry.stop(); s != nil && !q.applyStop(q.start, s) {
 		return x.refused("agent is stopping")
 	}
-	if reason, status := usage.refusal(); reason != "" {
+	if reason, status := quotaRefusal(usage); reason != "" {
 		return &ExplainedRefusal{status, reason}
 	}
 	return nil
@@ -140,26 +141,3 @@
 func (x *explainer) refused(reason string) *ExplainedRefusal {
 	return &ExplainedRefusal{x.entry.wire.Refusal(reason, time.Second).Status, reason}
 }
-
-// forecast returns what a request of a customer would meet, and whether an owner has said
-// that the quota is used up. It takes no token and asks no owner.
-func (q *quotas) forecast(c *vhost.Customer) (res quotaResult, usedUp bool) {
-	if c.PerSecond() == 0 {
-		return withinQuota, false
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now, owners := q.elapsed(), q.directory.Owners(c.Name(), q.dc)
-	asker := quota.NewAsker()
-	if s := q.customers[c.Name()]; s != nil {
-		asker = s.asker
-	}
-	usedUp = asker.IsUsedUp(now, owners)
-	switch {
-	case asker.MayServe(now, owners, q.silent):
-		return withinQuota, usedUp
-	case usedUp:
-		return overQuota, true
-	}
-	return noQuotaOwner, false
-}
