--- a/io/load/policyreport.go
+++ b/io/load/policyreport.go
@@ -48,8 +48,7 @@
 			s.mergeInto(r.urgent)
 		}
 	}
-	at := func(q float64) float64 { return float64(r.urgent.ValueAtQuantile(q)) / 1000 }
-	r.UrgentP50, r.UrgentP99, r.UrgentP999 = at(50), at(99), at(99.9)
+	r.UrgentP50, r.UrgentP99, r.UrgentP999 = r.urgentQuantile(50), r.urgentQuantile(99), r.urgentQuantile(99.9)
 	if a, o := res.Worth(); o > 0 {
 		r.Answered = a / o
 	}
