io/agent: log the goal of requests and how many have no line

The line "request ended" lacked the goal of the route.

Each line has goalMs now, and the line of a routine request leftOut: the number of routine requests of its route that got none since the last one. What is logged, and when, is unchanged.

--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -333,3 +333,8 @@
 
 // Explain exposes the explanation of a request.
 func Explain(a *Agent, r *ExplainRequest) (*Explanation, int, string) { return a.explainer.explain(r) }
+
+// NewRequestLines returns mayLogRequest of new metrics.
+func NewRequestLines() func(now time.Time, route string) (leftOut int, ok bool) {
+	return newMetrics(tally.NoopScope).mayLogRequest
+}
--- a/io/agent/logging.go
+++ b/io/agent/logging.go
@@ -45,9 +45,12 @@
 func (e *entry) recordEnd(q *request, d *dispatch, resp *httpw.Response) {
 	took := e.clock.Since(q.start)
 	e.metrics.recordResponse(resp.Status, took)
-	isRoutine := resp.Status < 400 && len(d.tried) == 1 && !e.clock.Now().After(q.goal)
-	if isRoutine && !e.metrics.mayLogRoutine(e.clock.Now()) {
-		return
+	leftOut := 0
+	if isRoutine := resp.Status < 400 && len(d.tried) == 1 && !e.clock.Now().After(q.goal); isRoutine {
+		var ok bool
+		if leftOut, ok = e.metrics.mayLogRequest(e.clock.Now(), q.route.Name()); !ok {
+			return
+		}
 	}
 	names := make([]string, len(d.tried))
 	for i, id := range d.tried {
@@ -57,7 +60,7 @@
 		"request": q.info.ID, "route": q.route.Name(), "service": string(q.service), "rank": q.route.Rank(),
 		"config": q.config, "status": resp.Status, "reason": d.reason, "lastTry": d.tries.Reason(), "targets": strings.Join(names, ","),
 		"reached": d.tries.Reached(), "moves": d.tries.Undelivered(), "hedged": d.hedged, "tookMs": took.Milliseconds(),
-		"leftMs": q.deadline.Sub(e.clock.Now()).Milliseconds(),
+		"goalMs": q.route.Goal().Milliseconds(), "leftMs": q.deadline.Sub(e.clock.Now()).Milliseconds(), "leftOut": leftOut,
 	}).Info("request ended")
 }
 
--- a/io/agent/metrics.go
+++ b/io/agent/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -18,6 +19,9 @@
 	hold          tally.Histogram // of responses that waited for earlier ones of their connection
 	linkBusy      tally.Gauge     // link time of the bodies under way to this VM
 	routine       *rate.Limiter   // limits log lines about successful requests and calls
+
+	mu      sync.Mutex
+	leftOut map[string]int // routine requests without a log line, by route, since the route's last one
 }
 
 // routineLinesPerSecond limits the log lines about requests and calls that went as
@@ -34,6 +38,20 @@
 	return false
 }
 
+// mayLogRequest is mayLogRoutine for a routine request of a route. With the line, it returns
+// how many others of the route were left out before, so that readers of the log can count them.
+func (m *metrics) mayLogRequest(now time.Time, route string) (leftOut int, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.mayLogRoutine(now) {
+		m.leftOut[route]++
+		return 0, false
+	}
+	leftOut = m.leftOut[route]
+	delete(m.leftOut, route)
+	return leftOut, true
+}
+
 // latencyBuckets covers the range of callers' deadlines.
 var latencyBuckets = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
@@ -49,6 +67,7 @@
 		hold:          scope.Histogram("response_hold", latencyBuckets),
 		linkBusy:      scope.Gauge("link_busy_ms"),
 		routine:       rate.NewLimiter(routineLinesPerSecond, routineLinesPerSecond),
+		leftOut:       map[string]int{},
 	}
 }
 
