cmd/trefoilthread: compare logs of agents by route

Operators who set hedgeShare could see its effect on callers only in the buckets of request_latency, which double from one to the next and have no route.

--- a/cmd/trefoilthread/main.go
+++ b/cmd/trefoilthread/main.go
@@ -13,6 +13,8 @@
 //	trefoilthread target list                   list the known targets
 //	trefoilthread quarantine list               list requests that crash targets
 //	trefoilthread load scenario.ini             compare policies under load
+//	trefoilthread latency before=FILE after=FILE
+//	                                            compare what callers got, by logs of agents
 package main
 
 import (
@@ -31,6 +33,7 @@
 	Quarantine quarantineCmd `cmd:"" help:"List and lift requests that crash targets."`
 	Demo       demoCmd       `cmd:"" help:"Run one deployment in one process and report."`
 	Load       loadCmd       `cmd:"" help:"Compare policies under load and faults."`
+	Latency    latencyCmd    `cmd:"" help:"Compare logs of agents: what callers got, by route."`
 }
 
 func main() {
