--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/core/beat"
 	"trefoilthread/core/grace"
@@ -269,3 +270,8 @@
 	}
 	return relay.Item{Key: nodeKey(node), Value: value, Revision: 1}
 }
+
+// NewRequestLines returns mayLogRequest of new metrics.
+func NewRequestLines() func(now time.Time, route string) (leftOut int, ok bool) {
+	return newMetrics(tally.NoopScope).mayLogRequest
+}
