io/fleet: fakes listen on a loopback IP of their own

A target that crashed restarts on its port. On 127.0.0.1 an outgoing connection of any process may have taken the port meanwhile: TestExperiment of io/load failed once with "address already in use" at a load average of about 20. Outgoing connections to 127/8 come from 127.0.0.1, so ports of another loopback IP stay free.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -50,7 +50,7 @@
 	if f.authority, err = certs.NewAuthority(time.Now()); err != nil {
 		return err
 	}
-	if err := f.store.Start("127.0.0.1:0"); err != nil {
+	if err := f.store.Start(loopback()); err != nil {
 		return err
 	}
 	if err := f.configure(ctx); err != nil {
--- a/io/fleet/node.go
+++ b/io/fleet/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -106,6 +107,12 @@
 	return sum
 }
 
+// loopback returns an address on a loopback IP of its own. Outgoing connections come from
+// 127.0.0.1, so none of them takes the port of a fake that has crashed and restarts there.
+func loopback() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(250))
+}
+
 // startTarget starts the target, which announces itself to the daemon.
 func (n *Node) startTarget(f *Fleet, seed uint64) error {
 	st := stand.ServiceTime{Kind: stand.Constant, Mean: n.service.Typical()}
@@ -118,7 +125,7 @@
 		ServiceTime: st, RestartAfter: f.opts.RestartAfter, Seed: seed,
 		DaemonAdmin: n.daemon.LocalAddr(), DaemonEntry: n.daemon.CallerAddr(),
 	})
-	return n.target.Start("127.0.0.1:0")
+	return n.target.Start(loopback())
 }
 
 // stop ends the node gracefully: the daemon drains, then the target ends.
