io/enrol: move the record of an agent in the store out of io/agent

Keeping this agent's record in the store (registration, claim, record) and deleting those of agents that are gone (cleaner) are now io/enrol with two types: Registration, which is told the changes of its record in the store (Learn), and Cleaner, which takes the agents to watch and a probe as functions. What joins the record to the target's announcements stays in io/agent/restore.go, what joins it to quotas and roster in nodes.go.

Whether the record of an earlier start is known, and since when the store has one, were fields of Agent and are now of Registration, which alone uses them. The value that the agent gives no longer holds Since; the registration fills it in. io/agent/fetch.go had used two constants of the registration for its reads of the configuration; it has its own with the same values.

Keys, encoding, metrics and log lines are unchanged. The test of Since moved; it has a Registration learn what the agent had passed to it, and each start has a Boot of its own as before. New is a test of Cleaner, which only a test of whole agents had met.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -19,6 +19,7 @@
 	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
+	"trefoilthread/io/enrol"
 	"trefoilthread/io/front"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/local"
@@ -65,11 +66,11 @@
 	table        *activeTable
 	balancer     *balancer
 	target       *localTarget
-	registration *registration
+	registration *enrol.Registration
+	cleaner      *enrol.Cleaner
 	suspects     *suspects
 	fresh        *mirror.Freshness
 	quotas       *tokens.Quotas
-	since        atomic.Int64 // since when the store has a record of this agent, in Unix milliseconds
 	explainer    *explainer
 	startQuotas  func() // called when there are customers
 	client       *mesh.Client
@@ -80,8 +81,6 @@
 	service atomic.Pointer[types.ServiceName]
 	stop    atomic.Pointer[grace.Stop] // nil until the agent stops
 
-	restoring     sync.Mutex    // held while the record of an earlier start becomes known
-	isRestored    atomic.Bool   // the record of an earlier start is known, or there is none
 	copied        chan struct{} // closed when all keys of the store are known
 	isCopied      atomic.Bool   // copied is closed
 	isSynced      atomic.Bool   // the records of all agents are known
@@ -106,7 +105,6 @@
 		metrics: newMetrics(o.Scope), newerVersions: make(chan int64, 1), tableReads: make(chan struct{}, 1),
 		copied: make(chan struct{}),
 	}
-	a.since.Store(o.Clock.Now().UnixMilli())
 	a.bodies = httpw.NewBudget(int64(o.Settings.BodyMemory))
 	a.SetService(o.Settings.Service)
 	a.table = &activeTable{log: o.Log}
@@ -125,12 +123,14 @@
 			Belongs: o.Wire.Belongs, Clock: o.Clock, Limits: responseLimits(a.bodies), Dropped: a.recordDropped,
 		}),
 	})
-	a.registration = newRegistration(registrationOptions{
-		store: o.Store, clock: o.Clock, log: o.Log, key: nodeKey(o.Settings.Node),
-		value: a.currentRecord, onCreate: a.beginSince,
+	a.registration = enrol.New(enrol.Options{
+		Store: o.Store, Clock: o.Clock, Log: o.Log, Self: o.Settings.Node, Value: a.currentRecord, OnPrevious: a.restoreTarget,
+	})
+	a.cleaner = enrol.NewCleaner(enrol.CleanerOptions{
+		Store: o.Store, Clock: o.Clock, Log: o.Log, Scope: o.Scope, Watched: a.watchedPeers, Probe: a.probeAgent,
 	})
 	a.mirror = mirror.New(mirror.Options{
-		Store: o.Store, Clock: o.Clock, Log: o.Log, Self: o.Settings.Node, Prefix: nodePrefix, Link: o.Settings.Link,
+		Store: o.Store, Clock: o.Clock, Log: o.Log, Self: o.Settings.Node, Prefix: enrol.Prefix, Link: o.Settings.Link,
 		Fresh: a.fresh, Accepts: a.accepts,
 		Wants: a.wants, SendQuery: a.queryAgent, OnChange: a.applyItems, OnDiscovered: a.agentsDiscovered, OnListed: a.keysListed,
 	})
@@ -229,8 +229,8 @@
 	a.startQuotas = sync.OnceFunc(func() { go a.quotas.Run(ctx) })
 	go a.mirror.Run(ctx)
 	go a.runTableReads(ctx)
-	go a.registration.run(ctx)
-	go newCleaner(a).run(ctx)
+	go a.registration.Run(ctx)
+	go a.cleaner.Run(ctx)
 	a.log.WithFields(log.Fields{
 		"node": a.opts.Settings.Node, "dataCentre": string(a.opts.Settings.DataCentre),
 		"service": string(a.opts.Settings.Service), "boot": a.boot, "startMs": a.clock.Since(a.started).Milliseconds(),
--- a/io/agent/announce.go
+++ b/io/agent/announce.go
@@ -26,7 +26,7 @@
 		}))
 	}
 	a.balancer.setLocal(list)
-	a.registration.requestWrite()
+	a.registration.RequestWrite()
 	if ok && state != types.Up {
 		a.server.Publish(&mesh.Notice{
 			Node: a.opts.Settings.Node, Boot: a.boot, Config: a.table.version(), Target: string(cur.ID), Leaving: true,
@@ -42,7 +42,7 @@
 		return false // an earlier start may have recorded that the target left
 	}
 	v := a.target.announce(ann)
-	a.registration.begin()
+	a.registration.Begin()
 	if v == beat.Changed && ann.Draining {
 		a.awaitRecord(ctx)
 	}
@@ -76,7 +76,7 @@
 // Leave applies the last message of the target, by which it leaves, and waits until the
 // store has the record of that, at most recordWaitTime.
 func (a *Agent) Leave(ctx context.Context, id types.TargetID, born uint64) {
-	a.readRecord(ctx) // the target leaves even if the store is unavailable
+	a.registration.Read(ctx) // the target leaves even if the store is unavailable
 	if a.target.leave(id, born) == beat.Changed {
 		a.awaitRecord(ctx)
 	}
@@ -87,7 +87,7 @@
 func (a *Agent) awaitRecord(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recordWaitTime)
 	defer cancel()
-	a.registration.awaitWrite(ctx)
+	a.registration.AwaitWrite(ctx)
 }
 
 // recordWaitTime bounds the delay of an acknowledgement to the target, which waits one
--- a/io/agent/doc.go
+++ b/io/agent/doc.go
@@ -8,25 +8,25 @@
 // (which target), retry (whether to send again), admit (whether to run now),
 // roster and beat (which agents and targets exist), cold (whether the target is cold and
 // how many calls it takes then), drain (which data centres are drained), link (when the
-// bodies of offered calls may come), prune (which agents are gone), pace and probe (how fast
-// the target's host is), poison (which requests crash targets). Package mirror applies those
-// of relay (from which agent or store to read changes) and fresh (whether the configuration
-// is known well enough for requests with API keys), package tokens those of quota (which
-// requests are within their customer's quota).
+// bodies of offered calls may come), pace and probe (how fast the target's host is), poison
+// (which requests crash targets). Package mirror applies those of relay (from which agent or
+// store to read changes) and fresh (whether the configuration is known well enough for requests
+// with API keys), package tokens those of quota (which requests are within their customer's
+// quota), package enrol those of prune (which agents are gone).
 //
 // # State and its owners
 //
-//	mirror.Mirror     copy of the store's keys, read from the store or from another agent
-//	activeTable       configuration in force, decoded from the operator's document in the store
-//	mirror.Freshness  up to which time the store and the configuration in force are known
-//	balancer          other agents, their targets, drained data centres, statistics of this
-//	                  agent's calls, retry budgets and hedging limits
-//	localTarget       the target on this VM, its admission gate, its connections, its cold time, and
-//	                  the offered calls whose bodies wait for the link
-//	registration      this agent's record in the store
-//	cleaner           which other agents are gone, so that their records are deleted
-//	suspects          requests that were running when a target crashed
-//	tokens.Quotas     tokens of customers' quotas, and the parts of quotas that this agent owns
+//	mirror.Mirror       copy of the store's keys, read from the store or from another agent
+//	activeTable         configuration in force, decoded from the operator's document in the store
+//	mirror.Freshness    up to which time the store and the configuration in force are known
+//	balancer            other agents, their targets, drained data centres, statistics of this
+//	                    agent's calls, retry budgets and hedging limits
+//	localTarget         the target on this VM, its admission gate, its connections, its cold time, and
+//	                    the offered calls whose bodies wait for the link
+//	enrol.Registration  this agent's record in the store
+//	enrol.Cleaner       which other agents are gone, so that their records are deleted
+//	suspects            requests that were running when a target crashed
+//	tokens.Quotas       tokens of customers' quotas, and the parts of quotas that this agent owns
 //
 // None of it is kept on disk. A restarted agent reads it again from the store, from
 // the target's next announcement, and from the answers of other agents.
--- a/io/agent/explain_test.go
+++ b/io/agent/explain_test.go
@@ -46,7 +46,7 @@
 	agent.SetTable(x.Agent, quotaTable(1, perSecond))
 	agent.LearnStore(x.Agent)
 	if isRemote {
-		key, value := agent.Record("n2", "bookings")
+		key, value := encodedRecord("n2", "bookings")
 		agent.ApplyItems(x.Agent, []relay.Item{{Key: key, Value: value, Revision: 1}})
 	} else {
 		agent.AnnounceTarget(x.Agent, beat.Announcement{ID: "t1", Born: 1, Service: "bookings", Address: "10.0.0.1:80", Slots: 4})
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -16,7 +16,6 @@
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
-	"trefoilthread/io/store"
 	"trefoilthread/io/tokens"
 )
 
@@ -90,18 +89,6 @@
 // CountRequest counts a request for a service, which starts the statistics of it.
 func CountRequest(a *Agent, name types.ServiceName) { a.balancer.countRequest(name) }
 
-// Record returns the key and value of an agent's record.
-func Record(node string, service types.ServiceName) (key string, value []byte) {
-	value, err := cbor.Marshal(storedRecord{
-		Boot: 1, Address: node + ":7000", DataCentre: "kl", Target: "t-" + node, Service: string(service),
-		TargetAddress: node + ":8000", Slots: 12, Born: 7, State: uint8(types.Up),
-	})
-	if err != nil {
-		panic(err)
-	}
-	return nodeKey(node), value
-}
-
 // AddCustomer adds the customer with key k1 to a call that has to start before until and is
 // sent at a time of the clock.
 func AddCustomer(head *mesh.CallHead, t *vhost.Table, until, sent time.Duration) {
@@ -117,30 +104,6 @@
 	return a.target.link.Waiting()
 }
 
-// WriteRecord reads the record of an earlier start if it isn't known yet, and writes that of
-// this one.
-func WriteRecord(ctx context.Context, a *Agent) error {
-	if !a.readRecord(ctx) {
-		return store.ErrUnavailable
-	}
-	return a.registration.write(ctx)
-}
-
-// ClaimRecord replaces the record of an earlier start by that of the announced target.
-func ClaimRecord(ctx context.Context, a *Agent) error {
-	cur, _ := a.target.announcedState()
-	if !a.claimRecord(ctx, cur) {
-		return store.ErrUnavailable
-	}
-	return nil
-}
-
-// RecordSince returns since when the store has had a record, by its value.
-func RecordSince(key string, value []byte) (time.Time, error) {
-	_, rec, err := decodeRecord(key, value, 1)
-	return time.UnixMilli(rec.Since), err
-}
-
 // LearnStore notes that a knows the present state of the store.
 func LearnStore(a *Agent) { a.fresh.Learn(a.fresh.Elapsed()) }
 
@@ -260,12 +223,3 @@
 
 // QuotasOf returns the quotas of an agent.
 func QuotasOf(a *Agent) *tokens.Quotas { return a.quotas }
-
-// RecordAt returns the record in the store of an agent at an address.
-func RecordAt(node, addr string) relay.Item {
-	value, err := cbor.Marshal(storedRecord{Boot: 1, Address: addr, DataCentre: "kl", State: uint8(types.Down)})
-	if err != nil {
-		panic(err)
-	}
-	return relay.Item{Key: nodeKey(node), Value: value, Revision: 1}
-}
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -28,6 +28,12 @@
 // of a second on a link of 10 Mbit/s. Others wait for it at the agents that tell it.
 const maxReadDelay = 200 * time.Millisecond
 
+// tableReadTimeout bounds a read of the configuration from the store.
+const tableReadTimeout = 800 * time.Millisecond
+
+// tableRetryDelay is the delay after a failed read of the configuration.
+const tableRetryDelay = 400 * time.Millisecond
+
 // validRetryDelay is the mean delay before another agent is asked again for a valid
 // configuration, by one that has found an invalid one in the store at its start.
 const validRetryDelay = time.Second
@@ -181,13 +187,13 @@
 	if a.isTableLong.Load() && a.readStaleTable(ctx, heard) {
 		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	bounded, cancel := context.WithTimeout(ctx, tableReadTimeout)
 	defer cancel()
 	it, err := a.store.Get(bounded, a.opts.Wire.TableKey)
 	if err != nil {
 		a.log.WithError(err).WithField("heard", heard).WithField("inForce", a.table.version()).Warn("configuration not read")
 		if heard == 0 && ctx.Err() == nil {
-			a.clock.AfterFunc(storeRetryDelay, func() { a.requestTableRead(a.tableWanted.Load()) })
+			a.clock.AfterFunc(tableRetryDelay, func() { a.requestTableRead(a.tableWanted.Load()) })
 		}
 		return
 	}
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilthread/core/relay"
+	"trefoilthread/io/enrol"
 	"trefoilthread/io/mesh"
 )
 
@@ -17,7 +18,7 @@
 	var nodes, drains []relay.Item
 	for _, it := range items {
 		switch {
-		case strings.HasPrefix(it.Key, nodePrefix):
+		case strings.HasPrefix(it.Key, enrol.Prefix):
 			nodes = append(nodes, it)
 		case a.isDrainKey(it.Key):
 			drains = append(drains, it)
@@ -38,7 +39,7 @@
 
 // wants reports whether the agent needs a key of the store.
 func (a *Agent) wants(key string) bool {
-	return key == a.opts.Wire.TableKey || strings.HasPrefix(key, nodePrefix) || a.isDrainKey(key)
+	return key == a.opts.Wire.TableKey || strings.HasPrefix(key, enrol.Prefix) || a.isDrainKey(key)
 }
 
 // keysListed is called when all keys are known as of a revision. It has a missing record
@@ -46,9 +47,8 @@
 func (a *Agent) keysListed(rev int64, has func(key string) bool) {
 	a.isSynced.Store(true)
 	a.noteCopied()
-	if !has(nodeKey(a.opts.Settings.Node)) {
-		a.registration.noteUnlisted()
-		a.registration.markMissing(rev)
+	if !has(enrol.Key(a.opts.Settings.Node)) {
+		a.registration.LearnMissing(rev)
 	}
 	a.refreshSources()
 }
@@ -60,7 +60,7 @@
 	if !isAlone {
 		go a.readInitialTable(ctx)
 	}
-	if rec := a.registration.listedRecord(); rec != nil {
+	if rec := a.registration.Listed(); rec != nil {
 		go a.restoreRunning(ctx, rec)
 	}
 }
--- a/io/agent/hedge_test.go
+++ b/io/agent/hedge_test.go
@@ -56,7 +56,7 @@
 			})
 			var items []relay.Item
 			for i := range 3 {
-				key, value := agent.Record(fmt.Sprintf("n%d", i), "bookings")
+				key, value := encodedRecord(fmt.Sprintf("n%d", i), "bookings")
 				items = append(items, relay.Item{Key: key, Value: value, Revision: int64(i + 1)})
 			}
 			agent.ApplyItems(a, items)
--- a/io/agent/learn_test.go
+++ b/io/agent/learn_test.go
@@ -21,7 +21,7 @@
 func records(n int) []relay.Item {
 	var items []relay.Item
 	for i := range n {
-		key, value := agent.Record(fmt.Sprintf("node-%d", i), learnServices[i%2])
+		key, value := encodedRecord(fmt.Sprintf("node-%d", i), learnServices[i%2])
 		items = append(items, relay.Item{Key: key, Value: value, Revision: int64(i + 1)})
 	}
 	return items
--- a/io/agent/nodes.go
+++ b/io/agent/nodes.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"context"
+	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -9,6 +12,9 @@
 	"trefoilthread/core/quota"
 	"trefoilthread/core/relay"
 	"trefoilthread/core/roster"
+	"trefoilthread/core/types"
+	"trefoilthread/io/enrol"
+	"trefoilthread/io/mesh"
 )
 
 // applyNodes applies changes of agent records.
@@ -16,7 +22,7 @@
 	var records []roster.Record
 	var missing []string
 	for _, it := range items {
-		name := strings.TrimPrefix(it.Key, nodePrefix)
+		name := strings.TrimPrefix(it.Key, enrol.Prefix)
 		switch {
 		case name == a.opts.Settings.Node:
 			a.applyOwnRecord(it)
@@ -24,7 +30,7 @@
 			a.quotas.RemoveRecord(name)
 			missing = append(missing, name)
 		default:
-			records = a.appendRecord(records, it)
+			records = a.appendRecord(records, name, it)
 		}
 	}
 	if len(records) > 0 {
@@ -35,58 +41,31 @@
 	}
 }
 
-// applyOwnRecord applies a change of the record of this agent.
+// applyOwnRecord applies a change of the record of this agent. The agent may own quotas while the
+// store has its record, which tells since when that is so.
 func (a *Agent) applyOwnRecord(it relay.Item) {
-	if it.Deleted {
-		a.removeOwnRecord()
-	} else {
-		a.noteOwnRecord(it)
-	}
-	switch {
-	case !a.isRestored.Load():
-		a.registration.noteListed(it)
-	case it.Deleted:
-		a.registration.markMissing(it.Revision)
-	default:
-		a.registration.noteStored(it)
-	}
-}
-
-// noteOwnRecord enters this agent as an owner of quotas. Its record tells since when the store
-// has had one. The first listing may be stale, so that time is kept only from a record that
-// registration has read or replaced. An invalid record counts as none, as at the other agents.
-func (a *Agent) noteOwnRecord(it relay.Item) {
-	_, rec, err := decodeRecord(it.Key, it.Value, it.Revision)
-	if err != nil {
-		a.removeOwnRecord()
+	rec, ok := a.registration.Learn(it)
+	if !ok {
+		a.quotas.RemoveRecord(a.opts.Settings.Node)
+		a.quotas.SetRestart(false)
 		return
 	}
 	a.quotas.SetRestart(a.clock.Now().UnixMilli()-rec.Since >= quota.SettleTime.Milliseconds() && rec.Since > 0)
 	a.quotas.SetRecord(a.opts.Settings.Node, a.opts.Settings.DataCentre)
 }
 
-// removeOwnRecord notes that the store has no record of this agent.
-func (a *Agent) removeOwnRecord() {
-	a.quotas.RemoveRecord(a.opts.Settings.Node)
-	a.beginSince()
-	a.quotas.SetRestart(false)
-}
-
-// appendRecord appends the record of another agent. Invalid records and the one of this
-// agent are left out. An agent with an invalid record owns no quotas: agents that start later
-// never know it, and would agree on another owner.
-func (a *Agent) appendRecord(records []roster.Record, it relay.Item) []roster.Record {
-	rec, _, err := decodeRecord(it.Key, it.Value, it.Revision)
+// appendRecord appends the record of another agent. Invalid records are left out. An agent with
+// an invalid record owns no quotas: agents that start later never know it, and would agree on
+// another owner.
+func (a *Agent) appendRecord(records []roster.Record, name string, it relay.Item) []roster.Record {
+	rec, err := enrol.Decode(it.Key, it.Value)
 	if err != nil {
 		a.log.WithError(err).WithField("key", it.Key).Warn("invalid agent record ignored")
-		a.quotas.RemoveRecord(strings.TrimPrefix(it.Key, nodePrefix))
+		a.quotas.RemoveRecord(name)
 		return records
 	}
-	if rec.Node == a.opts.Settings.Node {
-		return records
-	}
-	a.quotas.SetRecord(rec.Node, rec.DataCentre)
-	return append(records, rec)
+	a.quotas.SetRecord(name, types.DataCentre(rec.DataCentre))
+	return append(records, rec.RosterRecord(name, it.Revision))
 }
 
 // learnRecords adds records of other agents to the roster.
@@ -151,3 +130,27 @@
 		a.clock.AfterFunc(next.Sub(now), a.expireNodes)
 	}
 }
+
+// watchedPeers returns the agents with records that ask this one for the store's changes.
+func (a *Agent) watchedPeers() []enrol.Peer {
+	now := a.clock.Now()
+	if !a.mirror.IsReader() {
+		return nil
+	}
+	var peers []enrol.Peer
+	a.balancer.updateRoster(func(r *roster.Roster) bool {
+		for _, rec := range r.Records() {
+			peers = append(peers, enrol.Peer{Record: rec, LastContact: r.LastContact(rec.Node)})
+		}
+		return false
+	})
+	return slices.DeleteFunc(peers, func(p enrol.Peer) bool {
+		return p.Record.Sequence == 0 || !a.mirror.Serves(now, p.Record.Node)
+	})
+}
+
+// probeAgent returns nil if an agent answers. It asks for no news.
+func (a *Agent) probeAgent(ctx context.Context, name string) error {
+	_, err := a.queryAgent(ctx, name, &mesh.Query{Revision: math.MaxInt64})
+	return err
+}
--- a/io/agent/quota_test.go
+++ b/io/agent/quota_test.go
@@ -113,7 +113,7 @@
 			Log:      logs.Discard(), Clock: clockwork.NewRealClock(), Scope: tally.NoopScope,
 		})
 		agent.SetTable(a, quotaTable(1, perSecond))
-		agent.ApplyItems(a, []relay.Item{agent.RecordAt("owner", ln.Addr().String())})
+		agent.ApplyItems(a, []relay.Item{recordAt("owner", ln.Addr().String())})
 		return a
 	}
 	owner := node("owner", ln.Addr().String(), 0) // without a quota it grants at once
@@ -138,7 +138,7 @@
 				Log:      logs.Discard(), Clock: clockwork.NewFakeClock(), Scope: tally.NoopScope,
 			})
 			owners := func() []string { return agent.QuotasOf(a).Owners("acme") }
-			record := agent.RecordAt(node, "10.0.0.2:7000")
+			record := recordAt(node, "10.0.0.2:7000")
 			agent.ApplyItems(a, []relay.Item{record})
 			is.Equal(owners(), []string{node})
 			agent.ApplyItems(a, []relay.Item{{Key: record.Key, Value: []byte("?"), Revision: 2}})
--- a/io/agent/record_test.go
+++ b/io/agent/record_test.go
@@ -11,14 +11,37 @@
 	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/core/relay"
+	"trefoilthread/core/types"
 	"trefoilthread/io/agent"
+	"trefoilthread/io/enrol"
 	"trefoilthread/io/logs"
 )
 
+// encodedRecord returns the key and value of an agent's record.
+func encodedRecord(node string, service types.ServiceName) (key string, value []byte) {
+	value, err := cbor.Marshal(enrol.Record{
+		Boot: 1, Address: node + ":7000", DataCentre: "kl", Target: "t-" + node, Service: string(service),
+		TargetAddress: node + ":8000", Slots: 12, Born: 7, State: uint8(types.Up),
+	})
+	if err != nil {
+		panic(err)
+	}
+	return enrol.Key(node), value
+}
+
+// recordAt returns the record of an agent at an address, without a target.
+func recordAt(node, addr string) relay.Item {
+	value, err := cbor.Marshal(enrol.Record{Boot: 1, Address: addr, DataCentre: "kl", State: uint8(types.Down)})
+	if err != nil {
+		panic(err)
+	}
+	return relay.Item{Key: enrol.Key(node), Value: value, Revision: 1}
+}
+
 // oddRecord returns a valid record with one field replaced.
 func oddRecord(is *is.I, field string, value any) []byte {
 	is.Helper()
-	_, valid := agent.Record("odd", "bookings")
+	_, valid := encodedRecord("odd", "bookings")
 	fields := make(map[string]any)
 	is.NoErr(cbor.Unmarshal(valid, &fields))
 	fields[field] = value
@@ -46,8 +69,8 @@
 		a := agent.New(agent.Options{
 			Settings: agent.Settings{Node: "self"}, Log: logs.Discard(), Clock: clockwork.NewFakeClock(), Scope: tally.NoopScope,
 		})
-		key, valid := agent.Record("n1", "bookings")
-		oddKey, _ := agent.Record("odd", "bookings")
+		key, valid := encodedRecord("n1", "bookings")
+		oddKey, _ := encodedRecord("odd", "bookings")
 		agent.ApplyItems(a, []relay.Item{{Key: oddKey, Value: value, Revision: 1}, {Key: key, Value: valid, Revision: 2}})
 		recs := agent.Records(a)
 		if len(recs) != 1 || recs[0].Node != "n1" {
--- a/io/agent/stop.go
+++ b/io/agent/stop.go
@@ -86,7 +86,7 @@
 func (a *Agent) withdraw() {
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancel()
-	if err := a.registration.withdraw(ctx); err != nil {
+	if err := a.registration.Withdraw(ctx); err != nil {
 		a.log.WithError(err).Warn("record not deleted, another agent will delete it")
 	}
 }
--- a/io/agent/since_test.go
+++ b/io/enrol/registration_test.go
@@ -1,4 +1,4 @@
-package agent_test
+package enrol_test
 
 import (
 	"context"
@@ -7,11 +7,9 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
-	"github.com/uber-go/tally/v4"
 
-	"trefoilthread/core/beat"
 	"trefoilthread/core/relay"
-	"trefoilthread/io/agent"
+	"trefoilthread/io/enrol"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/store"
 )
@@ -25,6 +23,7 @@
 	clock := clockwork.NewFakeClock()
 	var stored store.Item
 	writes := 0
+	record := enrol.Record{Address: "10.0.0.1:7000", DataCentre: "kl", Target: "t1", Service: "bookings", Slots: 1, Born: 1}
 	st := store.Store{
 		Get: func(context.Context, string) (store.Item, error) {
 			if stored.Revision == 0 {
@@ -39,50 +38,54 @@
 			return stored.Revision, nil
 		},
 	}
-	start := func() *agent.Agent {
-		a := agent.New(agent.Options{
-			Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000"}, Wire: flakyWire(),
-			Log: logs.Discard(), Clock: clock, Scope: tally.NoopScope, Store: st,
+	start := func() *enrol.Registration {
+		r := enrol.New(enrol.Options{
+			Self: "self", Log: logs.Discard(), Clock: clock, Store: st, Value: func() enrol.Record { return record },
+			OnPrevious: func(enrol.Record) {},
 		})
+		record.Boot++              // those before are no longer used
 		clock.Advance(time.Minute) // until the target starts
-		agent.AnnounceTarget(a, beat.Announcement{ID: "t1", Born: 1, Sequence: 1, Service: "bookings", Address: "10.0.0.1:8000", Slots: 1})
-		return a
+		return r
 	}
 	since := func() time.Time {
-		at, err := agent.RecordSince(stored.Key, stored.Value)
+		rec, err := enrol.Decode(stored.Key, stored.Value)
 		is.NoErr(err)
-		return at
+		return time.UnixMilli(rec.Since)
+	}
+	write := func(r *enrol.Registration) {
+		is.True(r.Read(t.Context()))
+		is.NoErr(r.Write(t.Context()))
 	}
 
 	a := start()
-	is.NoErr(agent.WriteRecord(t.Context(), a))
+	write(a)
 	first, stale := since(), relay.Item{Key: stored.Key, Value: stored.Value, Revision: stored.Revision}
 	is.True(first.Equal(clock.Now().Truncate(time.Millisecond)))
 
-	is.NoErr(agent.WriteRecord(t.Context(), start())) // a restart
+	write(start()) // a restart
 	is.True(since().Equal(first))
 	is.Equal(writes, 2)
 
 	b := start()
-	is.NoErr(agent.WriteRecord(t.Context(), b))
+	write(b)
 	key := stored.Key
 	stored = store.Item{}
-	agent.ApplyItems(b, []relay.Item{{Key: key, Revision: int64(writes), Deleted: true}})
+	b.Learn(relay.Item{Key: key, Revision: int64(writes), Deleted: true})
 	clock.Advance(time.Minute)
-	is.NoErr(agent.WriteRecord(t.Context(), b))
+	write(b)
 	second := since()
 	is.True(second.Equal(clock.Now().Truncate(time.Millisecond)))
 
 	c := start()
-	agent.ApplyItems(c, []relay.Item{stale})
-	is.NoErr(agent.WriteRecord(t.Context(), c))
+	c.Learn(stale)
+	write(c)
 	is.True(since().Equal(second))
 
 	d := start()
-	agent.ApplyItems(d, []relay.Item{{Key: stored.Key, Value: stored.Value, Revision: stored.Revision}})
+	d.Learn(relay.Item{Key: stored.Key, Value: stored.Value, Revision: stored.Revision})
 	before := writes
-	is.NoErr(agent.ClaimRecord(t.Context(), d))
-	is.NoErr(agent.WriteRecord(t.Context(), d))
+	is.True(d.Claim(t.Context(), record, func(*enrol.Record) bool { return true }))
+	write(d)
 	is.True(since().Equal(second))
 	is.Equal(writes, before+1)
 }
