io/crash: move the suspects of crashing targets out of io/agent

The requests that may crash targets need of the agent only its name, its start and a way to send a notice to all others. They are now crash.Suspects with the same six methods. The agent's choice of agents to notify stays in io/agent/peers.go, the refusals in entry.go and serve.go.

Notices and the log line are unchanged.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -19,6 +19,7 @@
 	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
+	"trefoilthread/io/crash"
 	"trefoilthread/io/enrol"
 	"trefoilthread/io/front"
 	"trefoilthread/io/httpw"
@@ -68,7 +69,7 @@
 	target       *localTarget
 	registration *enrol.Registration
 	cleaner      *enrol.Cleaner
-	suspects     *suspects
+	suspects     *crash.Suspects
 	fresh        *mirror.Freshness
 	quotas       *tokens.Quotas
 	explainer    *explainer
@@ -110,7 +111,9 @@
 	a.table = &activeTable{log: o.Log}
 	a.fresh = mirror.NewFreshness(o.Settings.KeyRevocation, o.elapsed(), o.Scope)
 	a.balancer = newBalancer(o.Settings, o.Clock, a.boot)
-	a.suspects = newSuspects(o.Settings.Node, a.boot, o.Clock, o.Log, a.broadcast)
+	a.suspects = crash.New(crash.Options{
+		Self: o.Settings.Node, Boot: a.boot, Clock: o.Clock, Log: o.Log, Broadcast: a.broadcast,
+	})
 	a.target = newLocalTarget(localTargetOptions{
 		clock: o.Clock, log: o.Log, metrics: a.metrics, wire: o.Wire, linkSpeed: o.Settings.Link, onChange: a.targetChanged, onPaceChange: a.publishLoad,
 		presence: a.presence,
--- a/io/agent/doc.go
+++ b/io/agent/doc.go
@@ -8,11 +8,11 @@
 // (which target), retry (whether to send again), admit (whether to run now),
 // roster and beat (which agents and targets exist), cold (whether the target is cold and
 // how many calls it takes then), drain (which data centres are drained), link (when the
-// bodies of offered calls may come), pace and probe (how fast the target's host is), poison
-// (which requests crash targets). Package mirror applies those of relay (from which agent or
-// store to read changes) and fresh (whether the configuration is known well enough for requests
-// with API keys), package tokens those of quota (which requests are within their customer's
-// quota), package enrol those of prune (which agents are gone).
+// bodies of offered calls may come), pace and probe (how fast the target's host is). Package
+// mirror applies those of relay (from which agent or store to read changes) and fresh (whether
+// the configuration is known well enough for requests with API keys), package tokens those of
+// quota (which requests are within their customer's quota), package enrol those of prune (which
+// agents are gone), package crash those of poison (which requests crash targets).
 //
 // # State and its owners
 //
@@ -25,7 +25,7 @@
 //	                    the offered calls whose bodies wait for the link
 //	enrol.Registration  this agent's record in the store
 //	enrol.Cleaner       which other agents are gone, so that their records are deleted
-//	suspects            requests that were running when a target crashed
+//	crash.Suspects      requests that were running when a target crashed
 //	tokens.Quotas       tokens of customers' quotas, and the parts of quotas that this agent owns
 //
 // None of it is kept on disk. A restarted agent reads it again from the store, from
--- a/io/agent/entry.go
+++ b/io/agent/entry.go
@@ -12,6 +12,7 @@
 
 	"trefoilthread/core/grace"
 	"trefoilthread/core/types"
+	"trefoilthread/io/crash"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/mirror"
@@ -41,7 +42,7 @@
 	send func(ctx context.Context, t types.Target, head *mesh.CallHead) (*mesh.Answer, error)
 	// observeVersion is called with the configuration version of an agent that answered.
 	observeVersion func(version int64)
-	suspects       *suspects
+	suspects       *crash.Suspects
 	quotas         *tokens.Quotas
 	// stop returns the planned stop of this agent, nil if there is none.
 	stop       func() *grace.Stop
@@ -74,8 +75,8 @@
 	}
 	q := newRequest(now, info, e.withoutKey(req, t), t, r, xxhash.Sum64String(info.ID))
 	q.identity = who
-	fp := fingerprint(string(q.service), req.Method, req.Target, req.Body)
-	if wait, ok := e.suspects.refuse(fp); ok {
+	fp := crash.Fingerprint(string(q.service), req.Method, req.Target, req.Body)
+	if wait, ok := e.suspects.Refuse(fp); ok {
 		e.logRejected(info, string(q.service), http.StatusServiceUnavailable, "request has crashed targets")
 		return e.wire.Refusal("request has crashed targets", wait)
 	}
@@ -90,7 +91,7 @@
 		return resp
 	}
 	e.balancer.countRequest(q.service)
-	d := newDispatch(e, q, e.suspects.isOnTrial(fp))
+	d := newDispatch(e, q, e.suspects.IsOnTrial(fp))
 	resp := d.do(ctx)
 	e.returnUnusedToken(verdict, d)
 	if resp.Status < http.StatusInternalServerError {
--- a/io/agent/export_test.go
+++ b/io/agent/export_test.go
@@ -19,42 +19,8 @@
 	"trefoilthread/io/tokens"
 )
 
-// Names for the tests of package agent_test.
-var (
-	NewSuspects = newSuspects
-	Fingerprint = fingerprint
-	RouteResult = routeResult
-)
-
-// SuspectExpiry exposes suspectExpiry.
-const SuspectExpiry = suspectExpiry
-
-// Begin exposes begin.
-func (s *suspects) Begin(fp types.Fingerprint) bool { return s.begin(fp) }
-
-// IsOnTrial exposes isOnTrial.
-func (s *suspects) IsOnTrial(fp types.Fingerprint) bool { return s.isOnTrial(fp) }
-
-// Merge exposes merge.
-var Merge = (*suspects).merge
-
-// End exposes end.
-var End = (*suspects).end
-
-// TargetDied exposes targetDied.
-func (s *suspects) TargetDied() { s.targetDied() }
-
-// Refuse exposes refuse.
-func (s *suspects) Refuse(fp types.Fingerprint) (time.Duration, bool) { return s.refuse(fp) }
-
-// Refuses is refuse without the time.
-func (s *suspects) Refuses(fp types.Fingerprint) bool {
-	_, ok := s.refuse(fp)
-	return ok
-}
-
-// Suspects exposes suspects.
-type Suspects = suspects
+// RouteResult exposes routeResult.
+var RouteResult = routeResult
 
 // Presence exposes presence.
 func Presence(a *Agent, cur beat.Announcement) *mesh.Presence { return a.presence(cur) }
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -17,6 +17,7 @@
 	"trefoilthread/core/probe"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
+	"trefoilthread/io/crash"
 	"trefoilthread/io/local"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/mirror"
@@ -43,7 +44,7 @@
 	// onPaceChange is called when the pace of the target's host differs enough from the
 	// last one reported.
 	onPaceChange func(cur beat.Announcement, l mesh.Load)
-	suspects     *suspects
+	suspects     *crash.Suspects
 	fresh        *mirror.Freshness
 	// service returns the configuration of a service, the zero value if unknown.
 	service func(name types.ServiceName) vhost.ServiceSpec
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -119,7 +119,7 @@
 // handleNotice applies a notice of another agent.
 func (a *Agent) handleNotice(n *mesh.Notice) {
 	a.observeVersion(n.Config)
-	a.suspects.merge(n.Suspects)
+	a.suspects.Merge(n.Suspects)
 	a.recordContact(n.Node)
 	if n.Leaving {
 		a.balancer.updateRoster(func(r *roster.Roster) bool { return r.SetLeaving(n.Node, n.Boot) })
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -8,6 +8,7 @@
 
 	"trefoilthread/core/admit"
 	"trefoilthread/core/types"
+	"trefoilthread/io/crash"
 	"trefoilthread/io/httpw"
 	"trefoilthread/io/local"
 	"trefoilthread/io/mesh"
@@ -50,7 +51,7 @@
 		}
 		now = t.clock.Now()
 	}
-	fp := fingerprintOf(head)
+	fp := crash.FingerprintOf(head)
 	ticket, refusal := t.admit(ctx, now, call, head, fp)
 	if refusal != nil {
 		return refusal, nil
@@ -59,7 +60,7 @@
 		t.release(ticket)
 		return refused(reason, staleRetryDelay), nil
 	}
-	if !t.suspects.begin(fp) {
+	if !t.suspects.Begin(fp) {
 		t.release(ticket)
 		return refused("request has crashed targets and others are suspects here", 0), nil
 	}
@@ -74,7 +75,7 @@
 	if resp != nil && ans.Result != mesh.Answered {
 		resp.Memory.Release()
 	}
-	t.suspects.end(fp, ans.Result)
+	t.suspects.End(fp, ans.Result)
 	t.finish(ticket, t.clock.Since(start), failed)
 	return ans, err
 }
@@ -110,7 +111,7 @@
 	t.mu.Lock()
 	reason := t.refusalReason(now, head)
 	if reason == "" {
-		if _, ok := t.suspects.refuse(fp); ok {
+		if _, ok := t.suspects.Refuse(fp); ok {
 			reason = "request has crashed targets"
 		}
 	}
@@ -276,7 +277,7 @@
 	t.mu.Unlock()
 	t.client.CloseIdle()
 	if isNews && died {
-		t.suspects.targetDied()
+		t.suspects.TargetDied()
 	}
 }
 
--- a/io/agent/suspects.go
+++ b/io/crash/suspects.go
@@ -1,4 +1,4 @@
-package agent
+package crash
 
 import (
 	"sync"
@@ -13,33 +13,41 @@
 	"trefoilthread/io/mesh"
 )
 
-// suspectExpiry is how long one death counts against a request, and the length of its first
+// Expiry is how long one death counts against a request, and the length of its first
 // quarantine. Callers repeat a request within seconds, and different requests may have the
 // same fingerprint.
-const suspectExpiry = 30 * time.Second
+const Expiry = 30 * time.Second
+
+// Options configure Suspects. All fields are required.
+type Options struct {
+	Self  string // name of this agent
+	Boot  uint64 // start of this agent
+	Clock clockwork.Clock
+	Log   log.Interface
+	// Broadcast sends a notice to all other agents, without waiting.
+	Broadcast func(n *mesh.Notice)
+}
 
-// suspects tracks the requests that may crash targets. A request that was running at two
+// Suspects tracks the requests that may crash targets. A request that was running at two
 // deaths of targets, without a good answer since, is refused. After its quarantine it runs
-// only as a trial, without a retry, until it has got a good answer.
-type suspects struct {
-	clock clockwork.Clock
-	log   log.Interface
-	// broadcast sends a notice to all other agents.
-	broadcast func(n *mesh.Notice)
+// only as a trial, without a retry, until it has got a good answer. It is safe for concurrent use.
+type Suspects struct {
+	opts Options
 
 	mu    sync.Mutex
 	table *poison.Table
 }
 
-func newSuspects(node string, boot uint64, clock clockwork.Clock, l log.Interface, tell func(n *mesh.Notice)) *suspects {
-	return &suspects{
-		clock: clock, log: l, broadcast: tell,
-		table: poison.New(poison.Options{Target: types.TargetID(node), Incarnation: boot, Expiry: suspectExpiry}),
+// New returns suspects of an agent at its start, with no request among them.
+func New(o Options) *Suspects {
+	return &Suspects{
+		opts:  o,
+		table: poison.New(poison.Options{Target: types.TargetID(o.Self), Incarnation: o.Boot, Expiry: Expiry}),
 	}
 }
 
-// fingerprint identifies the content of a request.
-func fingerprint(service, method, path string, body []byte) types.Fingerprint {
+// Fingerprint identifies the content of a request.
+func Fingerprint(service, method, path string, body []byte) types.Fingerprint {
 	h := xxhash.New()
 	for _, s := range []string{service, method, path} {
 		_, _ = h.WriteString(s) // a hash takes all bytes
@@ -49,31 +57,32 @@
 	return types.Fingerprint(h.Sum64())
 }
 
-func fingerprintOf(head *mesh.CallHead) types.Fingerprint {
-	return fingerprint(head.Service, head.Method, head.Path, head.Body)
+// FingerprintOf identifies the content of the request of a call.
+func FingerprintOf(head *mesh.CallHead) types.Fingerprint {
+	return Fingerprint(head.Service, head.Method, head.Path, head.Body)
 }
 
-// refuse reports whether a request is refused because it has crashed targets, which
+// Refuse reports whether a request is refused because it has crashed targets, which
 // lengthens its quarantine, and after what time its caller may send it again.
-func (s *suspects) refuse(fp types.Fingerprint) (time.Duration, bool) {
+func (s *Suspects) Refuse(fp types.Fingerprint) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Refuse(s.clock.Now(), fp)
+	return s.table.Refuse(s.opts.Clock.Now(), fp)
 }
 
-// isOnTrial reports whether a request was quarantined and has got no good answer since.
-func (s *suspects) isOnTrial(fp types.Fingerprint) bool {
+// IsOnTrial reports whether a request was quarantined and has got no good answer since.
+func (s *Suspects) IsOnTrial(fp types.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Released(s.clock.Now(), fp)
+	return s.table.Released(s.opts.Clock.Now(), fp)
 }
 
-// begin records that a request starts at the target on this VM. It returns false if the
+// Begin records that a request starts at the target on this VM. It returns false if the
 // request is on trial and may not start now.
-func (s *suspects) begin(fp types.Fingerprint) bool {
+func (s *Suspects) Begin(fp types.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
+	now := s.opts.Clock.Now()
 	if s.table.Released(now, fp) {
 		return s.table.AdmitTrial(now, fp)
 	}
@@ -81,12 +90,12 @@
 	return true
 }
 
-// end records the result of a request. A good answer clears a suspect at all agents,
+// End records the result of a request. A good answer clears a suspect at all agents,
 // even a quarantined one: requests with the same fingerprint run side by side, and those
 // that were running at two deaths at once have not caused both.
-func (s *suspects) end(fp types.Fingerprint, r mesh.Result) {
+func (s *Suspects) End(fp types.Fingerprint, r mesh.Result) {
 	s.mu.Lock()
-	now := s.clock.Now()
+	now := s.opts.Clock.Now()
 	changed := false
 	switch r {
 	case mesh.Expired:
@@ -107,23 +116,23 @@
 	s.broadcastEntries(entries)
 }
 
-// targetDied counts the death of the target against the requests that were running.
-func (s *suspects) targetDied() {
+// TargetDied counts the death of the target against the requests that were running.
+func (s *Suspects) TargetDied() {
 	s.mu.Lock()
-	now := s.clock.Now()
+	now := s.opts.Clock.Now()
 	var entries []poison.Entry
 	if fps := s.table.TargetDied(now); len(fps) > 0 {
 		entries = s.table.Entries(now, fps)
 	}
 	s.mu.Unlock()
 	if len(entries) > 0 {
-		s.log.WithField("requests", len(entries)).Warn("target died, its running requests become suspects")
+		s.opts.Log.WithField("requests", len(entries)).Warn("target died, its running requests become suspects")
 	}
 	s.broadcastEntries(entries)
 }
 
-// merge merges the entries of another agent.
-func (s *suspects) merge(list []mesh.Suspect) {
+// Merge merges the entries of another agent.
+func (s *Suspects) Merge(list []mesh.Suspect) {
 	if len(list) == 0 {
 		return
 	}
@@ -138,11 +147,12 @@
 		}
 	}
 	s.mu.Lock()
-	s.table.Learn(s.clock.Now(), entries)
+	s.table.Learn(s.opts.Clock.Now(), entries)
 	s.mu.Unlock()
 }
 
-func (s *suspects) broadcastEntries(entries []poison.Entry) {
+// broadcastEntries sends entries to all other agents.
+func (s *Suspects) broadcastEntries(entries []poison.Entry) {
 	if len(entries) == 0 {
 		return
 	}
@@ -157,5 +167,5 @@
 		}
 		n.Suspects = append(n.Suspects, x)
 	}
-	s.broadcast(n)
+	s.opts.Broadcast(n)
 }
--- a/io/agent/suspects_test.go
+++ b/io/crash/suspects_test.go
@@ -1,4 +1,4 @@
-package agent_test
+package crash_test
 
 import (
 	"testing"
@@ -7,46 +7,56 @@
 	"github.com/matryer/is"
 
 	"trefoilthread/core/types"
-	"trefoilthread/io/agent"
+	"trefoilthread/io/crash"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
 )
 
+func newSuspects(self string, clock clockwork.Clock, broadcast func(n *mesh.Notice)) *crash.Suspects {
+	return crash.New(crash.Options{Self: self, Boot: 1, Clock: clock, Log: logs.Discard(), Broadcast: broadcast})
+}
+
+// refuses is Refuse without the time.
+func refuses(s *crash.Suspects, fp types.Fingerprint) bool {
+	_, ok := s.Refuse(fp)
+	return ok
+}
+
 // Guards against a request that crashes a third target after it has crashed two at
 // different agents, and against refusing a harmless request that was running at one of
 // the deaths.
 func TestRequestThatCrashesTargets(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	var a, b *agent.Suspects
-	a = agent.NewSuspects("a", 1, clock, logs.Discard(), func(n *mesh.Notice) { agent.Merge(b, n.Suspects) })
-	b = agent.NewSuspects("b", 1, clock, logs.Discard(), func(n *mesh.Notice) { agent.Merge(a, n.Suspects) })
-	crash := agent.Fingerprint("bookings", "POST", "/x", []byte("crash"))
-	calm := agent.Fingerprint("bookings", "POST", "/x", []byte("calm"))
-	for _, s := range []*agent.Suspects{a, b} {
-		is.True(!s.Refuses(crash))
-		s.Begin(crash)
+	var a, b *crash.Suspects
+	a = newSuspects("a", clock, func(n *mesh.Notice) { b.Merge(n.Suspects) })
+	b = newSuspects("b", clock, func(n *mesh.Notice) { a.Merge(n.Suspects) })
+	deadly := crash.Fingerprint("bookings", "POST", "/x", []byte("crash"))
+	calm := crash.Fingerprint("bookings", "POST", "/x", []byte("calm"))
+	for _, s := range []*crash.Suspects{a, b} {
+		is.True(!refuses(s, deadly))
+		s.Begin(deadly)
 		s.Begin(calm)
-		agent.End(s, crash, mesh.Broken)
-		agent.End(s, calm, mesh.Broken)
+		s.End(deadly, mesh.Broken)
+		s.End(calm, mesh.Broken)
 		s.TargetDied()
 		s.Begin(calm)
-		agent.End(s, calm, mesh.Answered)
+		s.End(calm, mesh.Answered)
 	}
-	for _, s := range []*agent.Suspects{a, b} {
-		is.True(s.Refuses(crash))
-		is.True(!s.Refuses(calm))
+	for _, s := range []*crash.Suspects{a, b} {
+		is.True(refuses(s, deadly))
+		is.True(!refuses(s, calm))
 	}
-	clock.Advance(2 * agent.SuspectExpiry)
-	is.True(!a.Refuses(crash))
-	is.True(a.IsOnTrial(crash))
+	clock.Advance(2 * crash.Expiry)
+	is.True(!refuses(a, deadly))
+	is.True(a.IsOnTrial(deadly))
 }
 
 // newQuarantined returns the suspects of an agent whose target died twice with a request.
-func newQuarantined(is *is.I) (*agent.Suspects, types.Fingerprint, *clockwork.FakeClock) {
+func newQuarantined(is *is.I) (*crash.Suspects, types.Fingerprint, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
-	s := agent.NewSuspects("a", 1, clock, logs.Discard(), func(*mesh.Notice) {})
-	fp := agent.Fingerprint("bookings", "GET", "/x", nil)
+	s := newSuspects("a", clock, func(*mesh.Notice) {})
+	fp := crash.Fingerprint("bookings", "GET", "/x", nil)
 	for range 2 {
 		is.True(s.Begin(fp))
 		s.TargetDied()
@@ -59,10 +69,10 @@
 func TestRefusalsAreCounted(t *testing.T) {
 	is := is.New(t)
 	s, fp, clock := newQuarantined(is)
-	clock.Advance(agent.SuspectExpiry - 1)
+	clock.Advance(crash.Expiry - 1)
 	wait, ok := s.Refuse(fp)
 	is.True(ok)
-	is.Equal(wait, agent.SuspectExpiry)
+	is.Equal(wait, crash.Expiry)
 	clock.Advance(wait - 1)
 	is.True(!s.IsOnTrial(fp))
 	clock.Advance(1)
@@ -75,23 +85,23 @@
 	for _, result := range []mesh.Result{mesh.Broken, mesh.Answered} {
 		is := is.New(t)
 		clock := clockwork.NewFakeClock()
-		var a, b *agent.Suspects
-		a = agent.NewSuspects("a", 1, clock, logs.Discard(), func(n *mesh.Notice) { agent.Merge(b, n.Suspects) })
-		b = agent.NewSuspects("b", 1, clock, logs.Discard(), func(n *mesh.Notice) { agent.Merge(a, n.Suspects) })
-		fp := agent.Fingerprint("bookings", "GET", "/x", nil)
+		var a, b *crash.Suspects
+		a = newSuspects("a", clock, func(n *mesh.Notice) { b.Merge(n.Suspects) })
+		b = newSuspects("b", clock, func(n *mesh.Notice) { a.Merge(n.Suspects) })
+		fp := crash.Fingerprint("bookings", "GET", "/x", nil)
 		for range 2 {
 			is.True(a.Begin(fp))
 			a.TargetDied()
 		}
-		is.True(b.Refuses(fp))
-		clock.Advance(agent.SuspectExpiry)
+		is.True(refuses(b, fp))
+		clock.Advance(crash.Expiry)
 		is.True(a.IsOnTrial(fp) && b.IsOnTrial(fp))
 		is.True(b.Begin(fp))
 		is.True(!b.Begin(fp)) // one trial at a time
-		agent.End(b, fp, result)
+		b.End(fp, result)
 		is.True(!a.IsOnTrial(fp) && !b.IsOnTrial(fp))
-		is.Equal(a.Refuses(fp), result == mesh.Broken)
-		is.Equal(b.Refuses(fp), result == mesh.Broken)
+		is.Equal(refuses(a, fp), result == mesh.Broken)
+		is.Equal(refuses(b, fp), result == mesh.Broken)
 	}
 }
 
@@ -100,11 +110,11 @@
 func TestDeclinedTrialIsNoDeath(t *testing.T) {
 	is := is.New(t)
 	s, fp, clock := newQuarantined(is)
-	clock.Advance(agent.SuspectExpiry)
+	clock.Advance(crash.Expiry)
 	is.True(s.Begin(fp))
-	agent.End(s, fp, mesh.Refused)
+	s.End(fp, mesh.Refused)
 	is.True(s.IsOnTrial(fp))
 	is.True(s.Begin(fp)) // at once
-	agent.End(s, fp, mesh.Answered)
-	is.True(!s.IsOnTrial(fp) && !s.Refuses(fp))
+	s.End(fp, mesh.Answered)
+	is.True(!s.IsOnTrial(fp) && !refuses(s, fp))
 }
