io/enrol: write a record again that has become invalid

An agent whose record was replaced by something invalid left it so until its target changed: it stayed unknown to agents that started later. It is now treated like one that the store has reverted.

TestInvalidRecordIsWrittenAgain fails before and passes after.

--- a/io/enrol/follow.go
+++ b/io/enrol/follow.go
@@ -19,8 +19,8 @@
 		r.noteListed(it)
 	case it.Deleted:
 		r.markMissing(it.Revision)
-	case ok:
-		r.noteStored(rec, it.Revision)
+	default:
+		r.noteStored(rec, ok, it.Revision)
 	}
 	return rec, ok
 }
@@ -69,14 +69,15 @@
 }
 
 // noteStored requests a write if the store has an earlier state of the record of this start,
-// as after it was restored from an older copy. Records of other starts are left alone, so
-// that two agents with one name don't replace each other's without end.
-func (r *Registration) noteStored(rec Record, rev int64) {
+// as after it was restored from an older copy, or an invalid one. Records of other starts are left
+// alone, so that two agents with one name don't replace each other's without end.
+func (r *Registration) noteStored(rec Record, isValid bool, rev int64) {
 	r.mu.Lock()
-	isOld := r.isCurrent && rev > r.writtenAt && rec.Boot == r.written.Boot && rec != r.written
-	r.isCurrent = r.isCurrent && !isOld
+	isWrong := !isValid || rec.Boot == r.written.Boot && rec != r.written
+	isWrong = isWrong && r.isCurrent && rev > r.writtenAt
+	r.isCurrent = r.isCurrent && !isWrong
 	r.mu.Unlock()
-	if isOld {
+	if isWrong {
 		r.RequestWrite()
 	}
 }
--- a/io/enrol/registration_test.go
+++ b/io/enrol/registration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -89,3 +90,33 @@
 	is.True(since().Equal(second))
 	is.Equal(writes, before+1)
 }
+
+// Guards against an agent that stays without a valid record, unknown to agents that start later
+// and without quotas of its own, after another writer has replaced it.
+func TestInvalidRecordIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	stored := store.Item{Value: []byte("?"), Revision: 1} // of an earlier start
+	st := store.Store{
+		Get: func(context.Context, string) (store.Item, error) { return stored, nil },
+		CompareAndSwap: func(_ context.Context, key string, rev int64, value []byte, _ store.LeaseID) (int64, error) {
+			if rev != stored.Revision {
+				return 0, store.ErrConflict
+			}
+			stored = store.Item{Key: key, Value: value, Revision: rev + 1}
+			return stored.Revision, nil
+		},
+	}
+	record := enrol.Record{Address: "10.0.0.1:7000", DataCentre: "kl", Target: "t1", Service: "bookings", Slots: 1, Born: 1, Boot: 1}
+	r := enrol.New(enrol.Options{
+		Self: "self", Log: logs.Discard(), Clock: clockwork.NewFakeClock(), Store: st, Value: func() enrol.Record { return record },
+		OnPrevious: func(enrol.Record) {},
+	})
+	is.True(r.Read(t.Context()))
+	is.NoErr(r.Write(t.Context()))
+	stored = store.Item{Key: stored.Key, Value: []byte("?"), Revision: stored.Revision + 1}
+	r.Learn(relay.Item{Key: stored.Key, Value: stored.Value, Revision: stored.Revision})
+	is.True(errors.Is(r.Write(t.Context()), store.ErrConflict)) // the revision is read before the next try
+	is.NoErr(r.Write(t.Context()))
+	_, err := enrol.Decode(stored.Key, stored.Value)
+	is.NoErr(err)
+}
