core/admit: refuse and delay calls by the rank of their route

On slow hosts, requests with a goal of 2 s took the slots after each slow spell, while those with 500 ms were refused. Customers below their least service got every second start, which is nearly all of the slots' time beside such short calls.

Change: the backlog for which a call is refused leaves out calls of less urgent routes that run after it. Calls of a rank that is served in a larger share than a more urgent one with a higher worth rate don't wait. Least service gets every fourth start while calls without a customer and of a higher worth rate wait.

--- a/core/admit/customers.go
+++ b/core/admit/customers.go
@@ -12,6 +12,11 @@
 	// of all calls. They count calls and not time, because a gate may get few calls of a customer.
 	customerAlpha = 1.0 / 8
 	allAlpha      = 1.0 / 256
+	// maxBeforeUnderserved is the number of successive starts of calls without a customer and of
+	// a higher worth rate before one of a customer with precedence. A call that a target makes
+	// takes a fraction of the time of other calls, so with every second start these would get
+	// nearly all of the slots' time, and the run that waits for the call would fail.
+	maxBeforeUnderserved = 3
 	// maxCustomers bounds the known customers. All of them are forgotten when it is reached,
 	// which costs each its turn once.
 	maxCustomers = 4096
@@ -19,11 +24,11 @@
 
 // customers holds how the calls of each customer were served at a gate.
 type customers struct {
-	byName             map[types.CustomerName]*customer
-	served             float64 // average share of all calls that were served, since the first customer
-	lastTurn           uint64  // turn of the latest start
-	lastScan           uint64  // number of the latest scan by count
-	lastWasUnderserved bool    // the last start was that of a customer with precedence
+	byName           map[types.CustomerName]*customer
+	served           float64 // average share of all calls that were served, since the first customer
+	lastTurn         uint64  // turn of the latest start
+	lastScan         uint64  // number of the latest scan by count
+	sinceUnderserved int     // starts since one of a customer with precedence
 }
 
 // customer is one customer of a gate.
@@ -42,7 +47,7 @@
 	c := s.byName[name]
 	if c == nil {
 		if s.byName == nil {
-			s.served = 1
+			s.served, s.sinceUnderserved = 1, maxBeforeUnderserved
 		}
 		if s.byName == nil || len(s.byName) >= maxCustomers {
 			s.byName = make(map[types.CustomerName]*customer)
@@ -58,7 +63,9 @@
 
 // recordStart counts a call that starts as served.
 func (s *customers) recordStart(c *customer) {
-	s.lastWasUnderserved = s.isUnderserved(c)
+	if s.sinceUnderserved++; s.isUnderserved(c) {
+		s.sinceUnderserved = 0
+	}
 	if c != nil {
 		s.lastTurn++
 		c.turn = s.lastTurn
--- a/core/admit/displace.go
+++ b/core/admit/displace.go
@@ -59,6 +59,7 @@
 // drop removes a waiting call from its queue and adds its refusal to the events.
 func (g *Gate) drop(e *entry, r reason) {
 	g.customers.recordRefusal(e.customer, r)
+	g.ranks.recordRefusal(e, r)
 	g.queueOf(e).remove(e)
 	g.pending = append(g.pending, Event{Ticket: e.ticket(), Verdict: Refuse, Reason: r.String()})
 	g.release(e)
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -57,8 +57,18 @@
 // be refused for its goal, a customer that holds more than its even share of the
 // waiting calls of its rank loses its newest one for a call of a customer that
 // holds less. If the served share of a customer's calls is below 0.35 of that of
-// all calls, every second start goes to its oldest waiting call. Without customers,
-// none of this has an effect.
+// all calls, every second start goes to its oldest waiting call; every fourth, if
+// calls without a customer and of a higher worth rate wait. Without customers, none
+// of this has an effect.
+//
+// # Ranks
+//
+// A call may have the rank of its route, 0 for the most urgent. While a gate serves
+// the calls of a rank in a smaller share than those of a less urgent one with a
+// lower worth rate, a call of the latter may start in a free slot, but doesn't wait:
+// it is refused. Calls with a late goal would otherwise fill the slots in each lull,
+// and those with an early one be refused. Only calls of customers of one rank are
+// compared. If all calls have the same rank, this has no effect.
 //
 // # Goals
 //
@@ -66,7 +76,8 @@
 // A waiting call that would miss its goal is ordered by a tenth of its worth, so
 // that it does not delay calls that can still meet theirs. If the waiting calls
 // that can meet their goal are more than a quarter of the calls that may run, it
-// is refused instead. A call for which only a prompt answer is useful
+// is refused instead; those of less urgent routes that would run after it even then
+// don't count. A call for which only a prompt answer is useful
 // (PromptOnly) is refused whenever it would miss its goal, because its entry
 // daemon can try other targets.
 //
--- a/core/admit/entries.go
+++ b/core/admit/entries.go
@@ -20,6 +20,7 @@
 	}
 	e.id, e.kind = g.lastID, g.kindOf(c)
 	e.customer, e.customerRank = g.customers.find(c.Customer()), c.CustomerRank()
+	e.rank, e.promptOnly = c.Rank(), c.PromptOnly()
 	e.urgent, e.deadline, e.goal = c.Class().Urgent(), c.Deadline(), c.Goal()
 	if e.assumedService = 0; !e.goal.IsZero() {
 		e.assumedService = e.goal.Sub(now) / goalServiceRatio
@@ -45,6 +46,13 @@
 	return nil
 }
 
+// refuse ends the offer of a call for lack of room.
+func (g *Gate) refuse(e *entry, r reason) (Ticket, Verdict) {
+	g.ranks.recordRefusal(e, r)
+	g.release(e)
+	return g.refusal(r), Refuse
+}
+
 // refusal returns a new ticket for a call that Offer refuses.
 func (g *Gate) refusal(r reason) Ticket {
 	g.lastID++
--- a/core/admit/entry.go
+++ b/core/admit/entry.go
@@ -14,9 +14,11 @@
 	kind           int
 	customer       *customer // nil for none
 	customerRank   int
+	rank           int // of the route
 	urgent         bool
 	running        bool
 	canceled       bool
+	promptOnly     bool // its entry daemon tries other targets after a refusal
 	arrived        bool // its body came after a Forecast
 	deadline       time.Time
 	goal           time.Time
@@ -27,6 +29,12 @@
 	heapIndex      int
 }
 
+// precedesWhenLate reports whether e would run before o, a call of a less urgent route, even if
+// it were demoted.
+func (e *entry) precedesWhenLate(o *entry) bool {
+	return e.rank < o.rank && e.customerRank == o.customerRank && e.worthRate*lateWorthShare > o.worthRate
+}
+
 func (e *entry) ticket() Ticket { return Ticket{id: e.id, index: e.index} }
 
 // numClassKinds is the number of kind numbers for calls without a named kind,
--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -18,7 +18,7 @@
 	if !g.customers.known() {
 		return first
 	}
-	if e := g.oldestUnderserved(q); e != nil && !g.customers.lastWasUnderserved {
+	if e := g.oldestUnderserved(q); e != nil && g.customers.sinceUnderserved >= startsBetween(e, first) {
 		return e
 	}
 	best := first
@@ -30,6 +30,15 @@
 	return best
 }
 
+// startsBetween returns the number of starts between two of customers with precedence, if e is a
+// call of such a customer and first the next one in the order of the queue.
+func startsBetween(e, first *entry) int {
+	if first.customer == nil && first.worthRate > e.worthRate {
+		return maxBeforeUnderserved
+	}
+	return 1
+}
+
 // oldestUnderserved returns the oldest waiting call of q whose customer has precedence, nil if there
 // is none.
 func (g *Gate) oldestUnderserved(q *queue) *entry {
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -32,6 +32,7 @@
 	nextPace       float64        // pace after paceChangeIn
 	runningPaceSum float64        // sum of the paces at which running calls started
 	customers      customers      // how the calls of each customer were served
+	ranks          rankShares     // how the calls of each rank were served
 }
 
 // New returns a gate that is not draining and has the usual pace.
@@ -133,39 +134,37 @@
 		return g.refusal(reasonDeadline), Refuse
 	}
 	e.worthRate = g.worthRate(now, e.kind, c.Worth())
+	g.ranks.recordOffer(now, e)
 	delayed := g.isDelayed(now, e)
 	if c.PromptOnly() && (delayed || g.missesGoal(now, e, 0)) {
-		g.release(e)
-		return g.refusal(reasonGoal), Refuse
+		return g.refuse(e, reasonGoal)
 	}
 	if !delayed && g.hasSlot(now, e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
 		g.start(now, e)
 		return e.ticket(), Run
 	}
+	if g.ranks.isAhead(now, e) && !g.customers.isUnderserved(e.customer) {
+		return g.refuse(e, reasonRank)
+	}
 	if g.isBeyondCold(now, e, g.startsBefore(e)) {
-		g.release(e)
-		return g.refusal(reasonCold), Refuse
+		return g.refuse(e, reasonCold)
 	}
 	if g.missesGoal(now, e, g.estimatedWait(now, e)) {
 		if c.PromptOnly() {
-			g.release(e)
-			return g.refusal(reasonGoal), Refuse
+			return g.refuse(e, reasonGoal)
 		}
 		switch {
 		case !g.hasPromptBacklog(e):
 			e.demote()
 		case !g.makeRoomForGoal(now, e):
-			g.release(e)
-			return g.refusal(reasonGoal), Refuse
+			return g.refuse(e, reasonGoal)
 		}
 	}
 	if remaining < g.estimatedWait(now, e)+service {
-		g.release(e)
-		return g.refusal(reasonDeadline), Refuse
+		return g.refuse(e, reasonDeadline)
 	}
 	if !g.makeRoom(e) {
-		g.release(e)
-		return g.refusal(reasonQueueFull), Refuse
+		return g.refuse(e, reasonQueueFull)
 	}
 	g.queueOf(e).add(e)
 	return e.ticket(), Wait
--- a/core/admit/grant.go
+++ b/core/admit/grant.go
@@ -34,6 +34,7 @@
 func (g *Gate) start(now time.Time, e *entry) {
 	g.recordStart(now)
 	g.customers.recordStart(e.customer)
+	g.ranks.recordStart(e)
 	e.running, e.pace = true, g.pace
 	g.running++
 	g.runningPaceSum += e.pace
--- a/core/admit/reason.go
+++ b/core/admit/reason.go
@@ -14,6 +14,7 @@
 	reasonCold
 	reasonDrained
 	reasonShare
+	reasonRank
 )
 
 const (
@@ -41,6 +42,8 @@
 		return ReasonCold
 	case reasonDrained:
 		return ReasonDrained
+	case reasonRank:
+		return "more urgent calls are refused here"
 	case reasonShare:
 		return "customer holds more than its share of the waiting calls"
 	}
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -65,11 +65,11 @@
 
 // hasPromptBacklog reports whether so many waiting normal calls of its rank and
 // higher ones can meet their goal that e would hardly ever run if it were demoted,
-// because calls that arrive later run before it.
+// because calls that arrive later run before it. Calls of less urgent routes behind it don't count.
 func (g *Gate) hasPromptBacklog(e *entry) bool {
 	prompt := 0
 	for _, o := range g.normal.items {
-		if !o.demoted && o.customerRank <= e.customerRank {
+		if !o.demoted && o.customerRank <= e.customerRank && !e.precedesWhenLate(o) {
 			prompt++
 		}
 	}
--- a/core/types/call.go
+++ b/core/types/call.go
@@ -22,6 +22,7 @@
 	Kind       string    // calls of one kind have similar service times; "" stands for the class
 	PromptOnly bool      // refuse the call rather than queue it beyond its goal
 	Worth      float64
+	Rank       int          // priority of the route; 0 is the most urgent
 	Customer   CustomerName // customer that sent it, "" for none
 	// CustomerRank is the priority of the customer; 0 is the highest.
 	CustomerRank int
@@ -84,6 +85,10 @@
 // Worth returns the value of a response in a unit that the operator chooses.
 func (c Call) Worth() float64 { return c.spec.Worth }
 
+// Rank returns the priority of the call's route; 0 is the most urgent. It goes after the
+// priority of the customer.
+func (c Call) Rank() int { return c.spec.Rank }
+
 // Customer returns the customer that sent the call, "" for none.
 func (c Call) Customer() CustomerName { return c.spec.Customer }
 
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -64,6 +64,11 @@
 	return q.identity.customer.Rank()
 }
 
+// urgency returns the priority of the request.
+func (q *request) urgency() types.Urgency {
+	return types.Urgency{Customer: q.customerRank(), Route: q.route.Rank()}
+}
+
 // callHead returns the message that carries the request to the agent beside t.
 func (q *request) callHead(now time.Time, t types.Target, caller types.ServiceName) *mesh.CallHead {
 	return &mesh.CallHead{
@@ -87,7 +92,7 @@
 		ID: head.ID, Service: types.ServiceName(head.Service), Method: head.Method, Path: head.Path,
 		Class: types.NewClass(false, runs), Kind: head.Route, PromptOnly: head.Prompt,
 		Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
-		Goal:     now.Add(time.Duration(head.GoalMs) * time.Millisecond), Worth: head.Worth,
+		Goal:     now.Add(time.Duration(head.GoalMs) * time.Millisecond), Worth: head.Worth, Rank: head.Rank,
 		Customer: types.CustomerName(head.Customer), CustomerRank: head.CustomerRank,
 	})
 }
--- a/io/agent/callcustomer_test.go
+++ b/io/agent/callcustomer_test.go
@@ -11,14 +11,14 @@
 	"trefoilthread/io/agent"
 )
 
-// Guards against a gate that orders calls without their customer's rank, because it is lost
-// between the entry and the gate, and against requests without a customer that fail.
+// Guards against a gate that orders calls without the rank of their customer or route, because it
+// is lost between the entry and the gate, and against requests without a customer that fail.
 func TestCallHasItsCustomer(t *testing.T) {
 	is := is.New(t)
 	table, err := vhost.New(vhost.TableSpec{
 		Version: 1, Services: []vhost.ServiceSpec{{Name: "bookings"}},
 		Hosts: map[string][]vhost.RouteSpec{"a": {{
-			Name: "all", Prefix: "/", Attempts: 2, Timeout: time.Second, Goal: time.Second,
+			Name: "all", Prefix: "/", Rank: 2, Attempts: 2, Timeout: time.Second, Goal: time.Second,
 			Services: []vhost.WeightedService{{Service: "bookings", Weight: 1}},
 		}}},
 		Customers: []vhost.CustomerSpec{{Name: "harbour", Keys: []string{"k"}, Rank: 3}},
@@ -32,6 +32,7 @@
 	is.NoErr(err)
 	is.Equal(c.Customer(), types.CustomerName("harbour"))
 	is.Equal(c.CustomerRank(), 3)
+	is.Equal(c.Rank(), 2)
 	c, err = agent.CallOfCustomer(time.Now(), nil, r)
 	is.NoErr(err)
 	is.Equal(c.Customer(), types.CustomerName(""))
