core/retry: leave the last retries to the more urgent requests

While targets reject, whoever fails first takes the last of the budget. For a second after a retry was denied, less urgent requests now leave it to others. Requests of one urgency decide as before. Hedges still take from the budget whatever their rank.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -31,6 +31,7 @@
 	shareTokens float64
 	floorTokens float64
 	lastRefill  time.Time
+	denied      denial
 }
 
 // NewBudget returns a budget with one second of its floor available.
--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -24,6 +24,9 @@
 // that, the floor adds up to 3 attempts per second. Retries of refused calls
 // use the same budget as others, so that an overload does not cause more calls.
 //
+// TakeFor leaves the last of a budget to the more urgent requests: for a second after
+// a retry was denied, less urgent requests get none.
+//
 // A hedged request starts after the 0.95 quantile of the latency in the
 // previous window, or in the current one if the previous has too few samples;
 // with too few samples in both, nothing is hedged. The caller cancels the
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -194,3 +194,23 @@
 	is.True(b.Take(now))
 	is.True(!b.Take(now))
 }
+
+// Guards against less urgent requests that take the last of a budget while more urgent ones are
+// denied, and against such that get no retry any more.
+func TestLastRetriesGoToUrgentRequests(t *testing.T) {
+	is := is.New(t)
+	b := retry.NewBudget(retry.BudgetOptions{Floor: 1})
+	take := func(ms, customer, route int) bool {
+		return b.TakeFor(start.Add(time.Duration(ms)*time.Millisecond), types.Urgency{Customer: customer, Route: route})
+	}
+	is.True(take(0, 1, 1))
+	is.True(!take(100, 0, 1))
+	is.True(!take(1050, 0, 2)) // there is a token
+	is.True(!take(1050, 1, 0))
+	is.True(take(1050, 0, 0)) // more urgent than the denied one
+	is.True(!take(1060, 0, 1))
+	is.True(!take(2055, 0, 2))
+	is.True(take(2065, 0, 2))
+	is.True(!take(2070, 0, 2))
+	is.True(take(3066, 0, 2)) // as urgent as the denied one
+}
--- a/io/agent/balancer.go
+++ b/io/agent/balancer.go
@@ -206,11 +206,11 @@
 	b.service(name).hedger(route).RecordLatency(b.clock.Now(), took)
 }
 
-// takeRetry takes one retry from the budget, and reports whether it allowed it.
-func (b *balancer) takeRetry(name types.ServiceName) bool {
+// takeRetry takes one retry of a request from the budget, and reports whether it allowed it.
+func (b *balancer) takeRetry(name types.ServiceName, u types.Urgency) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.service(name).budget.Take(b.clock.Now())
+	return b.service(name).budget.TakeFor(b.clock.Now(), u)
 }
 
 // pick chooses a target that was not tried for a call with a body of n bytes, and counts
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -107,7 +107,9 @@
 	}()
 }
 
-func (d *dispatch) takeRetry() bool { return d.entry.balancer.takeRetry(d.request.service) }
+func (d *dispatch) takeRetry() bool {
+	return d.entry.balancer.takeRetry(d.request.service, d.request.urgency())
+}
 
 // startAttempt sends the request to the next target; false if there is none.
 func (d *dispatch) startAttempt(ctx context.Context) bool {
