--- a/core/whole/doc.go
+++ b/core/whole/doc.go
@@ -29,6 +29,12 @@
 // TestOracleFindsBrokenRules breaks rules one at a time and requires that the
 // oracle finds each.
 //
+// # Urgency
+//
+// TestUrgencyThroughCalls is a model of its own: gates, pickers, tries and retry budgets of
+// two services, the first of which calls the second. It compares the served shares of
+// request types of different ranks under overload, with rejecting targets and on slow hosts.
+//
 // # Limits
 //
 // The transport is QUIC without early data, so a request is not repeated by it;
