--- a/core/whole/urgentmodel_test.go
+++ b/core/whole/urgentmodel_test.go
@@ -54,17 +54,6 @@
 	}
 }
 
-// urgentCase is a load of the two services, and their faults.
-type urgentCase struct {
-	name       string
-	load       [2]float64 // of the used slots of each service
-	thirdFront float64    // share of the third type that the front service runs
-	callRank   int
-	rejecting  [2]int // number of targets of each service that reject requests
-	customers  bool   // requests are those of nine customers of three ranks
-	slow       bool   // a quarter of the hosts is four times slower by turns
-}
-
 // urgentVM is a target with its gate, and an agent that sends requests to both services.
 type urgentVM struct {
 	types.Target
@@ -379,22 +368,6 @@
 	m.end(r, tries.Expired, "deadline passed")
 }
 
-// rates returns the arrivals a second of the three types, in the proportions of the deployment
-// np, that use the given share of the slots.
-func (c urgentCase) rates() [3]float64 {
-	const lookups, bookings = 363.0, 130.0
-	perFront := lookups*(0.160+callShare*0.045) + bookings*0.210
-	scale := func(third float64) float64 {
-		return (c.load[front]*frontVMs*urgentUsed - third*c.thirdFront*0.4) / perFront
-	}
-	third := 0.0
-	for range 20 { // the third type's rate depends on that of the calls
-		third = (c.load[back]*backVMs*urgentUsed - scale(third)*lookups*callShare*0.04) / 0.4 / max(1-c.thirdFront, 0.1)
-	}
-	s := scale(third)
-	return [3]float64{lookups * s, bookings * s, third}
-}
-
 func (m *urgentModel) play() {
 	rates := m.rates()
 	for m.now.Before(urgentStart.Add(urgentTime)) {
