review/standin: give each port of a daemon once

Each machine of a case has a loopback IP of its own, so its four ports are fixed now. No check of a case changes.

--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,17 +26,6 @@
 	done chan struct{}
 }
 
-// freeAddr returns an address with a port that is free now.
-func (n *node) freeAddr() string {
-	ln, err := net.Listen("tcp4", n.ip+":0")
-	if err != nil {
-		n.w.fail(err)
-		return n.ip + ":1"
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
-
 // ini returns the settings, filled in as by the platform.
 func (n *node) ini() string {
 	return fmt.Sprintf(`[node]
