core/admit: bound the assumed service time by the deadline

Until a call of a kind has ended, a third of the time to its goal counts as its service time. Calls whose deadline is below that were refused, and as none ended, nothing corrected the assumption: with an objective of 3000 ms and a deadline of 700 ms no call of the kind was ever served. At a pace that stays above 3 the same happened with a deadline at the goal.

The assumption is now at most a third of the time to the deadline, or that time divided by the pace if this is above 3, so a call that starts at once is not refused for its deadline. Letting calls through one at a time was ruled out: it needs a count for each kind and would slow the start of kinds that are served as they should be.

--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -103,8 +103,10 @@
 // otherwise cause the fast nine to be refused. Estimates lose half their value
 // for each second without a sample of their kind, because an estimate that
 // causes every call to be refused would never be corrected otherwise. Until a
-// call of the kind has ended, a third of the time to a call's goal is used as its
-// service time; without a goal, only calls whose deadline has passed are refused.
+// call of the kind has ended, a third of the time to a call's goal or to its
+// deadline, whichever is earlier, is used as its service time, and less at a pace
+// above 3, so that this assumption alone refuses no call for its deadline. Without
+// a goal, only calls whose deadline has passed are refused.
 //
 // # Concurrency
 //
--- a/core/admit/entries.go
+++ b/core/admit/entries.go
@@ -22,11 +22,18 @@
 	e.customer, e.customerRank = g.customers.find(c.Customer()), c.CustomerRank()
 	e.urgent, e.deadline, e.goal = c.Class().Urgent(), c.Deadline(), c.Goal()
 	if e.assumedService = 0; !e.goal.IsZero() {
-		e.assumedService = e.goal.Sub(now) / goalServiceRatio
+		e.assumedService = min(e.goal.Sub(now)/goalServiceRatio, g.longestAssumed(e.deadline.Sub(now)))
 	}
 	return e
 }
 
+// longestAssumed returns the longest assumed service time of a call with the given remaining
+// time. No call of a kind would ever correct an assumption by which all of them miss their
+// deadline, so a call that starts at once must meet its own, also at a pace that stays slow.
+func (g *Gate) longestAssumed(remaining time.Duration) time.Duration {
+	return time.Duration(float64(remaining) / max(goalServiceRatio, g.pace))
+}
+
 // release makes the ticket of e invalid and the entry free for reuse.
 func (g *Gate) release(e *entry) {
 	*e = entry{index: e.index}
--- a/core/admit/goal_test.go
+++ b/core/admit/goal_test.go
@@ -181,3 +181,25 @@
 	is.Equal(len(g.Tick(now)), 1)
 	is.Equal(offer(g, true), admit.Run)
 }
+
+// Guards against a kind of which no call is ever served, since its service time was assumed from
+// the goal and is longer than the deadlines: no call ends that would correct it.
+func TestAssumptionMeetsDeadline(t *testing.T) {
+	for _, tc := range []struct {
+		goal, deadline time.Duration
+		pace           float64
+	}{{3 * time.Second, 700 * time.Millisecond, 1}, {3 * time.Second, 700 * time.Millisecond, 7}, {time.Second, time.Second, 5}} {
+		is := is.New(t)
+		now := time.Unix(0, 0)
+		g := admit.New(admit.Options{Slots: 1, UrgentShare: -1})
+		g.SetPace(tc.pace, 0, 1)
+		c, err := types.NewCall(types.CallSpec{
+			ID: "a", Service: "bookings", Worth: 1, Kind: "pay", Goal: now.Add(tc.goal), Deadline: now.Add(tc.deadline),
+		})
+		is.NoErr(err)
+		v, _ := g.Forecast(now, c, 0)
+		is.Equal(v, admit.Run)
+		_, v = g.Offer(now, c)
+		is.Equal(v, admit.Run)
+	}
+}
