core/pause, io/agent: pause a target after several responses that are too long

After three responses in a row that are too long the gate refuses calls as not run, with the rest of the pause as the hint for Retry-After. The pause is 200 ms and doubles up to 5 s with each trial call whose response is too long as well. A sound response ends it at once. There is no health check but before a trial call, as its response may have no end either. The counters pause_changes and calls_refused_paused and a log line tell operators.

httpw.IsTooLong says which errors count: bounds of a message. A body for which there is no memory counts if its stated length exceeds the whole bodyMemory, which is now refused before it is read, or from 1 MB on without a stated length.

--- a/io/agent/cold.go
+++ b/io/agent/cold.go
@@ -131,13 +131,15 @@
 	}
 }
 
-// countRefusal counts a refusal by the limit of a cold target or by a drain.
+// countRefusal counts a refusal by the limit of a cold target, by a drain or in a pause.
 func (t *localTarget) countRefusal(reason string) {
 	switch reason {
 	case admit.ReasonCold:
 		t.metrics.countEvent("calls_refused_cold")
 	case admit.ReasonDrained:
 		t.metrics.countEvent("calls_refused_drained")
+	case reasonPaused:
+		t.metrics.countEvent("calls_refused_paused")
 	}
 }
 
--- a/io/agent/localtarget.go
+++ b/io/agent/localtarget.go
@@ -14,6 +14,7 @@
 	"trefoilthread/core/grace"
 	"trefoilthread/core/link"
 	"trefoilthread/core/pace"
+	"trefoilthread/core/pause"
 	"trefoilthread/core/probe"
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
@@ -77,6 +78,7 @@
 	downUntil time.Time // no calls until then, as the target accepted no connection
 	pace      pace.Tracker
 	rate      float64 // calls a second that the target takes, 0 if it has named no limit
+	pauses    pause.Tracker
 	cold      *cold.Tracker
 	isCold    bool // the gate has the limit for a cold target
 	drained   bool // the data centre of the target is drained
@@ -159,6 +161,7 @@
 // reset drops the state of the previous target, with the lock held.
 func (t *localTarget) reset(cur beat.Announcement) {
 	t.pace = pace.Tracker{}
+	t.pauses = pause.Tracker{}
 	t.setGatePace()
 	t.rate = 0
 	t.gate.SetRate(t.clock.Now(), 0)
--- a/io/agent/measure.go
+++ b/io/agent/measure.go
@@ -47,11 +47,12 @@
 }
 
 // beginProbe decides whether to make a health check, with the lock held. It returns the
-// path of the check, "" for none.
+// path of the check, "" for none. In a pause there is one before a trial call only, because its
+// response may have no end either.
 func (t *localTarget) beginProbe() (beat.Announcement, string) {
 	now := t.clock.Now()
 	cur, ok := t.announced.Current()
-	if !ok || t.probeDone != nil || t.announced.State() != types.Up || !t.pace.IsStale(now) && !t.needsColdCheck(now) || now.Before(t.nextProbeAt) {
+	if !ok || t.pauses.Left(now) > 0 || t.probeDone != nil || t.announced.State() != types.Up || !t.pace.IsStale(now) && !t.needsColdCheck(now) || now.Before(t.nextProbeAt) {
 		return cur, ""
 	}
 	path := t.service(cur.Service).HealthPath
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -59,6 +59,10 @@
 		t.release(ticket)
 		return refused(reason, staleRetryDelay), nil
 	}
+	if left := t.startInPause(); left > 0 {
+		t.release(ticket)
+		return refused(reasonPaused, left), nil
+	}
 	if !t.suspects.begin(fp) {
 		t.release(ticket)
 		return refused("request has crashed targets and others are suspects here", 0), nil
@@ -74,6 +78,7 @@
 	if resp != nil && ans.Result != mesh.Answered {
 		resp.Memory.Release()
 	}
+	t.recordLength(types.TargetID(head.Target), start, ans.Result == mesh.Answered || ans.Reached, err)
 	t.suspects.end(fp, ans.Result)
 	t.finish(ticket, t.clock.Since(start), failed)
 	return ans, err
@@ -115,8 +120,9 @@
 		}
 	}
 	if reason != "" {
+		hint := t.pauses.Left(now)
 		t.mu.Unlock()
-		return admit.Ticket{}, refused(reason, 0)
+		return admit.Ticket{}, refused(reason, hint)
 	}
 	after := t.updateCold(now)
 	ticket, v := t.enter(now, call, head)
@@ -157,6 +163,8 @@
 		return admit.ReasonDrained
 	case now.Before(t.downUntil):
 		return "target accepts no connection"
+	case t.pauses.Left(now) > 0:
+		return reasonPaused
 	}
 	head.Target = string(cur.ID)
 	return ""
--- a/io/httpw/body.go
+++ b/io/httpw/body.go
@@ -30,8 +30,13 @@
 	if n == 0 {
 		return nil, nil
 	}
+	if !memory.canHold(n) { // reading it would be in vain
+		err := noMemory(n, 0)
+		err.tooLong = true
+		return nil, err
+	}
 	if n > readStep {
-		c := &collector{memory: memory}
+		c := &collector{memory: memory, stated: true}
 		defer c.drop()
 		if err := c.readN(br, n); err != nil {
 			return nil, err
@@ -62,7 +67,7 @@
 			return nil, err
 		}
 		if extensions += max(len(line)-maxChunkDigits, 0); extensions > maxExtensions {
-			return nil, h.refuse(400, "chunk extensions longer than %d bytes", maxExtensions)
+			return nil, newLengthError(400, h.position, "chunk extensions longer than %d bytes", maxExtensions)
 		}
 		size, ok := parseChunkSize(line)
 		if !ok {
@@ -76,7 +81,7 @@
 			return c.bytes(), nil
 		}
 		if c.n+size > limit {
-			return nil, newMessageError(413, bodyAt(c.n), "body longer than %d bytes", limit)
+			return nil, newLengthError(413, bodyAt(c.n), "body longer than %d bytes", limit)
 		}
 		if err := c.readN(br, size); err != nil {
 			return nil, err
--- a/io/httpw/budget.go
+++ b/io/httpw/budget.go
@@ -9,12 +9,14 @@
 // Budget bounds the memory of the long bodies that several connections hold at a time.
 // It is safe for concurrent use.
 type Budget struct {
+	total int64
+
 	mu   sync.Mutex
 	left int64
 }
 
 // NewBudget returns a budget of n bytes.
-func NewBudget(n int64) *Budget { return &Budget{left: n} }
+func NewBudget(n int64) *Budget { return &Budget{total: n, left: n} }
 
 // take takes n bytes and reports whether they were left.
 func (b *Budget) take(n int64) bool {
@@ -59,12 +61,21 @@
 		return nil
 	}
 	if !h.budget.take(need) {
-		return newMessageError(503, position{PartMemory, read}, "no memory for a body of %d bytes", n)
+		return noMemory(n, read)
 	}
 	h.taken += need
 	return nil
 }
 
+// noMemory returns the error for a body of n bytes for which there is no memory after some were
+// read.
+func noMemory(n, read int64) *MessageError {
+	return newMessageError(503, position{PartMemory, read}, "no memory for a body of %d bytes", n)
+}
+
+// canHold reports whether the whole budget is enough for a body of n bytes.
+func (h *Holding) canHold(n int64) bool { return h.budget == nil || n-freeBody <= h.budget.total }
+
 // Release gives back what the body holds. The body must not be used any more. Further calls
 // do nothing.
 func (h *Holding) Release() {
--- a/io/httpw/collect.go
+++ b/io/httpw/collect.go
@@ -13,6 +13,9 @@
 	firstStep = 4 << 10
 	// blockSize is the length in bytes of the blocks of a long body.
 	blockSize = freeBody
+	// longBody is the number of bytes from which a body without a stated length counts as too
+	// long if there is no memory for more. A shorter one may have met a budget that others have used up.
+	longBody = 1 << 20
 )
 
 // blocks keeps blocks of long bodies that have been joined or dropped.
@@ -26,6 +29,7 @@
 	first  []byte             // up to blockSize
 	rest   []*[blockSize]byte // all but the last are full
 	n      int64              // length in bytes of all
+	stated bool               // the length was stated before the body
 }
 
 // room returns memory for the next bytes, at least one.
@@ -38,7 +42,9 @@
 	}
 	// The last read may have been empty, so that the last block still is.
 	if int64(len(c.rest))*blockSize == c.n-blockSize {
-		if err := c.memory.grow(c.n+blockSize, c.n); err != nil {
+		if !c.memory.Grow(c.n + blockSize) {
+			err := noMemory(c.n+blockSize, c.n)
+			err.tooLong = !c.stated && c.n >= longBody
 			return nil, err
 		}
 		c.rest = append(c.rest, blocks.Get().(*[blockSize]byte))
@@ -83,7 +89,7 @@
 		c.added(n)
 		switch {
 		case c.n > limit:
-			return newMessageError(400, bodyAt(c.n), "body longer than %d bytes", limit)
+			return newLengthError(400, bodyAt(c.n), "body longer than %d bytes", limit)
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
--- a/io/httpw/error.go
+++ b/io/httpw/error.go
@@ -38,14 +38,22 @@
 // beyond the limits. The connection can't be used any further.
 type MessageError struct {
 	position
-	status int
-	reason string
+	status  int
+	reason  string
+	tooLong bool
 }
 
 func newMessageError(status int, at position, format string, args ...any) *MessageError {
 	return &MessageError{position: at, status: status, reason: fmt.Sprintf(format, args...)}
 }
 
+// newLengthError returns the error for a message that is longer than allowed at a position.
+func newLengthError(status int, at position, format string, args ...any) *MessageError {
+	e := newMessageError(status, at, format, args...)
+	e.tooLong = true
+	return e
+}
+
 // Error implements error.
 func (e *MessageError) Error() string { return "http message: " + e.reason }
 
@@ -60,6 +68,13 @@
 	return errors.As(err, &bad)
 }
 
+// IsTooLong reports whether err is about a message that exceeds a bound on its own: its length,
+// or the memory for all bodies if its body would need more, or states no length and had taken much.
+func IsTooLong(err error) bool {
+	var bad *MessageError
+	return errors.As(err, &bad) && bad.tooLong
+}
+
 // cutError is an error of the connection within a message.
 type cutError struct {
 	position
--- a/io/httpw/head.go
+++ b/io/httpw/head.go
@@ -37,7 +37,7 @@
 		h.left -= len(part)
 		h.read += int64(len(part))
 		if h.left < 0 {
-			return "", h.refuse(431, "%s longer than allowed", h.name)
+			return "", newLengthError(431, h.position, "%s longer than allowed", h.name)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			long = append(long, part...)
--- a/io/httpw/progress_test.go
+++ b/io/httpw/progress_test.go
@@ -49,6 +49,7 @@
 			_, err := httpw.ReadResponse(reader(c.in), "GET", limits)
 			is.Equal(httpw.IsMessageError(err), !strings.HasPrefix(name, "cut"))
 			is.True(httpw.IsMessageError(err) || errors.Is(err, io.ErrUnexpectedEOF))
+			is.Equal(httpw.IsTooLong(err), strings.HasPrefix(name, "endless") || name == "announced length")
 			part, read := httpw.Progress(err)
 			is.Equal(part, c.part)
 			is.True(read >= c.from && read <= c.to)
@@ -64,3 +65,25 @@
 	is.Equal(part, httpw.PartOther)
 	is.Equal(read, int64(0))
 }
+
+// Guards against a sound peer whose message counts as too long because others have used up the
+// memory, and against one that needs more than all of it and doesn't count.
+func TestTooLongForTheMemory(t *testing.T) {
+	const stated, unstated, budget = "HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n", 4 << 20
+	for _, c := range []struct {
+		head    string
+		total   int64
+		others  int64 // bytes that they hold
+		tooLong bool
+	}{{stated, 2 << 20, 0, true}, {stated, budget, 2 << 20, false}, {unstated, budget, 0, true}, {unstated, budget, budget - 1<<19, false}} {
+		is := is.New(t)
+		b := httpw.NewBudget(c.total)
+		_, ok := b.Hold(c.others)
+		is.True(ok)
+		br := bufio.NewReader(strings.NewReader(c.head + strings.Repeat("x", 5<<20)))
+		_, err := httpw.ReadResponse(br, "GET", httpw.Limits{HeaderBytes: 99, BodyBytes: 1 << 30, Budget: b})
+		part, _ := httpw.Progress(err)
+		is.Equal(part, httpw.PartMemory)
+		is.Equal(httpw.IsTooLong(err), c.tooLong)
+	}
+}
--- a/io/httpw/request.go
+++ b/io/httpw/request.go
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	if r.frame.length > lim.BodyBytes {
-		return nil, newMessageError(413, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
+		return nil, newLengthError(413, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
 	}
 	r.Close = r.Header.hasToken("Connection", "close") ||
 		proto == proto10 && !r.Header.hasToken("Connection", "keep-alive")
--- a/io/httpw/response.go
+++ b/io/httpw/response.go
@@ -26,7 +26,7 @@
 			return resp, err
 		}
 	}
-	return nil, newMessageError(400, position{PartInterim, h.read}, "more than %d interim responses", maxInterim)
+	return nil, newLengthError(400, position{PartInterim, h.read}, "more than %d interim responses", maxInterim)
 }
 
 // readResponse reads a response whose head begins at h.
@@ -45,7 +45,7 @@
 	case frame.chunked:
 		resp.Body, err = readChunked(h.br, true, lim.BodyBytes, memory)
 	case frame.length > lim.BodyBytes:
-		err = newMessageError(400, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
+		err = newLengthError(400, bodyAt(0), "body longer than %d bytes", lim.BodyBytes)
 	case frame.length >= 0:
 		resp.Body, err = readLength(h.br, frame.length, memory)
 	default:
