core/route: a canceled trial call doubles no pause

A suspended target gets trial calls. One that lost to a hedge was canceled and counted like one that was slow: the pause until the next one doubled, up to 5 s, and a sound target got no call for more than 10 s.

A canceled trial call now leaves the pause as it is. A call that ran out of time still doubles it. The bound of one trial call in 200 calls or in 5 s stays, as it keeps stragglers from the slowest responses. The agent's own target answers a canceled call like one that ran out of time; routeResult now tells them apart by the context.

TestCanceledTrialDoublesNoPause and TestCanceledCallOfTheOwnTarget fail before and pass after.

--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -151,7 +151,7 @@
 	}
 	switch {
 	case trial && m.suspended:
-		p.finishTrial(at, m, v, res.Latency)
+		p.finishTrial(at, m, v, res)
 	case v == failed && m.failureShare > suspendFailureShare:
 		p.suspend(at, m)
 	}
--- a/core/route/suspend.go
+++ b/core/route/suspend.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"trefoilthread/core/types"
+)
 
 const (
 	// suspendFailureShare is the share of failed calls above which a target gets
@@ -114,18 +118,21 @@
 }
 
 // finishTrial resumes m after a trial call that succeeded fast enough. Otherwise
-// it schedules the next one, after twice the pause if the call was slow, failed or
-// ended early.
-func (p *Picker) finishTrial(now time.Duration, m *member, v resultKind, latency time.Duration) {
+// it schedules the next one, after twice the pause if the call was slow, failed or ran out
+// of time. A call that was canceled, as a hedge was answered first or the caller left, says
+// nothing about the target.
+func (p *Picker) finishTrial(now time.Duration, m *member, v resultKind, res Result) {
 	switch v {
 	case succeeded:
-		if latency-2*m.distance <= (p.stragglerAge(m)-2*m.distance)/stragglerFactor {
+		if res.Latency-2*m.distance <= (p.stragglerAge(m)-2*m.distance)/stragglerFactor {
 			p.resume(m)
 			return
 		}
 		m.backoff = min(2*m.backoff, maxBackoff)
 	case failed, censored:
-		m.backoff = min(2*m.backoff, maxBackoff)
+		if v == failed || res.Outcome != types.Canceled {
+			m.backoff = min(2*m.backoff, maxBackoff)
+		}
 	}
 	m.nextTrial = now + m.backoff
 }
--- a/core/route/suspend_test.go
+++ b/core/route/suspend_test.go
@@ -53,6 +53,23 @@
 	is.True(countPicks(p, now.Add(time.Minute), 500)["t0"] > 20)
 }
 
+// Guards against a sound target whose trial calls lose to hedges, and whose next trial call
+// comes later each time.
+func TestCanceledTrialDoublesNoPause(t *testing.T) {
+	is := is.New(t)
+	p, _ := warmedPicker(5)
+	hung := p.Start(start, "t0")
+	now := start.Add(ms(50))
+	countPicks(p, now, 1000) // meets t0
+	p.Finish(now, hung, route.Result{Outcome: types.Canceled, Latency: ms(50)})
+	for range 5 {
+		now = now.Add(ms(100))
+		is.Equal(countPicks(p, now, 500)["t0"], 1)
+		p.Finish(now, p.Start(now.Add(-ms(10)), "t0"), route.Result{Outcome: types.Canceled, Latency: ms(10)})
+		is.Equal(countPicks(p, now.Add(ms(99)), 500)["t0"], 0) // not sooner either
+	}
+}
+
 // Guards against calls that wait for connections to VMs that have lost power while others
 // are left: five of six targets are dark for three seconds, in which each connection
 // attempt takes 300 ms. With so many suspended, suspension is ignored. A call takes 400 ms,
--- a/io/agent/cancel_test.go
+++ b/io/agent/cancel_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"trefoilthread/core/beat"
+	"trefoilthread/core/types"
 	"trefoilthread/io/agent"
 	"trefoilthread/io/logs"
 	"trefoilthread/io/mesh"
@@ -57,3 +58,14 @@
 	<-closed
 	is.True(agent.IsTargetIdle(a))
 }
+
+// Guards against the loser of a hedge at the agent's own target that counts as one whose target
+// was too slow for the deadline.
+func TestCanceledCallOfTheOwnTarget(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ans := &mesh.Answer{Result: mesh.Expired}
+	is.Equal(agent.RouteResult(ctx, ans, nil, time.Second).Outcome, types.DeadlineExceeded)
+	cancel()
+	is.Equal(agent.RouteResult(ctx, ans, nil, time.Second).Outcome, types.Canceled)
+}
--- a/io/agent/dispatch.go
+++ b/io/agent/dispatch.go
@@ -249,6 +249,9 @@
 		res.Outcome = types.NotRun
 	case mesh.Expired:
 		res.Outcome = types.DeadlineExceeded
+		if errors.Is(ctx.Err(), context.Canceled) { // the own target's answer tells no difference
+			res.Outcome = types.Canceled
+		}
 	default:
 		res.Outcome, res.Failed = types.Unknown, true
 	}
