core/route: a fresh report of a slow target counts for exploring calls

Once in 15 s, targets without recent calls are compared as if they were as fast as the fastest other one. That bound also hid the latency in their last report: a call explored a target that had just reported calls of 1 s.

The bound now applies to what is known from the daemon's own calls only. A report counts above it, and decays with the half-life of 1 s that it has in other decisions, so an old one keeps no target from being explored.

TestFreshReportKeepsFromExploring fails before and passes after.

--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -39,6 +39,7 @@
 // own average of the targets in use. Once in 15 s, the candidates of a decision are
 // therefore also compared as if those without recent calls were as fast as the fastest
 // other one, and the result counts if it differs. Targets in use need no such comparison.
+// A recent report by which a target is slow counts in this comparison as well.
 //
 // # Host slowdown
 //
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -120,13 +120,22 @@
 // and one in a report decays with its age. The target averages the calls of all daemons and therefore shows a
 // slowdown before each daemon has seen enough calls of its own.
 func (m *member) expectedLatency(now time.Duration, weight, service float64) float64 {
-	latency := service
-	if m.latency.set {
-		latency = m.latency.value
-		if latency > service {
-			latency = service + (latency-service)*weight
-		}
+	return m.withReport(now, m.ownLatency(weight, service), service)
+}
+
+// ownLatency is expectedLatency without the target's last report.
+func (m *member) ownLatency(weight, service float64) float64 {
+	if !m.latency.set {
+		return service
 	}
+	if latency := m.latency.value; latency <= service {
+		return latency
+	}
+	return service + (m.latency.value-service)*weight
+}
+
+// withReport raises a latency to that in the target's last report, see expectedLatency.
+func (m *member) withReport(now time.Duration, latency, service float64) float64 {
 	if r := float64(m.reportLatency); r > latency && r > 2*service {
 		latency += (r - latency) * decay(now-m.reportedAt, idleHalfLife)
 	}
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -24,7 +24,8 @@
 // latency of a call, in nanoseconds as well, counts up to the given bound.
 func (p *Picker) score(now time.Duration, m *member, bound float64) float64 {
 	weight := m.idleWeight(now)
-	latency := min(bound, m.expectedLatency(now, weight, p.serviceLatency()))
+	service := p.serviceLatency()
+	latency := m.withReport(now, min(bound, m.ownLatency(weight, service)), service)
 	if age := float64(p.calls.oldestAge(now, m) - 2*m.distance); age > 2*latency {
 		latency = age / 2
 	}
--- a/core/route/starve_test.go
+++ b/core/route/starve_test.go
@@ -61,3 +61,20 @@
 	}
 	return n
 }
+
+// Guards against a call that explores a target though a fresh report says that it is slow, and
+// against a report that keeps a target from being explored when it is old.
+func TestFreshReportKeepsFromExploring(t *testing.T) {
+	for _, age := range []time.Duration{0, 10 * time.Second} {
+		is := is.New(t)
+		p, list := warmedPicker(2)
+		now := start.Add(20 * time.Second) // t1 has had no call meanwhile
+		p.ApplyReport(now.Add(-age), "t1", types.NewReport(types.ReportSpec{Latency: time.Second, Limit: 12, Incarnation: 1}))
+		for range 4 {
+			completeCall(p, now, "t0", route.Result{Latency: ms(2)})
+			p.Start(now, "t0") // its load makes an idle target the better choice
+		}
+		picked := countPicks(p, now, 20)
+		is.Equal(picked[list[1].ID()] > 0, age > 0)
+	}
+}
