io/mesh: bound the pongs and the open calls of a connection

Each ping after a hello was answered, and each call or query started a goroutine, however many came. A peer in trouble could have the agent write without end, and hold memory without bound.

A ping less than 5 ms after one that was answered gets no pong: clients ping after 250 ms of silence. A connection may have 4,096 calls and queries open, counted until they have ended, so that canceled ones and ones under a number that is used again count as well. Further calls are answered as refused with the load of the target, further queries as refused. The gate of a large target accepts 980 calls, so no deployment comes near the bound. The counter calls_beyond_bound tells operators. Ending the connection was ruled out, as it would break the calls that run.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -146,7 +146,7 @@
 	a.server = mesh.NewServer(mesh.ServerOptions{
 		Serve: a.serveCall, Notice: a.handleNotice, Query: a.serveQuery, Tokens: a.quotas.serveTokens, Opened: a.linkOpened,
 		Failed: a.inboundEnded, Clock: o.Clock, Memory: a.bodies, NoMemory: a.refuseLongCall,
-		Undecoded: a.refuseUndecoded, Uplink: uplink,
+		Undecoded: a.refuseUndecoded, TooMany: a.refuseBeyond, Uplink: uplink,
 	})
 	e := &entry{
 		wire: o.Wire, clock: o.Clock, log: o.Log, metrics: a.metrics, table: a.table, balancer: a.balancer,
--- a/io/agent/peers.go
+++ b/io/agent/peers.go
@@ -32,6 +32,15 @@
 	return ans
 }
 
+// refuseBeyond counts a call beyond those that a connection may have open, and returns the
+// answer to it.
+func (a *Agent) refuseBeyond(mesh.Hello) *mesh.Answer {
+	a.metrics.countEvent("calls_beyond_bound")
+	ans := a.target.refuseUnread(mesh.ReasonTooMany)
+	ans.Config = a.table.version()
+	return ans
+}
+
 // refuseUndecoded records a message of another agent that can't be decoded, and returns the
 // answer if it is a call: it has not run.
 func (a *Agent) refuseUndecoded(from mesh.Hello, err error) *mesh.Answer {
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -55,6 +55,12 @@
 // ErrBroken: each of them may have run. Who reads a long frame sends pongs meanwhile,
 // and counts its parts as signs of life.
 //
+// # Bounds of a connection
+//
+// A connection may have 4,096 calls and queries open. Further calls are answered as
+// Refused, further queries end with ErrRefused. Pings that come less than 5 ms after one that was
+// answered get no pong.
+//
 // # Proof that nothing ran
 //
 // A call that ends with ErrUnreachable, ErrNotSent or ErrOldPeer has not run. One that ends with
--- a/io/mesh/export_test.go
+++ b/io/mesh/export_test.go
@@ -2,6 +2,9 @@
 
 import "bufio"
 
+// MaxOpen exposes maxOpen.
+const MaxOpen = maxOpen
+
 // HasRawText is for tests.
 func HasRawText(msg any) bool { return hasRawText(msg) }
 
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -13,7 +13,7 @@
 	"trefoilthread/io/httpw"
 )
 
-// ServerOptions configure a Server. All fields but Memory, NoMemory, Undecoded and
+// ServerOptions configure a Server. All fields but Memory, NoMemory, Undecoded, TooMany and
 // Tokens are required.
 type ServerOptions struct {
 	// Serve runs a call. Its context ends when the caller cancels it or its
@@ -38,6 +38,9 @@
 	// Undecoded is told of messages that can't be decoded and returns the answer to such a
 	// message if it is a call. It must not block.
 	Undecoded func(from Hello, err error) *Answer
+	// TooMany returns the answer to a call beyond those that one connection may have open. It
+	// must not block.
+	TooMany func(from Hello) *Answer
 	// Uplink is the network link of this VM, shared with the clients; nil if its speed is
 	// unknown.
 	Uplink *Uplink
@@ -48,8 +51,17 @@
 	acceptPause = 20 * time.Millisecond
 	// progressInterval is the shortest time between two pongs of a long frame.
 	progressInterval = 50 * time.Millisecond
+	// pongInterval is the shortest time between two pongs that answer pings. It is far below
+	// the silence after which a client pings, so that only a flood of pings is left without answers.
+	pongInterval = 5 * time.Millisecond
+	// maxOpen bounds the calls and queries that run for one connection. It is above the number
+	// of calls that the gate of a large target accepts, 980.
+	maxOpen = 4096
 )
 
+// ReasonTooMany is the reason of a refusal of a call beyond the bound of its connection.
+const ReasonTooMany = "too many open calls of the sending daemon"
+
 // Server takes calls of other daemons.
 type Server struct {
 	opts ServerOptions
@@ -68,6 +80,9 @@
 	if o.Undecoded == nil {
 		o.Undecoded = func(_ Hello, err error) *Answer { return &Answer{Result: Refused, Reason: err.Error()} }
 	}
+	if o.TooMany == nil {
+		o.TooMany = func(Hello) *Answer { return &Answer{Result: Refused, Reason: ReasonTooMany} }
+	}
 	return &Server{opts: o, conns: make(map[net.Conn]*inbound)}
 }
 
@@ -155,12 +170,14 @@
 	from Hello
 
 	progressed time.Time // latest pong of noteProgress
+	ponged     time.Time // latest pong of answerPing
 	parts      assembler
 
-	mu     sync.Mutex
-	calls  map[uint64]context.CancelFunc
-	offers map[uint64]*Offer // calls without their bodies
-	called time.Time         // latest call
+	mu      sync.Mutex
+	calls   map[uint64]context.CancelFunc
+	running int               // calls and queries that have not ended, canceled ones included
+	offers  map[uint64]*Offer // calls without their bodies
+	called  time.Time         // latest call
 }
 
 func newInbound(s *Server, nc net.Conn) *inbound {
@@ -206,7 +223,7 @@
 	case kindHello:
 		return p.open(f)
 	case kindPing:
-		return p.out.send(kindPong, f.call, nil)
+		return p.answerPing(f.call)
 	case kindNotice:
 		var n Notice
 		if err := f.decode(&n); err != nil {
@@ -231,6 +248,10 @@
 			f.memory.Release()
 			return p.answer(f.call, p.s.opts.Undecoded(from, err))
 		}
+		if p.isFull() {
+			head.Memory.Release()
+			return p.answer(f.call, p.s.opts.TooMany(from))
+		}
 		if !from.Bulk { // notices take the other connection
 			p.noteCall()
 		}
@@ -250,6 +271,9 @@
 			p.s.opts.Undecoded(p.from, err)
 			return p.out.send(kindNews, f.call, refusedNews("query can't be decoded"))
 		}
+		if p.isFull() {
+			return p.out.send(kindNews, f.call, refusedNews(ReasonTooMany))
+		}
 		from := p.from
 		p.start(ctx, f.call, kindNews, func(ctx context.Context) any { return p.s.opts.Query(ctx, from, q) })
 	}
@@ -287,6 +311,31 @@
 	_ = p.out.send(kindPong, 0, nil)
 }
 
+// answerPing sends a pong, unless the latest one was sent a moment ago.
+func (p *inbound) answerPing(call uint64) error {
+	now := p.s.opts.Clock.Now()
+	if now.Sub(p.ponged) < pongInterval {
+		return nil
+	}
+	p.ponged = now
+	return p.out.send(kindPong, call, nil)
+}
+
+// isFull reports whether no further call or query of the connection may run.
+func (p *inbound) isFull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running >= maxOpen
+}
+
+// end removes a call or query that has run.
+func (p *inbound) end(id uint64) {
+	p.cancel(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+}
+
 func (p *inbound) noteCall() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -298,12 +347,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	p.calls[id] = cancel
+	p.running++
 	p.mu.Unlock()
 	if k == kindAnswer {
 		p.s.noteCall()
 	}
 	go func() {
-		defer p.cancel(id)
+		defer p.end(id)
 		if k == kindAnswer {
 			defer p.s.endCall()
 		}
