--- a/core/route/score.go
+++ b/core/route/score.go
@@ -8,8 +8,7 @@
 	minReportHalfLife = 50 * time.Millisecond
 	maxReportHalfLife = time.Second
 	// callsPerHalfLife is the half-life relative to the latency of a call: the load of a target
-	// changes as its calls end. In the model of docs/findings/placement.md, 4 answered more
-	// calls in time than 1 or 2.
+	// changes as its calls end (docs/findings/placement.md).
 	callsPerHalfLife = 4
 	// reportHalfLives is the number of half-lives after which a report is ignored.
 	reportHalfLives = 10
--- a/core/whole/urgency_test.go
+++ b/core/whole/urgency_test.go
@@ -62,11 +62,18 @@
 		{name: "slow hosts and load 1.3", load: [2]float64{1.3, 1.3}, slow: true, thirdFront: 0.3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			var sum *urgentModel
 			for _, seed := range []uint64{100, 101, 102, 103, 202} {
 				m := newUrgentModel(c, seed)
 				m.play()
-				m.check(t, fmt.Sprint("seed ", seed))
+				m.report(t, fmt.Sprint("seed ", seed))
+				if sum == nil {
+					sum = m
+				} else {
+					sum.add(m)
+				}
 			}
+			sum.check(t)
 		})
 	}
 }
@@ -87,14 +94,33 @@
 	return got / all
 }
 
-// check compares the shares of the types that a service runs, and of the first type with those of
-// the service that its calls use.
-func (m *urgentModel) check(t *testing.T, name string) {
+// add adds the requests of another play.
+func (m *urgentModel) add(o *urgentModel) {
+	for i, k := range m.types {
+		for service := range k.counts {
+			c, d := &k.counts[service], o.types[i].counts[service]
+			c.came, c.served, c.prompt = c.came+d.came, c.served+d.served, c.prompt+d.prompt
+		}
+	}
+	for reason, n := range o.why {
+		m.why[reason] += n
+	}
+}
+
+// report logs the shares of a play.
+func (m *urgentModel) report(t *testing.T, name string) {
 	lookups, bookings, third := m.types[0].counts[front], m.types[1].counts[front], m.types[2].counts
 	t.Logf("%s: lookups %.3f of %d, bookings %.3f of %d, third type %.3f of %d and %.3f of %d, calls %.3f of %d", name,
 		lookups.share(), lookups.came, bookings.share(), bookings.came, third[front].share(), third[front].came,
 		third[back].share(), third[back].came, m.types[3].counts[back].share(), m.types[3].counts[back].came)
 	t.Logf("%s: mean worth %.3f", name, m.worth())
+}
+
+// check compares the shares of the types that a service runs, and of the first type with those of
+// the service that its calls use. It takes all plays together: differences that a decision causes
+// stand out from chance then.
+func (m *urgentModel) check(t *testing.T) {
+	lookups, bookings, third := m.types[0].counts[front], m.types[1].counts[front], m.types[2].counts
 	for _, c := range []struct {
 		name      string
 		high, low count
@@ -105,7 +131,7 @@
 		{"lookups below the third type of the service of their calls", lookups, third[back]},
 	} {
 		if c.low.came > 0 && c.high.share() < c.low.share()-tolerance(c.high, c.low) {
-			t.Errorf("%s: %s: %.3f, %.3f, tolerance %.3f; failed: %v", name, c.name, c.high.share(), c.low.share(), tolerance(c.high, c.low), m.why)
+			t.Errorf("%s: %.4f, %.4f, tolerance %.4f; failed: %v", c.name, c.high.share(), c.low.share(), tolerance(c.high, c.low), m.why)
 		}
 	}
 }
