--- a/io/agent/doc.go
+++ b/io/agent/doc.go
@@ -4,15 +4,16 @@
 //
 // A request goes from a caller to the agent of its VM (entry), which chooses a
 // target, to the agent beside that target (serve), which admits it, and to the
-// target itself. The decisions are those of core: vhost (which service), route
-// (which target), retry (whether to send again), admit (whether to run now),
-// roster and beat (which agents and targets exist), cold (whether the target is cold and
-// how many calls it takes then), drain (which data centres are drained), link (when the
-// bodies of offered calls may come), pace and probe (how fast the target's host is). Package
-// mirror applies those of relay (from which agent or store to read changes) and fresh (whether
-// the configuration is known well enough for requests with API keys), package tokens those of
-// quota (which requests are within their customer's quota), package enrol those of prune (which
-// agents are gone), package crash those of poison (which requests crash targets).
+// target itself. The decisions are those of core: vhost (which service), route (which target),
+// retry (whether to send again), admit (whether to run now), roster and beat (which agents and
+// targets exist), cold (whether the target is cold and how many calls it takes then), drain
+// (which data centres are drained), link (when the bodies of offered calls may come), pause
+// (when the target gets no calls after responses that were too long), pace and probe (how fast
+// the target's host is). Package mirror applies those of relay (from which agent or store to
+// read changes) and fresh (whether the configuration is known well enough for requests with
+// API keys), package tokens those of quota (which requests are within their customer's quota),
+// package enrol those of prune (which agents are gone), package crash those of poison (which
+// requests crash targets).
 //
 // # State and its owners
 //
@@ -21,8 +22,8 @@
 //	mirror.Freshness    up to which time the store and the configuration in force are known
 //	balancer            other agents, their targets, drained data centres, statistics of this
 //	                    agent's calls, retry budgets and hedging limits
-//	localTarget         the target on this VM, its admission gate, its connections, its cold time, and
-//	                    the offered calls whose bodies wait for the link
+//	localTarget         the target on this VM, its admission gate, its connections, its cold time,
+//	                    its pauses, and the offered calls whose bodies wait for the link
 //	enrol.Registration  this agent's record in the store
 //	enrol.Cleaner       which other agents are gone, so that their records are deleted
 //	crash.Suspects      requests that were running when a target crashed
--- a/io/agent/fetch.go
+++ b/io/agent/fetch.go
@@ -9,6 +9,7 @@
 
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/store"
+	"trefoilthread/io/timing"
 )
 
 // maxFetchDelay is the longest delay before a configuration that another agent has in
@@ -28,7 +29,8 @@
 // of a second on a link of 10 Mbit/s. Others wait for it at the agents that tell it.
 const maxReadDelay = 200 * time.Millisecond
 
-// tableReadTimeout bounds a read of the configuration from the store.
+// tableReadTimeout bounds a read of the configuration from the store, so that two reads and the
+// delay between them fit into the 2.5 s in which a version has to be in force.
 const tableReadTimeout = 800 * time.Millisecond
 
 // tableRetryDelay is the delay after a failed read of the configuration.
@@ -148,7 +150,7 @@
 			if a.isTableLong.Load() {
 				pause = maxLongFetchDelay // its change requests a read as well
 			}
-			sleep(ctx, a.clock, jitterUpTo(pause))
+			timing.Sleep(ctx, a.clock, timing.JitterUpTo(pause))
 			if v <= a.table.version() {
 				continue // it has come meanwhile
 			}
@@ -160,10 +162,10 @@
 				continue
 			}
 			if a.isTableInvalid.Load() && a.table.get() == nil {
-				a.clock.AfterFunc(jitterAround(validRetryDelay), func() { a.requestTableRead(a.tableWanted.Load()) })
+				a.clock.AfterFunc(timing.JitterAround(validRetryDelay), func() { a.requestTableRead(a.tableWanted.Load()) })
 				continue
 			}
-			sleep(ctx, a.clock, jitterUpTo(maxReadDelay))
+			timing.Sleep(ctx, a.clock, timing.JitterUpTo(maxReadDelay))
 			a.readTable(ctx, 0)
 		}
 	}
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -65,12 +65,20 @@
 	}
 }
 
-// queryAgent sends a query to the agent with a name. It returns mesh.ErrUnreachable if
-// no address of it is known.
-func (a *Agent) queryAgent(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error) {
+// addressOf returns the address of the agent with a name, mesh.ErrUnreachable if none is known.
+func (a *Agent) addressOf(node string) (string, error) {
 	addr := a.balancer.address(node)
 	if addr == "" {
-		return nil, errors.Wrapf(mesh.ErrUnreachable, "agent %s isn't known", node)
+		return "", errors.Wrapf(mesh.ErrUnreachable, "agent %s isn't known", node)
+	}
+	return addr, nil
+}
+
+// queryAgent sends a query to the agent with a name.
+func (a *Agent) queryAgent(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error) {
+	addr, err := a.addressOf(node)
+	if err != nil {
+		return nil, err
 	}
 	news, err := a.client.Query(ctx, addr, q)
 	if err == nil {
@@ -81,9 +89,9 @@
 
 // askForTokens asks the agent with a name for tokens of a customer's quota.
 func (a *Agent) askForTokens(ctx context.Context, node string, r *mesh.TokenRequest) (*mesh.Tokens, error) {
-	addr := a.balancer.address(node)
-	if addr == "" {
-		return nil, mesh.ErrUnreachable
+	addr, err := a.addressOf(node)
+	if err != nil {
+		return nil, err
 	}
 	return a.client.RequestTokens(ctx, addr, r)
 }
--- a/io/agent/offer.go
+++ b/io/agent/offer.go
@@ -52,7 +52,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	if reason := t.refusalReason(now, head); reason != "" {
-		return 0, nil, refused(reason, t.pauses.Left(now))
+		return 0, nil, refused(reason, t.retryDelay(reason, now))
 	}
 	id := t.link.Add(link.Offer{Call: call, Bytes: head.BodyLen, SenderMbit: head.Offer.SenderLink(), Value: t.gate.Value(now, call)})
 	ch := make(chan link.Event, 1)
--- a/io/agent/pause.go
+++ b/io/agent/pause.go
@@ -12,8 +12,9 @@
 // reasonPaused is the reason of a refusal in a pause of the target.
 const reasonPaused = "target's last responses were too long, it gets no calls for a pause"
 
-// startInPause returns 0 if a call may start at the target, else the time for which it is refused.
-func (t *localTarget) startInPause() time.Duration {
+// startUnlessPaused returns 0 if a call may start at the target, else the time until one may. In a
+// pause, the call that gets 0 is the trial call, and others are refused meanwhile.
+func (t *localTarget) startUnlessPaused() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -23,9 +24,18 @@
 	return t.pauses.Left(now)
 }
 
-// recordLength records whether the response of the target with an id to a call that started at
-// the given time was too long, by its error, or else sound.
-func (t *localTarget) recordLength(id types.TargetID, started time.Time, isSound bool, err error) {
+// retryDelay returns the time for which calls are refused for a reason, 0 if it is unknown, with the
+// lock held.
+func (t *localTarget) retryDelay(reason string, now time.Time) time.Duration {
+	if reason != reasonPaused {
+		return 0
+	}
+	return t.pauses.Left(now)
+}
+
+// recordResponse counts the response of the target with an id to a call that started at the given
+// time: as too long by its error, as sound, or not at all.
+func (t *localTarget) recordResponse(id types.TargetID, started time.Time, isSound bool, err error) {
 	t.mu.Lock()
 	cur, _ := t.announced.Current()
 	isChange := false
@@ -42,7 +52,12 @@
 		return
 	}
 	t.metrics.countEvent("pause_changes")
-	t.log.WithFields(log.Fields{
+	l := t.log.WithFields(log.Fields{
 		"target": string(cur.ID), "service": string(cur.Service), "pauseMs": pause.Milliseconds(), "tooLong": n,
-	}).Warn("target pauses for responses that are too long")
+	})
+	if pause > 0 {
+		l.Warn("target gets no calls, its responses are too long")
+	} else {
+		l.Info("pause of target ended")
+	}
 }
--- a/io/agent/pause_test.go
+++ b/io/agent/pause_test.go
@@ -56,7 +56,7 @@
 	a := agent.New(agent.Options{
 		Settings: agent.Settings{Node: "self", DataCentre: "kl", Mesh: "10.0.0.1:7000"}, Wire: flakyWire(), Clock: clock, Scope: scope,
 		Log: &log.Logger{Level: log.InfoLevel, Handler: log.HandlerFunc(func(e *log.Entry) error {
-			if e.Message == "target pauses for responses that are too long" {
+			if e.Message == "target gets no calls, its responses are too long" {
 				logged.Add(1)
 			}
 			return nil
--- a/io/agent/quotaentry.go
+++ b/io/agent/quotaentry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilthread/io/httpw"
+	"trefoilthread/io/timing"
 	"trefoilthread/io/tokens"
 )
 
@@ -43,7 +44,7 @@
 	} else {
 		e.metrics.recordResponse(status, 0)
 	}
-	return respond(reason, jitterAround(quotaRetryDelay))
+	return respond(reason, timing.JitterAround(quotaRetryDelay))
 }
 
 // takeToken takes a token for a request of the customer that it names.
--- a/io/agent/restore.go
+++ b/io/agent/restore.go
@@ -7,6 +7,7 @@
 	"trefoilthread/core/beat"
 	"trefoilthread/core/types"
 	"trefoilthread/io/enrol"
+	"trefoilthread/io/timing"
 )
 
 // tableWaitTime is how often a starting agent checks whether it knows the configuration.
@@ -62,7 +63,7 @@
 			}
 			return
 		}
-		sleep(ctx, a.clock, tableWaitTime)
+		timing.Sleep(ctx, a.clock, tableWaitTime)
 	}
 }
 
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -60,7 +60,8 @@
 		t.release(ticket)
 		return refused(reason, staleRetryDelay), nil
 	}
-	if left := t.startInPause(); left > 0 {
+	// The pause was checked before, but another call may have become its trial call since.
+	if left := t.startUnlessPaused(); left > 0 {
 		t.release(ticket)
 		return refused(reasonPaused, left), nil
 	}
@@ -79,7 +80,7 @@
 	if resp != nil && ans.Result != mesh.Answered {
 		resp.Memory.Release()
 	}
-	t.recordLength(types.TargetID(head.Target), start, ans.Result == mesh.Answered || ans.Reached, err)
+	t.recordResponse(types.TargetID(head.Target), start, ans.Result == mesh.Answered || ans.Reached, err)
 	t.suspects.End(fp, ans.Result)
 	t.finish(ticket, t.clock.Since(start), failed)
 	return ans, err
@@ -121,7 +122,7 @@
 		}
 	}
 	if reason != "" {
-		hint := t.pauses.Left(now)
+		hint := t.retryDelay(reason, now)
 		t.mu.Unlock()
 		return admit.Ticket{}, refused(reason, hint)
 	}
--- a/io/agent/stop.go
+++ b/io/agent/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilthread/core/grace"
+	"trefoilthread/io/timing"
 )
 
 const (
@@ -42,9 +43,9 @@
 	a.log.Info("agent stopping")
 	a.front.Drain()
 	defer context.AfterFunc(running, a.endRequests)()
-	sleep(ctx, a.clock, min(targetGrace, quiet))
+	timing.Sleep(ctx, a.clock, min(targetGrace, quiet))
 	a.target.refuseCalls()
-	sleep(ctx, a.clock, quiet-min(targetGrace, quiet))
+	timing.Sleep(ctx, a.clock, quiet-min(targetGrace, quiet))
 	a.awaitIdleTarget(running)
 	a.front.Close()
 	err := a.front.Wait(ctx)
@@ -78,7 +79,7 @@
 // the target makes for them come in at the callers' address.
 func (a *Agent) awaitIdleTarget(ctx context.Context) {
 	for !a.target.isIdle() && ctx.Err() == nil {
-		sleep(ctx, a.clock, idleCheckInterval)
+		timing.Sleep(ctx, a.clock, idleCheckInterval)
 	}
 }
 
--- a/io/crash/suspects.go
+++ b/io/crash/suspects.go
@@ -62,8 +62,8 @@
 	return Fingerprint(head.Service, head.Method, head.Path, head.Body)
 }
 
-// Refuse reports whether a request is refused because it has crashed targets, which
-// lengthens its quarantine, and after what time its caller may send it again.
+// Refuse reports whether a request is refused because it has crashed targets, and after what time
+// its caller may send it again. Each refusal lengthens the quarantine.
 func (s *Suspects) Refuse(fp types.Fingerprint) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/curve/panel.go
+++ b/io/curve/panel.go
@@ -12,7 +12,7 @@
 const (
 	// maxNines is the highest quantile shown: 1 - 10^-3.
 	maxNines = 3.0
-	step     = 0.05
+	step     = 0.05 // between two points, in nines
 )
 
 // Curve is the latency quantiles of one set of requests.
--- a/io/enrol/claim.go
+++ b/io/enrol/claim.go
@@ -11,7 +11,8 @@
 // Claim makes the record of an earlier start known by writing the first record of this start,
 // which costs one call to the store if the earlier record is still as it was listed. It does
 // nothing if the record of an earlier start is known. follows reports whether rec may replace
-// an earlier record, nil if there was none. Claim returns false if the store is unavailable.
+// an earlier record, nil if there was none. Claim returns false if the store is unavailable. True
+// means that the earlier record is known, not that rec was written. Claim doesn't call Begin.
 func (r *Registration) Claim(ctx context.Context, rec Record, follows func(previous *Record) bool) bool {
 	return r.learnPrevious(func() (*Record, error) { return r.replace(ctx, rec, follows) })
 }
--- a/io/enrol/cleaner.go
+++ b/io/enrol/cleaner.go
@@ -12,6 +12,7 @@
 	"trefoilthread/core/prune"
 	"trefoilthread/core/roster"
 	"trefoilthread/io/store"
+	"trefoilthread/io/timing"
 )
 
 const (
@@ -54,7 +55,7 @@
 // Run checks for agents that are gone until ctx ends.
 func (c *Cleaner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleepAround(ctx, c.opts.Clock, cleanInterval)
+		timing.Sleep(ctx, c.opts.Clock, timing.JitterAround(cleanInterval))
 		c.check(ctx)
 	}
 }
--- a/io/enrol/follow.go
+++ b/io/enrol/follow.go
@@ -4,15 +4,15 @@
 
 // Learn applies a change of this agent's record in the store. It returns the record that the
 // store has; ok is false if there is none, or an invalid one, which counts as none at the
-// other agents. The first listing may be stale, so the time since when the store has a record
-// is kept only from a record that was read or replaced.
+// other agents. The record's time since when the store has it isn't taken over here, as the
+// first listing may be stale: only Claim and Read do so.
 func (r *Registration) Learn(it relay.Item) (rec Record, ok bool) {
 	if !it.Deleted {
 		stored, err := Decode(it.Key, it.Value)
 		rec, ok = stored, err == nil
 	}
 	if !ok {
-		r.beginSince()
+		r.resetSince()
 	}
 	switch {
 	case !r.isKnown.Load():
@@ -32,8 +32,8 @@
 	r.markMissing(rev)
 }
 
-// noteListed records what a listing says of this agent's record before run has begun. The
-// listing may be stale.
+// noteListed records what a listing says of this agent's record before the record of an
+// earlier start is known. The listing may be stale.
 func (r *Registration) noteListed(it relay.Item) {
 	own := &ownRecord{}
 	if !it.Deleted {
@@ -82,15 +82,17 @@
 	}
 }
 
-// keepSince takes over since when the store has a record of this agent.
+// keepSince takes over the time since when the store has a record from that of an earlier start,
+// if it is earlier.
 func (r *Registration) keepSince(previous Record) {
 	if own := r.since.Load(); previous.Since > 0 && previous.Since < own {
 		r.since.Store(previous.Since)
 	}
 }
 
-// beginSince notes that the store has a record of this agent from now on.
-func (r *Registration) beginSince() int64 {
+// resetSince restarts the time since when the store has a record of this agent, because it had no
+// valid one until now.
+func (r *Registration) resetSince() int64 {
 	now := r.opts.Clock.Now().UnixMilli()
 	r.since.Store(now)
 	return now
--- a/io/enrol/registration.go
+++ b/io/enrol/registration.go
@@ -13,6 +13,7 @@
 
 	"trefoilthread/core/types"
 	"trefoilthread/io/store"
+	"trefoilthread/io/timing"
 )
 
 const (
@@ -46,7 +47,7 @@
 	key  string
 
 	begin   func()        // closes begun
-	begun   chan struct{} // closed when the record of an earlier start is known
+	begun   chan struct{} // closed by Begin: Run may write
 	dirty   chan struct{} // holds one token if the record has to be written
 	stopped chan struct{} // closed when Run has returned
 
@@ -56,14 +57,15 @@
 	isKnown  atomic.Bool // the record of an earlier start is known, or there is none
 
 	mu        sync.Mutex
-	listed    *ownRecord // record of this agent in a listing before begun, nil before any listing
+	listed    *ownRecord // record of this agent in the latest listing, nil before any; unused once isKnown is set
 	written   Record
 	writtenAt int64         // revision of the latest write
-	isCurrent bool          // the store has written
+	isCurrent bool          // the store has the record in written
 	isDeleted bool          // another agent, or the store, deleted the record after the latest write
 	writeDone chan struct{} // closed at the next successful write
 
-	// The fields below belong to Claim and Read until begun is closed, then to Run.
+	// The fields below belong to Claim and Read until begun is closed, then to Run, and after it
+	// to Withdraw.
 	rev        int64
 	isRevKnown bool // rev is the last known revision in the store
 	failures   int  // calls that failed in a row
@@ -108,7 +110,9 @@
 	return min(retryDelay*time.Duration(max(r.failures, 1)), maxRetryDelay)
 }
 
-// Begin lets Run write the record. The record of an earlier start must be known.
+// Begin lets Run write the record. The record of an earlier start must be known, and
+// Options.Value must return the state that goes with it: after Claim, Begin is called when the
+// claimed announcement is in force. Read calls it itself.
 func (r *Registration) Begin() { r.begin() }
 
 // RequestWrite requests that the record is written again.
@@ -149,7 +153,7 @@
 		err := r.write(ctx)
 		r.recordStoreResult(err)
 		if err != nil {
-			sleepAround(ctx, r.opts.Clock, r.backoff())
+			timing.Sleep(ctx, r.opts.Clock, timing.JitterAround(r.backoff()))
 			continue
 		}
 		select {
@@ -199,7 +203,7 @@
 		r.rev, r.isRevKnown = it.Revision, true
 	}
 	if r.rev == 0 {
-		rec.Since = r.beginSince()
+		rec.Since = r.resetSince() // the record is created, not replaced
 	}
 	value, err := cbor.Marshal(rec)
 	if err != nil {
--- a/io/httpw/error.go
+++ b/io/httpw/error.go
@@ -68,8 +68,9 @@
 	return errors.As(err, &bad)
 }
 
-// IsTooLong reports whether err is about a message that exceeds a bound on its own: its length,
-// or the memory for all bodies if its body would need more, or states no length and had taken much.
+// IsTooLong reports whether err is about a message that is too long by itself: beyond a bound of its
+// length, with a stated length beyond the whole memory for bodies, or without a stated length when
+// memory ran out after longBody bytes.
 func IsTooLong(err error) bool {
 	var bad *MessageError
 	return errors.As(err, &bad) && bad.tooLong
--- a/io/logs/bounded.go
+++ b/io/logs/bounded.go
@@ -44,11 +44,15 @@
 // NewBounded returns a writer of log lines.
 func NewBounded(o BoundedOptions) *Bounded { return &Bounded{opts: o} }
 
+// MessageLeftOut is the message of the line that says in the field "lines" how many lines were
+// left out.
+const MessageLeftOut = "log lines left out"
+
 // Notes sets the function that logs how many lines were left out.
 func (b *Bounded) Notes(l log.Interface) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.note = func(left int) { l.WithField("lines", left).Warn("log lines left out") }
+	b.note = func(left int) { l.WithField("lines", left).Warn(MessageLeftOut) }
 }
 
 // Write implements io.Writer. Handlers may write a line in pieces; it is taken
--- a/io/mesh/server.go
+++ b/io/mesh/server.go
@@ -54,8 +54,8 @@
 	// pongInterval is the shortest time between two pongs that answer pings. It is far below
 	// the silence after which a client pings, so that only a flood of pings is left without answers.
 	pongInterval = 5 * time.Millisecond
-	// maxOpen bounds the calls and queries that run for one connection. It is above the number
-	// of calls that the gate of a large target accepts, 980.
+	// maxOpen bounds the calls and queries that run for one connection. It is far above 980, the
+	// highest connection limit of a target in docs/customers.md.
 	maxOpen = 4096
 )
 
--- a/io/mirror/doc.go
+++ b/io/mirror/doc.go
@@ -16,7 +16,8 @@
 // each configuration that it has yet to read (Want) or has taken over (Applied), also the
 // configuration in force. The rules are those of core/fresh. The Mirror reports to it what was
 // read, after OnChange has returned. The age of the copy by which core/relay chooses sources is
-// another one: it counts from the answers, on the clock that a suspended machine stops.
+// another one: it counts from the answers, on a clock that stands still while the
+// machine is suspended.
 //
 // # Failures
 //
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -11,6 +11,7 @@
 	"trefoilthread/core/relay"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
+	"trefoilthread/io/timing"
 )
 
 // Options configure a Mirror. All fields are required.
@@ -33,8 +34,8 @@
 	SendQuery func(ctx context.Context, node string, q *mesh.Query) (*mesh.News, error)
 	// OnChange is called with changes in order of revision.
 	OnChange func(items []relay.Item)
-	// OnDiscovered is called at the start when the other agents are known; isAlone means
-	// that there are none.
+	// OnDiscovered is called at the start after each listing of the other agents that
+	// succeeded, twice at most; isAlone means that there are none.
 	OnDiscovered func(ctx context.Context, isAlone bool)
 	// OnListed is called each time that all keys have been read, and at the start when
 	// the keys of the agents have been read.
@@ -55,7 +56,7 @@
 	needsList   bool      // all keys have to be read again
 	isStoreLost bool      // the latest call to the store failed
 	answeredAt  time.Time // latest answer of the store
-	source      string
+	source      string    // latest source of changes, for the log
 }
 
 // New returns a mirror with an empty copy. Run fills it and keeps it up to date.
@@ -76,7 +77,7 @@
 // Run keeps the copy up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	if pause := m.discover(ctx); pause > 0 {
-		m.sleep(ctx, pause)
+		timing.Sleep(ctx, m.opts.Clock, pause)
 		m.discover(ctx) // other agents may have started meanwhile
 	}
 	for ctx.Err() == nil {
@@ -93,7 +94,7 @@
 		default:
 			pause = next.Wait
 		}
-		m.sleep(ctx, pause)
+		timing.Sleep(ctx, m.opts.Clock, pause)
 	}
 }
 
@@ -219,14 +220,3 @@
 	defer m.mu.Unlock()
 	return m.sources.Age(m.opts.Clock.Now())
 }
-
-// sleep returns after d or when ctx ends.
-func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-m.opts.Clock.After(d):
-	}
-}
--- a/io/mirror/tell.go
+++ b/io/mirror/tell.go
@@ -9,6 +9,7 @@
 	"trefoilthread/core/relay"
 	"trefoilthread/io/mesh"
 	"trefoilthread/io/store"
+	"trefoilthread/io/timing"
 )
 
 // tellRetryDelay is the delay before an agent is asked again.
@@ -54,7 +55,7 @@
 		if err == nil || ctx.Err() != nil || errors.Is(err, mesh.ErrRefused) {
 			return it, err
 		}
-		m.sleep(ctx, tellRetryDelay)
+		timing.Sleep(ctx, m.opts.Clock, tellRetryDelay)
 	}
 }
 
--- a/io/reqlog/doc.go
+++ b/io/reqlog/doc.go
@@ -8,7 +8,8 @@
 //
 // An agent doesn't log all of its routine requests, those that were answered
 // by their first target within the goal. A line about one says how many others
-// of its route were left out before it (leftOut), and counts for them too.
+// of its route were left out before it (leftOut), and counts for them too: they are taken to have
+// had its latency, so quantiles are estimates.
 //
 // # Usage
 //
@@ -18,6 +19,7 @@
 //	}
 //	for _, name := range l.Routes() {
 //		r := l.Route(name)
-//		fmt.Println(name, r.Requests(), r.Quantile(99))
+//		p99, _ := r.Quantile(99)
+//		fmt.Println(name, r.Requests(), p99)
 //	}
 package reqlog
--- a/io/reqlog/read.go
+++ b/io/reqlog/read.go
@@ -5,17 +5,16 @@
 	"bytes"
 	"encoding/json"
 	"io"
+
+	"trefoilthread/io/logs"
 )
 
 // maxLine bounds a line in bytes. Lines of agents have a few hundred bytes;
 // longer ones are skipped as unreadable.
 const maxLine = 256 << 10
 
-// Messages of the lines that are read, as in io/agent and io/logs.
-const (
-	requestEnded = "request ended"
-	linesLeftOut = "log lines left out"
-)
+// requestEnded is the message of io/agent at the end of a request.
+const requestEnded = "request ended"
 
 // entry is one log line. Fields are decoded only for messages that are read,
 // since those of others may have other types.
@@ -92,7 +91,7 @@
 		}
 		l.lines.Requests++
 		l.add(r)
-	case linesLeftOut:
+	case logs.MessageLeftOut:
 		var f struct {
 			Lines uint32 `json:"lines"`
 		}
--- a/io/tokens/quotas.go
+++ b/io/tokens/quotas.go
@@ -14,6 +14,7 @@
 	"trefoilthread/core/types"
 	"trefoilthread/core/vhost"
 	"trefoilthread/io/mesh"
+	"trefoilthread/io/timing"
 )
 
 // Options configure Quotas. All fields are required.
@@ -107,10 +108,7 @@
 func (q *Quotas) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		q.Check()
-		select {
-		case <-ctx.Done():
-		case <-q.opts.Clock.After(checkInterval):
-		}
+		timing.Sleep(ctx, q.opts.Clock, checkInterval)
 	}
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -142,7 +142,8 @@
 	w.nodes = append(w.nodes, n)
 	n.target = newTarget(w.rec, n.ip, service, work)
 	n.target.zone = zone
-	// The IP belongs to this machine alone, and its target has a port of the ephemeral range.
+	// Fixed ports below the ephemeral range: no other process uses this IP, and its target has a
+	// port of that range.
 	n.callers, n.ready, n.control, n.mesh = n.ip+":7001", n.ip+":7002", n.ip+":7003", n.ip+":7004"
 	n.settings = filepath.Join(w.dir, n.name+".ini")
 	if err := os.WriteFile(n.settings, []byte(n.ini()), 0o600); err != nil {
