--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -68,7 +68,7 @@
 // lower worth rate, a call of the latter may start in a free slot, but doesn't wait:
 // it is refused. Calls with a late goal would otherwise fill the slots in each lull,
 // and those with an early one be refused. Only calls of customers of one rank are
-// compared. If all calls have the same rank, this has no effect.
+// compared, and not those of customers of rank 7 and above. If all calls have the same rank, this has no effect.
 //
 // # Goals
 //
@@ -116,7 +116,7 @@
 // causes every call to be refused would never be corrected otherwise. Until a
 // call of the kind has ended, a third of the time to a call's goal or to its
 // deadline, whichever is earlier, is used as its service time, and less at a pace
-// above 3, so that this assumption alone refuses no call for its deadline. Without
+// above 3, so that it refuses no call that can start at once for its deadline. Without
 // a goal, only calls whose deadline has passed are refused.
 //
 // # Concurrency
--- a/core/admit/entries.go
+++ b/core/admit/entries.go
@@ -53,7 +53,7 @@
 	return nil
 }
 
-// refuse ends the offer of a call for lack of room.
+// refuse ends the offer of a call and counts the refusal in the share of its rank.
 func (g *Gate) refuse(e *entry, r reason) (Ticket, Verdict) {
 	g.ranks.recordRefusal(e, r)
 	g.release(e)
--- a/core/admit/entry.go
+++ b/core/admit/entry.go
@@ -32,7 +32,7 @@
 // precedesWhenLate reports whether e would run before o, a call of a less urgent route, even if
 // it were demoted.
 func (e *entry) precedesWhenLate(o *entry) bool {
-	return e.rank < o.rank && e.customerRank == o.customerRank && e.worthRate*lateWorthShare > o.worthRate
+	return e.rank < o.rank && !o.arrived && e.customerRank == o.customerRank && e.worthRate*lateWorthShare > o.worthRate
 }
 
 func (e *entry) ticket() Ticket { return Ticket{id: e.id, index: e.index} }
--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -58,7 +58,11 @@
 		return q.countAhead(e)
 	}
 	if g.customers.isUnderserved(e.customer) {
-		return min(g.countUnderserved(q)*2+1, q.Len())
+		perCall := 2 // starts
+		if q.Len() > 0 {
+			perCall = startsBetween(e, q.items[0]) + 1
+		}
+		return min((g.countUnderserved(q)+1)*perCall-1, q.Len())
 	}
 	g.customers.count(q, e.customer, e.isTurnOf)
 	rounds := e.customer.waiting + 1
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -136,21 +136,21 @@
 	e.worthRate = g.worthRate(now, e.kind, c.Worth())
 	g.ranks.recordOffer(now, e)
 	delayed := g.isDelayed(now, e)
-	if c.PromptOnly() && (delayed || g.missesGoal(now, e, 0)) {
+	if e.promptOnly && (delayed || g.missesGoal(now, e, 0)) {
 		return g.refuse(e, reasonGoal)
 	}
 	if !delayed && g.hasSlot(now, e.urgent) && g.queueOf(e).Len() == 0 && (e.urgent || g.urgent.Len() == 0) {
 		g.start(now, e)
 		return e.ticket(), Run
 	}
-	if g.ranks.isAhead(now, e) && !g.customers.isUnderserved(e.customer) {
+	if g.ranks.exceedsUrgent(now, e) && !g.customers.isUnderserved(e.customer) {
 		return g.refuse(e, reasonRank)
 	}
 	if g.isBeyondCold(now, e, g.startsBefore(e)) {
 		return g.refuse(e, reasonCold)
 	}
 	if g.missesGoal(now, e, g.estimatedWait(now, e)) {
-		if c.PromptOnly() {
+		if e.promptOnly {
 			return g.refuse(e, reasonGoal)
 		}
 		switch {
--- a/core/admit/ranks_test.go
+++ b/core/admit/ranks_test.go
@@ -61,6 +61,44 @@
 	}
 }
 
+// Guards against calls that are refused because of an overload of an hour ago, and because of
+// urgent calls of customers whose rank is too high to have a share of its own.
+func TestOnlyRecentAndComparableSharesCount(t *testing.T) {
+	for name, c := range map[string]struct {
+		idle        time.Duration
+		urgent, low int // ranks of the customers
+		want        admit.Verdict
+	}{
+		"recent":             {0, 6, 6, admit.Refuse},
+		"an hour ago":        {time.Hour, 6, 6, admit.Wait},
+		"less urgent by far": {0, 9, 7, admit.Wait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := admit.New(admit.Options{Slots: 1, Queue: 1, UrgentShare: -1})
+			offer := func(at time.Time, rank, customerRank int) (admit.Ticket, admit.Verdict) {
+				return g.Offer(at, rankedCall(types.CallSpec{Worth: float64(2 - rank), Rank: rank, CustomerRank: customerRank, Deadline: at.Add(time.Minute)}))
+			}
+			running, _ := offer(start, 0, c.urgent)
+			waiting, _ := offer(start, 0, c.urgent)
+			for range 50 {
+				offer(start, 0, c.urgent)
+			}
+			g.Cancel(start, waiting)
+			g.Done(start, running, 10*time.Millisecond, false)
+			now := start.Add(c.idle)
+			for _, customerRank := range []int{c.urgent, c.low} { // both are served now
+				running, _ = offer(now, 0, customerRank)
+				g.Done(now, running, 10*time.Millisecond, false)
+			}
+			_, v := offer(now, 1, c.low)
+			is.Equal(v, admit.Run)
+			_, v = offer(now, 1, c.low)
+			is.Equal(v, c.want)
+		})
+	}
+}
+
 // Guards against a call that is refused for its goal because of waiting calls that are less
 // urgent and would run after it, so that the run that waits for it fails.
 func TestBacklogOfLessUrgentCalls(t *testing.T) {
@@ -112,3 +150,39 @@
 		is.Equal(fmt.Sprint(order), want)
 	}
 }
+
+// Guards against calls of a customer with precedence that are accepted beside calls of targets and
+// refused at their deadlines, because fewer starts go to them than the estimate of their wait has.
+func TestPrecedenceBesideCallsOfTargetsIsEstimated(t *testing.T) {
+	is := is.New(t)
+	const service = 100 * time.Millisecond
+	g := admit.New(admit.Options{Slots: 1, UrgentShare: -1})
+	customer := types.CallSpec{Worth: 1, Customer: "a", CustomerRank: 1, Deadline: start}
+	for range 20 {
+		g.Offer(start, rankedCall(customer))
+	}
+	running, _ := g.Offer(start, rankedCall(types.CallSpec{Worth: 2}))
+	g.Done(start, running, service, false)
+	running, _ = g.Offer(start, rankedCall(types.CallSpec{Worth: 2}))
+	for range 12 {
+		g.Offer(start, rankedCall(types.CallSpec{Worth: 2}))
+	}
+	customer.Deadline = start.Add(950 * time.Millisecond)
+	accepted := make(map[admit.Ticket]bool)
+	for range 4 {
+		if ticket, v := g.Offer(start, rankedCall(customer)); v == admit.Wait {
+			accepted[ticket] = true
+		}
+	}
+	is.True(len(accepted) > 0)
+	for now := start.Add(service); running != (admit.Ticket{}); now = now.Add(service) {
+		events := g.Done(now, running, service, false)
+		running = admit.Ticket{}
+		for _, ev := range events {
+			if ev.Verdict == admit.Run {
+				running = ev.Ticket
+			}
+			is.True(ev.Verdict == admit.Run || !accepted[ev.Ticket])
+		}
+	}
+}
--- a/core/admit/value.go
+++ b/core/admit/value.go
@@ -65,7 +65,8 @@
 
 // hasPromptBacklog reports whether so many waiting normal calls of its rank and
 // higher ones can meet their goal that e would hardly ever run if it were demoted,
-// because calls that arrive later run before it. Calls of less urgent routes behind it don't count.
+// because calls that arrive later run before it. Calls of less urgent routes that would
+// run after e even then don't count.
 func (g *Gate) hasPromptBacklog(e *entry) bool {
 	prompt := 0
 	for _, o := range g.normal.items {
--- a/core/pause/doc.go
+++ b/core/pause/doc.go
@@ -21,8 +21,8 @@
 //	// run it, then:
 //	switch {
 //	case isTooLong:
-//		begun := t.TooLong(now, started)
+//		begun := t.RecordTooLong(now, started)
 //	case isComplete:
-//		ended := t.Sound()
+//		ended := t.RecordComplete()
 //	}
 package pause
--- a/core/pause/tracker.go
+++ b/core/pause/tracker.go
@@ -15,10 +15,10 @@
 
 // Tracker tracks the responses of one target. The zero value is ready for use, without a pause.
 type Tracker struct {
-	inARow  int           // responses since the last sound one that were too long
-	pause   time.Duration // length of the present pause, 0 for none
-	begun   time.Time     // when the present pause got its length
-	resting time.Time     // no call starts before that
+	inARow    int           // responses since the last sound one that were too long
+	pause     time.Duration // length of the present pause, 0 for none
+	pausedAt  time.Time     // when the present pause got its length
+	nextStart time.Time     // no call starts before that
 }
 
 // IsPaused reports whether only trial calls may start.
@@ -29,37 +29,38 @@
 	if !t.IsPaused() {
 		return 0
 	}
-	return max(0, t.resting.Sub(now))
+	return max(0, t.nextStart.Sub(now))
 }
 
-// Start reports whether a call may start now. In a pause, this is the trial call then.
+// Start reports whether a call may start now. In a pause it then reserves the trial call: no other
+// one starts for the length of the pause.
 func (t *Tracker) Start(now time.Time) bool {
 	if t.Left(now) > 0 {
 		return false
 	}
-	t.resting = now.Add(t.pause)
+	t.nextStart = now.Add(t.pause)
 	return true
 }
 
-// TooLong records that the response to a call was too long, and reports whether that began or
+// RecordTooLong records that the response to a call was too long, and reports whether that began or
 // prolonged a pause.
-func (t *Tracker) TooLong(now, started time.Time) bool {
+func (t *Tracker) RecordTooLong(now, started time.Time) bool {
 	t.inARow++
 	switch {
-	case t.inARow < minInARow, t.IsPaused() && started.Before(t.begun):
+	case t.inARow < minInARow, t.IsPaused() && started.Before(t.pausedAt):
 		return false
 	case t.IsPaused():
 		t.pause = min(2*t.pause, maxPause)
 	default:
 		t.pause = minPause
 	}
-	t.begun, t.resting = now, now.Add(t.pause)
+	t.pausedAt, t.nextStart = now, now.Add(t.pause)
 	return true
 }
 
-// Sound records a response that is complete and within the bounds, and reports whether it
+// RecordComplete records a response that is complete and within the bounds, and reports whether it
 // ended a pause.
-func (t *Tracker) Sound() bool {
+func (t *Tracker) RecordComplete() bool {
 	ended := t.IsPaused()
 	*t = Tracker{}
 	return ended
--- a/core/pause/tracker_test.go
+++ b/core/pause/tracker_test.go
@@ -16,19 +16,19 @@
 	var p pause.Tracker
 	now := time.Unix(1000, 0)
 	for range 9 { // never several in a row
-		is.True(!p.TooLong(now, now))
-		is.True(!p.TooLong(now, now))
-		is.True(!p.Sound())
+		is.True(!p.RecordTooLong(now, now))
+		is.True(!p.RecordTooLong(now, now))
+		is.True(!p.RecordComplete())
 	}
 	early := now
 	for i := range 3 {
 		is.True(p.Start(now))
-		is.Equal(p.TooLong(now, now), i == 2)
+		is.Equal(p.RecordTooLong(now, now), i == 2)
 	}
 	for want := 200 * time.Millisecond; want < time.Minute; want *= 2 {
 		length := min(want, 5*time.Second)
 		is.Equal(p.Pause(), length)
-		is.True(!p.TooLong(now, early.Add(-1))) // ran before the pause
+		is.True(!p.RecordTooLong(now, early.Add(-1))) // ran before the pause
 		is.Equal(p.Left(now), length)
 		now = now.Add(length - 1)
 		is.True(!p.Start(now))
@@ -38,10 +38,10 @@
 		now = now.Add(length)  // the first trial has shown nothing, or is slow
 		is.True(p.Start(now))
 		is.Equal(p.Left(now), length)
-		is.True(p.TooLong(now.Add(1), now))
+		is.True(p.RecordTooLong(now.Add(1), now))
 		now = now.Add(1)
 	}
-	is.True(p.Sound())
+	is.True(p.RecordComplete())
 	is.True(p.Start(now))
 	is.True(p.Start(now))
 	is.True(!p.IsPaused())
--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -24,8 +24,8 @@
 // that, the floor adds up to 3 attempts per second. Retries of refused calls
 // use the same budget as others, so that an overload does not cause more calls.
 //
-// TakeFor leaves the last of a budget to the more urgent requests: for a second after
-// a retry was denied, less urgent requests get none.
+// TakeFor keeps a budget for the more urgent requests: for a second after a retry was
+// denied, less urgent requests get no retry and no hedge.
 //
 // A hedged request starts after the 0.95 quantile of the latency in the
 // previous window, or in the current one if the previous has too few samples;
--- a/core/retry/hedgelimit.go
+++ b/core/retry/hedgelimit.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"trefoilthread/core/types"
+)
 
 const (
 	// hedgeBurst is the number of unused hedges that are kept. A burst of requests gets few
@@ -41,13 +45,13 @@
 	IsCold bool
 }
 
-// Take decides about a hedge. If it returns NotHeld, it has used one of the limit and one of
-// the retries.
-func (l *HedgeLimit) Take(now time.Time, v HedgeView, retries *Budget) Hold {
+// Take decides about a hedge of a request of an urgency. If it returns NotHeld, it has used one of
+// the limit and one of the retries. A denied hedge doesn't hold back less urgent requests.
+func (l *HedgeLimit) Take(now time.Time, v HedgeView, retries *Budget, u types.Urgency) Hold {
 	if h := l.Check(v); h != NotHeld {
 		return h
 	}
-	if !retries.Take(now) {
+	if retries.denied.appliesTo(now, u) || !retries.Take(now) {
 		return HeldByRetries
 	}
 	l.tokens--
--- a/core/retry/hedgelimit_test.go
+++ b/core/retry/hedgelimit_test.go
@@ -112,7 +112,7 @@
 	}
 	q.hedged = true
 	t, isFaster := s.picker.PickFaster(s.now, q.tried, 0)
-	hold := s.limit.Take(s.now, retry.HedgeView{Load: s.picker.Load(s.now), IsFaster: isFaster}, s.budget)
+	hold := s.limit.Take(s.now, retry.HedgeView{Load: s.picker.Load(s.now), IsFaster: isFaster}, s.budget, types.Urgency{})
 	s.holds[hold]++
 	if hold == retry.NotHeld {
 		s.hedgesAt = append(s.hedgesAt, s.now)
@@ -236,7 +236,7 @@
 	is := is.New(t)
 	limit, budget := retry.NewHedgeLimit(1), retry.NewBudget(retry.BudgetOptions{})
 	good := retry.HedgeView{Load: 0.5, IsFaster: true}
-	is.Equal(limit.Take(start, good, budget), retry.HeldByShare)
+	is.Equal(limit.Take(start, good, budget, types.Urgency{}), retry.HeldByShare)
 	limit.RecordCall()
 	for want, change := range map[retry.Hold]func(v *retry.HedgeView){
 		retry.HeldByStop:   func(v *retry.HedgeView) { v.IsStopping = true },
@@ -246,9 +246,9 @@
 	} {
 		v := good
 		change(&v)
-		is.Equal(limit.Take(start, v, budget), want)
+		is.Equal(limit.Take(start, v, budget, types.Urgency{}), want)
 	}
-	is.Equal(limit.Take(start, good, retry.NewBudget(retry.BudgetOptions{Off: true})), retry.HeldByRetries)
-	is.Equal(limit.Take(start, good, budget), retry.NotHeld)
-	is.Equal(limit.Take(start, good, budget), retry.HeldByShare)
+	is.Equal(limit.Take(start, good, retry.NewBudget(retry.BudgetOptions{Off: true}), types.Urgency{}), retry.HeldByRetries)
+	is.Equal(limit.Take(start, good, budget, types.Urgency{}), retry.NotHeld)
+	is.Equal(limit.Take(start, good, budget, types.Urgency{}), retry.HeldByShare)
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -213,4 +213,13 @@
 	is.True(take(2065, 0, 2))
 	is.True(!take(2070, 0, 2))
 	is.True(take(3066, 0, 2)) // as urgent as the denied one
+	is.True(!take(3067, 0, 0))
+
+	limit := retry.NewHedgeLimit(1)
+	limit.RecordCall()
+	hedge := func(route int) retry.Hold {
+		return limit.Take(start.Add(4066500*time.Microsecond), retry.HedgeView{IsFaster: true}, b, types.Urgency{Route: route})
+	}
+	is.Equal(hedge(1), retry.HeldByRetries) // there is a token
+	is.Equal(hedge(0), retry.NotHeld)
 }
--- a/core/retry/yield.go
+++ b/core/retry/yield.go
@@ -18,12 +18,11 @@
 
 // appliesTo reports whether a request has to leave the budget to more urgent ones.
 func (d denial) appliesTo(now time.Time, u types.Urgency) bool {
-	return !d.at.IsZero() && now.Sub(d.at) < yieldTime && d.urgency.Compare(u) < 0
+	return !d.at.IsZero() && now.Sub(d.at) >= 0 && now.Sub(d.at) < yieldTime && d.urgency.Compare(u) < 0
 }
 
-// TakeFor is Take for a request of an urgency. A request doesn't take a token while a more
-// urgent one was denied lately: the first ones to fail would otherwise take the last of the
-// budget, whoever they are.
+// TakeFor is Take for a request of an urgency. For yieldTime after a more urgent request was denied
+// a token it takes none, so that the budget isn't used up in the order of failures.
 func (b *Budget) TakeFor(now time.Time, u types.Urgency) bool {
 	if b.denied.appliesTo(now, u) {
 		return false
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -61,10 +61,10 @@
 // A target is suspended when its oldest call is older than three times the 95 %
 // latency quantile of the service, at least 20 ms, or when more than half of
 // its recent calls failed. It then gets one trial call at a time, with pauses
-// that double from 100 ms to 5 s, until one ends well. One that is canceled doubles
-// no pause. Trial calls are at most one in 200 calls of this daemon to the service,
-// or one in 5 s. A retry is never a trial call. When more than half of the targets are suspended, suspension is
-// ignored: the fault is then more likely in the calls or in this daemon, and
+// that double from 100 ms to 5 s, until one ends well. One that is canceled before
+// that age doubles no pause. Trial calls are at most one in 200 calls of this daemon to
+// the service, or one in 5 s. A retry is never a trial call. When more than half of the
+// targets are suspended, suspension is ignored: the fault is then more likely in the calls or in this daemon, and
 // the remaining targets couldn't carry the load. The score still applies.
 //
 // A target to whose daemon no connection could be made is left out for a second, or until
--- a/core/route/member.go
+++ b/core/route/member.go
@@ -202,12 +202,12 @@
 	}
 }
 
-// takesLoad reports whether the number of calls in a report replaces the known one. isTold says
-// that the report came without a response. All callers get such a report at the same moment,
+// replacesLoad reports whether the number of calls in a report replaces the known one. An
+// unsolicited report came without a response. All callers get such a report at the same moment,
 // and would all place calls by it, so its number is used only if none of the last second is
 // known.
-func (m *member) takesLoad(now time.Duration, isTold bool) bool {
-	return !isTold || now-m.loadAt > maxReportHalfLife
+func (m *member) replacesLoad(now time.Duration, unsolicited bool) bool {
+	return !unsolicited || now-m.loadAt > maxReportHalfLife
 }
 
 // storeLoad stores the number of calls of a report.
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -167,8 +167,8 @@
 
 // applyReport stores a report unless it is from an earlier incarnation. A report
 // of a later one shows a restart before the membership does; incarnation 0 is
-// unknown and counts as the current one. isTold says that it came without a response.
-func (p *Picker) applyReport(now time.Duration, m *member, r types.Report, isTold bool) {
+// unknown and counts as the current one. An unsolicited report came without a response.
+func (p *Picker) applyReport(now time.Duration, m *member, r types.Report, unsolicited bool) {
 	if r.Incarnation() < m.incarnation && r.Incarnation() != 0 {
 		return
 	}
@@ -177,7 +177,7 @@
 		m.incarnation = r.Incarnation()
 	}
 	m.storeReport(now, r)
-	if m.takesLoad(now, isTold) {
+	if m.replacesLoad(now, unsolicited) {
 		m.storeLoad(now, r)
 		p.meanOtherCalls.observe(m.otherCalls, 1.0/16)
 	}
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -7,9 +7,9 @@
 	// its weight. A target that isn't chosen because of its report sends no other.
 	minReportHalfLife = 50 * time.Millisecond
 	maxReportHalfLife = time.Second
-	// callsPerHalfLife is the half-life relative to the latency of a call: the load of a target
+	// latenciesPerHalfLife is the half-life in average call latencies: the load of a target
 	// changes as its calls end (docs/findings/placement.md).
-	callsPerHalfLife = 4
+	latenciesPerHalfLife = 4
 	// reportHalfLives is the number of half-lives after which a report is ignored.
 	reportHalfLives = 10
 	// failurePenalty is the multiple of the wait that a failure share of 1 adds. It
@@ -67,5 +67,5 @@
 
 // reportHalfLife returns the age at which a report has lost half its weight.
 func (p *Picker) reportHalfLife() time.Duration {
-	return max(minReportHalfLife, min(time.Duration(callsPerHalfLife*p.serviceLatency()), maxReportHalfLife))
+	return max(minReportHalfLife, min(time.Duration(latenciesPerHalfLife*p.serviceLatency()), maxReportHalfLife))
 }
--- a/core/route/suspend.go
+++ b/core/route/suspend.go
@@ -119,8 +119,8 @@
 
 // finishTrial resumes m after a trial call that succeeded fast enough. Otherwise
 // it schedules the next one, after twice the pause if the call was slow, failed or ran out
-// of time. A call that was canceled, as a hedge was answered first or the caller left, says
-// nothing about the target.
+// of time. A call that was canceled before the straggler age, because a hedge was answered first
+// or the caller left, doesn't change the pause.
 func (p *Picker) finishTrial(now time.Duration, m *member, v resultKind, res Result) {
 	switch v {
 	case succeeded:
@@ -130,7 +130,7 @@
 		}
 		m.backoff = min(2*m.backoff, maxBackoff)
 	case failed, censored:
-		if v == failed || res.Outcome != types.Canceled {
+		if v == failed || res.Outcome != types.Canceled || res.Latency > p.stragglerAge(m) {
 			m.backoff = min(2*m.backoff, maxBackoff)
 		}
 	}
--- a/core/route/suspend_test.go
+++ b/core/route/suspend_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// Guards against a hung target that gets a trial call each 100 ms, because each of them loses to a
+// hedge.
+func TestHungTrialsAreRare(t *testing.T) {
+	is := is.New(t)
+	p, _ := warmedPicker(5)
+	hung := p.Start(start, "t0")
+	now := start.Add(ms(50))
+	countPicks(p, now, 1000) // meets t0
+	p.Finish(now, hung, route.Result{Outcome: types.Canceled, Latency: ms(50)})
+	trials := 0
+	for range 100 {
+		now = now.Add(ms(100))
+		if countPicks(p, now, 500)["t0"] == 1 {
+			trials++
+			p.Finish(now, p.Start(now.Add(-ms(60)), "t0"), route.Result{Outcome: types.Canceled, Latency: ms(60)})
+		}
+	}
+	is.True(trials < 10) // the pauses double up to 5 s
+}
+
 // Guards against calls that wait for connections to VMs that have lost power while others
 // are left: five of six targets are dark for three seconds, in which each connection
 // attempt takes 300 ms. With so many suspended, suspension is ignored. A call takes 400 ms,
--- a/core/whole/urgency_test.go
+++ b/core/whole/urgency_test.go
@@ -12,9 +12,10 @@
 	load       [2]float64 // of the used slots of each service
 	thirdFront float64    // share of the third type that the front service runs
 	callRank   int
-	rejecting  [2]int // number of targets of each service that reject requests
-	customers  bool   // requests are those of nine customers of three ranks
-	slow       bool   // a quarter of the hosts is four times slower by turns
+	rejecting  [2]int   // number of targets of each service that reject requests
+	customers  bool     // requests are those of nine customers of three ranks
+	seeds      []uint64 // nil for those of most cases
+	slow       bool     // a quarter of the hosts is four times slower by turns
 }
 
 // rates returns the arrivals a second of the three types, in the proportions of the deployment
@@ -59,11 +60,16 @@
 		{name: "half of the targets rejects and load 1.3", load: [2]float64{1.3, 1.3}, rejecting: [2]int{4, 3}},
 		{name: "all targets reject", load: [2]float64{0.6, 0.6}, rejecting: [2]int{8, 6}, thirdFront: 0.3},
 		{name: "slow hosts", load: [2]float64{0.7, 0.7}, slow: true},
+		{name: "slow hosts with other seeds", load: [2]float64{0.7, 0.7}, slow: true, seeds: []uint64{300, 301, 302, 303, 304}},
 		{name: "slow hosts and load 1.3", load: [2]float64{1.3, 1.3}, slow: true, thirdFront: 0.3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var sum *urgentModel
-			for _, seed := range []uint64{100, 101, 102, 103, 202} {
+			seeds := c.seeds
+			if seeds == nil {
+				seeds = []uint64{100, 101, 102, 103, 202}
+			}
+			for _, seed := range seeds {
 				m := newUrgentModel(c, seed)
 				m.play()
 				m.report(t, fmt.Sprint("seed ", seed))
--- a/io/agent/hedge.go
+++ b/io/agent/hedge.go
@@ -8,17 +8,17 @@
 	"trefoilthread/core/types"
 )
 
-// takeHedge decides about a second attempt of a request with a body of n bytes, and chooses
-// its target. If it isn't held, the call counts as started.
-func (b *balancer) takeHedge(name types.ServiceName, tried []types.TargetID, n int, isStopping bool) (types.Target, route.Token, retry.Hold) {
+// takeHedge decides about a second attempt of a request, and chooses its target. If it isn't
+// held, the call counts as started.
+func (b *balancer) takeHedge(q *request, tried []types.TargetID, isStopping bool) (types.Target, route.Token, retry.Hold) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, now := b.service(name), b.clock.Now()
-	t, isFaster := s.picker.PickFaster(now, tried, n)
+	s, now := b.service(q.service), b.clock.Now()
+	t, isFaster := s.picker.PickFaster(now, tried, len(q.req.Body))
 	hold := s.hedges.Take(now, retry.HedgeView{
 		IsStopping: isStopping, Load: s.picker.Load(now), IsFaster: isFaster,
 		IsCold: isFaster && s.picker.IsCold(now, t.ID()),
-	}, s.budget)
+	}, s.budget, q.urgency())
 	if hold != retry.NotHeld {
 		return types.Target{}, route.Token{}, hold
 	}
@@ -33,7 +33,7 @@
 		return
 	}
 	e := d.entry
-	t, tok, hold := e.balancer.takeHedge(d.request.service, d.tried, len(d.request.req.Body), e.stop() != nil)
+	t, tok, hold := e.balancer.takeHedge(d.request, d.tried, e.stop() != nil)
 	if hold != retry.NotHeld {
 		e.metrics.countHold(hold)
 		return
--- a/io/agent/pause.go
+++ b/io/agent/pause.go
@@ -42,9 +42,9 @@
 	switch {
 	case cur.ID != id: // replaced since
 	case httpw.IsTooLong(err):
-		isChange = t.pauses.TooLong(t.clock.Now(), started)
+		isChange = t.pauses.RecordTooLong(t.clock.Now(), started)
 	case isSound:
-		isChange = t.pauses.Sound()
+		isChange = t.pauses.RecordComplete()
 	}
 	pause, n := t.pauses.Pause(), t.pauses.InARow()
 	t.mu.Unlock()
