review: case 7, an acknowledged leaving is lost with a planned stop of the daemon

Cause: at a planned stop the daemon deletes its record when its target has left. The record is all that tells the next process of the leaving, which then accepts a late heartbeat of the target as its first one.

--- a/review/rig2/leave.go
+++ b/review/rig2/leave.go
@@ -42,10 +42,7 @@
 	c := newCallers(w)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for _, n := range w.nodes {
-		c.keepSending(ctx, n, http.MethodGet, "/look/120", 200*time.Millisecond, time.Second)
-		c.keepSending(ctx, n, http.MethodPost, "/pay/160", 100*time.Millisecond, 1200*time.Millisecond)
-	}
+	c.sendUsual(ctx)
 	leaving := w.nodes[1]
 	w.waitUntil(leaveOutage)
 	if trouble {
@@ -77,16 +74,24 @@
 	w.waitUntil(leaveEnd)
 	cancel()
 	c.run.Wait()
-	return countLate(w, c, leaving, acknowledged), nil
+	return countLate(w, c, leaving, acknowledged, leaveTouch), nil
+}
+
+// sendUsual sends lookups and payments to all daemons until ctx ends.
+func (c *callers) sendUsual(ctx context.Context) {
+	for _, n := range c.w.nodes {
+		c.keepSending(ctx, n, http.MethodGet, "/look/120", 200*time.Millisecond, time.Second)
+		c.keepSending(ctx, n, http.MethodPost, "/pay/160", 100*time.Millisecond, 1200*time.Millisecond)
+	}
 }
 
-// countLate reports whether requests that were sent in touch reached the target too late, and
+// countLate reports whether requests that were sent after touch reached the target too late, and
 // notes what became of them.
-func countLate(w *world, c *callers, leaving *node, acknowledged time.Duration) bool {
+func countLate(w *world, c *callers, leaving *node, acknowledged, touch time.Duration) bool {
 	late, lost := 0, 0
 	for _, a := range leaving.target.runs() {
 		s, ok := c.find(a.id)
-		if !ok || a.at < acknowledged+drainTime || s.at < leaveTouch {
+		if !ok || a.at < acknowledged+drainTime || s.at < touch {
 			continue
 		}
 		late++
@@ -95,6 +100,6 @@
 		}
 	}
 	w.rec.note("acknowledged at %.3f s; sent after %.3f s, in touch, and reached the target: %d, of these without a good answer: %d",
-		acknowledged.Seconds(), leaveTouch.Seconds(), late, lost)
+		acknowledged.Seconds(), touch.Seconds(), late, lost)
 	return late > 0
 }
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -31,6 +31,7 @@
 	"leave":    playLeave,
 	"crash":    playCrash,
 	"settings": playSettings,
+	"withdraw": playWithdraw,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -95,11 +95,7 @@
 		t.mu.Lock()
 		isUp, isLeft := t.web != nil, t.isLeft
 		t.sequence++
-		id, doc := t.id, map[string]any{
-			"address": t.addr, "born": t.born,
-			"instanceInfo": map[string]any{"service": t.service, "version": "v1", "zone": "kl-sentral", "slots": slots},
-			"status":       map[string]any{"state": "ready", "seq": t.sequence, "coldRemainingMs": 0},
-		}
+		id, doc := t.id, t.beatDoc()
 		t.mu.Unlock()
 		if isLeft {
 			return
@@ -110,6 +106,28 @@
 	}
 }
 
+// delayBeat takes the next heartbeat, as it is now, and returns a function that delivers it.
+func (t *target) delayBeat() func() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sequence++
+	id, doc := t.id, t.beatDoc()
+	t.n.w.rec.note("%s: target %s sends heartbeat %d (ready), which is delayed", t.n.name, id, t.sequence)
+	return func() {
+		status, err := t.tell("Instances.Heartbeat/"+id, doc)
+		t.n.w.rec.note("%s: the delayed heartbeat arrives, status %d, error %v", t.n.name, status, err)
+	}
+}
+
+// beatDoc returns a heartbeat with the present sequence number, with the lock held.
+func (t *target) beatDoc() map[string]any {
+	return map[string]any{
+		"address": t.addr, "born": t.born,
+		"instanceInfo": map[string]any{"service": t.service, "version": "v1", "zone": "kl-sentral", "slots": slots},
+		"status":       map[string]any{"state": "ready", "seq": t.sequence, "coldRemainingMs": 0},
+	}
+}
+
 // leave sends the last message, and reports whether it was acknowledged.
 func (t *target) leave() bool {
 	t.mu.Lock()
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -17,6 +17,7 @@
 	stableWindow    = 3 * time.Second
 	drainTime       = 2 * time.Second
 	heartbeatPeriod = 1500 * time.Millisecond
+	graceTime       = 6 * time.Second
 )
 
 // world is a small deployment: a store, and daemons with their targets.
