--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -17,6 +17,8 @@
 const (
 	slots      = 12
 	healthPath = "/health"
+	// slowHealth is the time of a health check, 6 ms, at a target that is slow by a factor of 12.
+	slowHealth = 72 * time.Millisecond
 	// crashPath begins the paths of requests that crash each target that runs them.
 	crashPath = "/crash/"
 	// crashAfter is the time that such a request runs before.
@@ -174,6 +176,9 @@
 	}
 	if r.URL.Path == healthPath {
 		w.Header().Set("Instance-Id", id)
+		if isLeft && t.n.w.isSlow {
+			time.Sleep(slowHealth)
+		}
 		if isLeft {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/review/rig2/withdraw.go
+++ b/review/rig2/withdraw.go
@@ -13,7 +13,7 @@
 	withdrawStop  = withdrawLeave + 300*time.Millisecond // its daemon gets SIGTERM
 	withdrawPause = 500 * time.Millisecond               // from the end of the daemon to its start
 	withdrawLate  = withdrawBeat + 4500*time.Millisecond // the heartbeat arrives
-	withdrawTouch = withdrawLate + stableWindow          // all machines are in touch
+	withdrawSlow  = withdrawBeat + 7*time.Second         // the same, with SLOW=1
 	withdrawExit  = withdrawLeave + 14*time.Second       // the target ends
 	withdrawEnd   = withdrawExit + 2*time.Second
 )
@@ -37,6 +37,7 @@
 		return false, errors.New("the leaving was not acknowledged")
 	}
 	acknowledged := w.rec.since()
+	touch := acknowledged + drainTime
 	if trouble {
 		w.waitUntil(withdrawStop)
 		leaving.terminate()
@@ -44,8 +45,13 @@
 		if err := leaving.start(); err != nil {
 			return false, err
 		}
+		touch = w.rec.since() + stableWindow
+	}
+	if w.isSlow {
+		w.waitUntil(withdrawSlow)
+	} else {
+		w.waitUntil(withdrawLate)
 	}
-	w.waitUntil(withdrawLate)
 	deliver()
 	w.waitUntil(withdrawExit)
 	leaving.target.exit()
@@ -53,5 +59,5 @@
 	w.waitUntil(withdrawEnd)
 	cancel()
 	c.run.Wait()
-	return countLate(w, c, leaving, acknowledged, withdrawTouch), nil
+	return countLate(w, c, leaving, acknowledged, touch), nil
 }
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -33,6 +33,8 @@
 	// saysLeaving has targets that have left name that in all answers, which those of tiram-hq
 	// don't do.
 	saysLeaving bool
+	// isSlow has targets that have left answer health checks after slowHealth.
+	isSlow bool
 }
 
 func newWorld(dir string) (*world, error) {
@@ -47,7 +49,7 @@
 	w := &world{
 		dir: tmp, rec: rec, store: fake.NewStore(fake.Options{}),
 		net:         fmt.Sprintf("127.%d.%d", 2+rand.IntN(240), rand.IntN(250)),
-		saysLeaving: os.Getenv("LEAVING") == "1",
+		saysLeaving: os.Getenv("LEAVING") == "1", isSlow: os.Getenv("SLOW") == "1",
 	}
 	ln, err := net.Listen("tcp4", w.net+".250:0")
 	if err != nil {
