--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -73,24 +73,6 @@
 	}()
 }
 
-// keepSending sends a request to a daemon at each interval until ctx ends.
-func (c *callers) keepSending(ctx context.Context, n *node, method, path string, every, deadline time.Duration) {
-	c.run.Add(1)
-	go func() {
-		defer c.run.Done()
-		tick := time.NewTicker(every)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				c.sendLater(n, method, path, deadline)
-			}
-		}
-	}()
-}
-
 // find returns a copy of the request with an id.
 func (c *callers) find(id string) (sent, bool) {
 	c.mu.Lock()
--- a/review/rig2/crash.go
+++ b/review/rig2/crash.go
@@ -24,13 +24,23 @@
 	payBefore = 1500 * time.Millisecond
 	longPath  = "/long/2500"
 	// maxCrashRetries is the number of retries that may reach targets later than stableWindow
-	// after the third crash.
+	// after the third target crashed.
 	maxCrashRetries = 3
 )
 
+// bookingsConfig has one service with a route for lookups and one for payments.
+const bookingsConfig = `{"version":"r1","services":[{"name":"bookings","connectionLimit":260,"healthPath":"/health"}],
+"limits":{"headerBytes":16384,"bodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"hosts":[{"host":"ficu95.example","paths":[
+{"name":"look","pathPrefix":"/look/","kind":"safe","timeoutMs":1500,"targetLatencyMs":400,"priority":2,"service":"bookings","attempts":2},
+{"name":"pay","pathPrefix":"/pay/","kind":"unsafe","timeoutMs":1500,"targetLatencyMs":400,"priority":1,"service":"bookings","attempts":2},
+{"name":"crash","pathPrefix":"/crash/","kind":"safe","timeoutMs":1500,"targetLatencyMs":400,"priority":2,"service":"bookings","attempts":2},
+{"name":"long","pathPrefix":"/long/","kind":"unsafe","timeoutMs":8000,"targetLatencyMs":4000,"priority":1,"service":"bookings","attempts":2}
+]}]}`
+
 // playCrash sends a request that crashes each target that runs it, again and again. Rule
 // BUDGET: it reaches targets in no more than maxCrashRetries retries of the daemons later than
-// stableWindow after the third crash.
+// stableWindow after the third target crashed.
 func playCrash(w *world, trouble bool) (bool, error) {
 	w.configure(bookingsConfig)
 	if err := w.startNodes("bookings", "bookings", "bookings", "bookings", "bookings", "bookings"); err != nil {
@@ -59,7 +69,7 @@
 }
 
 // countRetries reports whether the request reached targets in too many retries after the third
-// crash. A retry is a second send of one attempt by a daemon: a repeat of the caller is a new
+// target crashed. A retry is a second send of one attempt by a daemon: a repeat of the caller is a new
 // request. It notes how many other requests were lost since then.
 func countRetries(w *world, c *callers) bool {
 	var crashes, others []arrival
@@ -73,11 +83,12 @@
 		}
 	}
 	slices.SortFunc(crashes, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
-	if len(crashes) < 3 {
+	from, ok := thirdCrash(crashes)
+	if !ok {
 		w.rec.note("%d crashes", len(crashes))
 		return false
 	}
-	from := crashes[2].at + crashAfter + stableWindow
+	from += stableWindow
 	sent := make(map[string]bool)
 	arrived, retries, lost := 0, 0, 0
 	for _, a := range crashes {
@@ -94,7 +105,19 @@
 			lost++
 		}
 	}
-	w.rec.note("%d crashes; later than %v after the third one the request reached targets %d times, in %d retries of daemons, allowed %d; other requests lost in these crashes: %d",
+	w.rec.note("%d crashes; later than %v after the third target crashed the request reached targets %d times, in %d retries of daemons, allowed %d; other requests lost in these crashes: %d",
 		len(crashes), stableWindow, arrived, retries, maxCrashRetries, lost)
 	return retries > maxCrashRetries
 }
+
+// thirdCrash returns when the third different target crashed.
+func thirdCrash(crashes []arrival) (time.Duration, bool) {
+	crashed := make(map[string]bool)
+	for _, a := range crashes {
+		crashed[a.node] = true
+		if len(crashed) == 3 {
+			return a.at + crashAfter, true
+		}
+	}
+	return 0, false
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -8,9 +8,8 @@
 //
 // CASE is the name of a case, DIR the folder for record.txt. The working directory
 // is the root of the repository, after the build of the deploy file. With the
-// environment variable TROUBLE=0 the disruption is left out, with LEAVING=1 targets that
-// have left say so in all answers, and with SLOW=1 they answer health checks late. The
-// exit code is 0 if the rule held, 1 if it was broken and 2 if the case couldn't run.
+// environment variable TROUBLE=0 the disruption is left out. The exit code is 0 if the rule
+// held, 1 if it was broken and 2 if the case couldn't run.
 package main
 
 import (
@@ -29,10 +28,7 @@
 type scenario func(w *world, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"leave":    playLeave,
-	"crash":    playCrash,
-	"settings": playSettings,
-	"withdraw": playWithdraw,
+	"crash": playCrash,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig2/node.go
+++ b/review/rig2/node.go
@@ -113,24 +113,6 @@
 	n.w.rec.note("%s: daemon killed", n.name)
 }
 
-// terminate ends the daemon with SIGTERM, or with SIGKILL after the grace time.
-func (n *node) terminate() {
-	n.mu.Lock()
-	cmd, done := n.cmd, n.done
-	n.mu.Unlock()
-	n.w.rec.note("%s: daemon gets SIGTERM", n.name)
-	_ = cmd.Process.Signal(syscall.SIGTERM) // it may have ended
-	select {
-	case <-done:
-		n.mu.Lock()
-		n.cmd = nil
-		n.mu.Unlock()
-		n.w.rec.note("%s: daemon has ended", n.name)
-	case <-time.After(graceTime):
-		n.kill()
-	}
-}
-
 // awaitReady waits until the readiness check of the daemon succeeds.
 func (n *node) awaitReady(most time.Duration) error {
 	client := http.Client{Timeout: time.Second}
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -17,8 +17,6 @@
 const (
 	slots      = 12
 	healthPath = "/health"
-	// slowHealth is the time of a health check, 6 ms, at a target that is slow by a factor of 12.
-	slowHealth = 72 * time.Millisecond
 	// crashPath begins the paths of requests that crash each target that runs them.
 	crashPath = "/crash/"
 	// crashAfter is the time that such a request runs before.
@@ -27,9 +25,9 @@
 
 // arrival is a request that reached a target.
 type arrival struct {
+	node             string // where the target is
 	id, path, caller string
 	at               time.Duration // since the start of the case
-	ended            bool          // the run has ended with an answer
 }
 
 // target is a stand-in of a server beside a daemon. Its id changes with each start.
@@ -43,7 +41,7 @@
 	born     int64
 	sequence int
 	starts   int
-	isLeft   bool // it has sent its last message
+	running  int
 	web      *http.Server
 	crashes  int
 	arrivals []*arrival
@@ -64,7 +62,7 @@
 	defer t.mu.Unlock()
 	t.starts++
 	t.id, t.born = fmt.Sprintf("i-%s-%d", t.n.name, t.starts), time.Now().UnixMilli()
-	t.sequence, t.isLeft = 0, false
+	t.sequence, t.running = 0, 0
 	t.web = &http.Server{Handler: http.HandlerFunc(t.serve)}
 	web := t.web
 	go func() { _ = web.Serve(ln) }() // ends with exit
@@ -82,46 +80,24 @@
 	}
 }
 
-// replace ends the target and starts one of another service in its place.
-func (t *target) replace(service string) error {
-	t.exit()
-	t.mu.Lock()
-	t.service = service
-	t.mu.Unlock()
-	return t.start()
-}
-
-// beat sends heartbeats until the target leaves.
+// beat sends heartbeats.
 func (t *target) beat() {
-	for t.sendBeat() {
+	for {
+		t.sendBeat()
 		time.Sleep(heartbeatPeriod)
 	}
 }
 
-// sendBeat sends a heartbeat if the target runs. It returns false if it has left.
-func (t *target) sendBeat() bool {
+// sendBeat sends a heartbeat if the target runs.
+func (t *target) sendBeat() {
 	t.mu.Lock()
-	isUp, isLeft := t.web != nil, t.isLeft
+	isUp := t.web != nil
 	t.sequence++
 	id, doc := t.id, t.beatDoc()
 	t.mu.Unlock()
-	if isUp && !isLeft {
+	if isUp {
 		_, _ = t.tell("Instances.Heartbeat/"+id, doc) // the next one follows
 	}
-	return !isLeft
-}
-
-// delayBeat takes the next heartbeat, as it is now, and returns a function that delivers it.
-func (t *target) delayBeat() func() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sequence++
-	id, doc := t.id, t.beatDoc()
-	t.n.w.rec.note("%s: target %s sends heartbeat %d (ready), which is delayed", t.n.name, id, t.sequence)
-	return func() {
-		status, err := t.tell("Instances.Heartbeat/"+id, doc)
-		t.n.w.rec.note("%s: the delayed heartbeat arrives, status %d, error %v", t.n.name, status, err)
-	}
 }
 
 // beatDoc returns a heartbeat with the present sequence number, with the lock held.
@@ -133,17 +109,6 @@
 	}
 }
 
-// leave sends the last message, and reports whether it was acknowledged.
-func (t *target) leave() bool {
-	t.mu.Lock()
-	t.isLeft = true
-	id, born := t.id, t.born
-	t.mu.Unlock()
-	status, err := t.tell("Instances.Leave/"+id, map[string]any{"born": born})
-	t.n.w.rec.note("%s: target %s sent Instances.Leave, status %d, error %v", t.n.name, id, status, err)
-	return err == nil && status == http.StatusOK
-}
-
 // tell sends a message to the control address of the own daemon, which counts as acknowledged
 // within a second.
 func (t *target) tell(path string, doc any) (int, error) {
@@ -168,20 +133,11 @@
 // serve answers a health check or runs a request.
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
-	id, isLeft := t.id, t.isLeft
+	id, load := t.id, t.load()
 	t.mu.Unlock()
-	w.Header().Set("Server-Load", fmt.Sprintf("0,0,%d,100", slots))
-	if isLeft && t.n.w.saysLeaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
+	w.Header().Set("Server-Load", load)
 	if r.URL.Path == healthPath {
 		w.Header().Set("Instance-Id", id)
-		if isLeft && t.n.w.isSlow {
-			time.Sleep(slowHealth)
-		}
-		if isLeft {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
 		return
 	}
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
@@ -196,11 +152,18 @@
 	t.run(w, r, id)
 }
 
+// load returns the value of Server-Load (running, waiting, slots, pace), with the lock held. A
+// target runs all its requests at once, so those that are more than its slots count as waiting.
+func (t *target) load() string {
+	return fmt.Sprintf("%d,%d,%d,100", min(t.running, slots), max(t.running-slots, 0), slots)
+}
+
 // run runs a request, whose path ends with the milliseconds of work.
 func (t *target) run(w http.ResponseWriter, r *http.Request, id string) {
-	a := &arrival{id: r.Header.Get("Attempt-Id"), path: r.URL.Path, caller: r.Header.Get("Calling-Service"), at: t.n.w.rec.since()}
+	a := &arrival{node: t.n.name, id: r.Header.Get("Attempt-Id"), path: r.URL.Path, caller: r.Header.Get("Calling-Service"), at: t.n.w.rec.since()}
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, a)
+	t.running++
 	t.mu.Unlock()
 	t.n.w.rec.note("%s: target %s runs %s %s, Calling-Service %s", t.n.name, id, a.id, a.path, a.caller)
 	if strings.HasPrefix(r.URL.Path, crashPath) {
@@ -212,16 +175,27 @@
 	select {
 	case <-time.After(time.Duration(ms) * time.Millisecond):
 	case <-r.Context().Done():
+		t.end(id)
 		t.n.w.rec.note("%s: target %s: connection of %s ended during its run", t.n.name, id, a.id)
 		return
 	}
+	t.end(id)
 	t.mu.Lock()
-	a.ended = true
+	w.Header().Set("Server-Load", t.load())
 	t.mu.Unlock()
 	w.Header().Set("Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1")
 	_, _ = io.WriteString(w, "done "+a.id) // the daemon may have gone
 }
 
+// end takes a request of the start id out of the running ones.
+func (t *target) end(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.id == id {
+		t.running--
+	}
+}
+
 // crash ends the target; it is back after some seconds.
 func (t *target) crash() {
 	t.exit()
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -12,12 +12,10 @@
 	"trefoilthread/platform/fake"
 )
 
-// Bounds of tiram-hq that the cases use.
+// Bounds of tiram-hq that the case uses.
 const (
 	stableWindow    = 3 * time.Second
-	drainTime       = 2 * time.Second
 	heartbeatPeriod = 1500 * time.Millisecond
-	graceTime       = 6 * time.Second
 )
 
 // world is a small deployment: a store, and daemons with their targets.
@@ -29,12 +27,6 @@
 	web   *http.Server // of the store
 	addr  string       // of the store
 	nodes []*node
-
-	// saysLeaving has targets that have left name that in all answers, which those of tiram-hq
-	// don't do.
-	saysLeaving bool
-	// isSlow has targets that have left answer health checks after slowHealth.
-	isSlow bool
 }
 
 func newWorld(dir string) (*world, error) {
@@ -48,8 +40,7 @@
 	}
 	w := &world{
 		dir: tmp, rec: rec, store: fake.NewStore(fake.Options{}),
-		net:         fmt.Sprintf("127.%d.%d", 2+rand.IntN(240), rand.IntN(250)),
-		saysLeaving: os.Getenv("LEAVING") == "1", isSlow: os.Getenv("SLOW") == "1",
+		net: fmt.Sprintf("127.%d.%d", 2+rand.IntN(240), rand.IntN(250)),
 	}
 	ln, err := net.Listen("tcp4", w.net+".250:0")
 	if err != nil {
